--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scheduling decisions of the agent: classes, slots, deadlines and refusals.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the measuring tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command-line tool.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration state: versioned objects, tombstones, validation and write resolution.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings, logs and arguments of `marigoldusherd`.
--- /dev/null
+++ b/crates/flows/src/lib.rs
@@ -0,0 +1,1 @@
+//! Flow decisions of the agent: accept, forward, directory, segments and handover.
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership decisions: heartbeats, suspicion, host states and roster proposals.
--- /dev/null
+++ b/crates/placement/src/rank.rs
@@ -0,0 +1,49 @@
+use usher_types::{HostId, Weight};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Members in rendezvous order for a key, the first one first.
+///
+/// A member's share of first places is proportional to its weight; members of weight 0 come last.
+///
+/// ```
+/// use usher_types::{HostId, Weight};
+/// let hosts: Vec<HostId> = vec!["a".parse()?, "b".parse()?];
+/// let order = usher_placement::rank(7, hosts.iter().map(|host| (host, Weight::NOMINAL)));
+/// assert_eq!(order.len(), 2);
+/// # Ok::<(), usher_types::ParseError>(())
+/// ```
+pub fn rank<'a>(
+    key: u64,
+    members: impl IntoIterator<Item = (&'a HostId, Weight)>,
+) -> Vec<&'a HostId> {
+    let mut scored: Vec<_> = members
+        .into_iter()
+        .map(|(host, weight)| (score(key, host, weight), host))
+        .collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+    scored.into_iter().map(|(_, host)| host).collect()
+}
+
+/// The member that comes first for a key, if there is any.
+///
+/// ```
+/// let none = usher_placement::first(7, []);
+/// assert!(none.is_none());
+/// ```
+pub fn first<'a>(
+    key: u64,
+    members: impl IntoIterator<Item = (&'a HostId, Weight)>,
+) -> Option<&'a HostId> {
+    members
+        .into_iter()
+        .map(|(host, weight)| (score(key, host, weight), host))
+        .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)))
+        .map(|(_, host)| host)
+}
+
+// Weighted rendezvous score -w / ln(u), with u uniform in (0, 1).
+fn score(key: u64, host: &HostId, weight: Weight) -> f64 {
+    let hash = xxh3_64_with_seed(host.as_str().as_bytes(), key);
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -f64::from(weight.get()) / uniform.ln()
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test stand-ins for the platform's store and fabric, a backend server and a caller.
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `standin`.
+
+fn main() {}
--- /dev/null
+++ b/crates/types/src/beat.rs
@@ -0,0 +1,59 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{HostId, HostState, Incarnation, InstanceId, Span, Time, Version, Weight};
+
+/// A process of the system: an agent by its host, a balancer by its instance.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Peer {
+    /// The agent of a host.
+    Host(HostId),
+    /// A balancer.
+    Instance(InstanceId),
+}
+
+impl fmt::Display for Peer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Host(host) => write!(f, "host {host}"),
+            Self::Instance(instance) => write!(f, "instance {instance}"),
+        }
+    }
+}
+
+/// A heartbeat, sent once a second; between agents it also renews the lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub from: Peer,
+    /// Incarnation of the sender.
+    pub incarnation: Incarnation,
+    /// Version of its service's roster that the sender has adopted.
+    pub roster: Version,
+    /// Highest configuration version that the sender has in force.
+    pub revision: Version,
+    /// What the sender is ready to do.
+    pub state: HostState,
+    /// Wait that a request arriving now is estimated to have.
+    pub wait: Span,
+    /// Strength that the sender has measured of its backend server.
+    pub weight: Weight,
+    /// The sender's clock, echoed in the acknowledgement.
+    pub sent: Time,
+    /// Members that the sender no longer hears.
+    pub suspects: Vec<HostId>,
+}
+
+/// Acknowledges a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatAck {
+    /// The process that acknowledges.
+    pub from: Peer,
+    /// Version of the service's roster that it has adopted.
+    pub roster: Version,
+    /// Highest configuration version that it has in force.
+    pub revision: Version,
+    /// `sent` of the heartbeat.
+    pub sent: Time,
+}
--- /dev/null
+++ b/crates/types/src/claim.rs
@@ -0,0 +1,72 @@
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Attempt, HostId, Outcome, RequestKey, Span, Time, Version};
+
+/// Asks the owner of a key for leave to dispatch a request that may not be repeated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Transmission number of the request.
+    pub attempt: Attempt,
+    /// Time since the caller's first attempt, when this claim was sent.
+    pub age: Span,
+    /// Host whose agent holds the request.
+    pub holder: HostId,
+    /// Address that the verdict goes to.
+    pub reply: SocketAddrV4,
+    /// Roster version by which the receiver is the owner.
+    pub roster: Version,
+    /// The holder's clock, echoed in the verdict.
+    pub sent: Time,
+}
+
+/// The owner's answer to a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Key of the claim.
+    pub key: RequestKey,
+    /// `sent` of the claim.
+    pub sent: Time,
+    /// What the holder may do.
+    pub decision: Decision,
+}
+
+/// What a holder may do with a request that may not be repeated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decision {
+    /// Dispatch it, if it starts within this time from the sending of the claim.
+    Granted(Span),
+    /// It has run; this is its outcome.
+    Finished(Outcome),
+    /// Another holder runs it or may still run it.
+    Running,
+    /// An earlier owner may have granted it.
+    Unknown,
+    /// The owner may not grant yet; ask again after this time.
+    Wait(Span),
+    /// The receiver does not own the key under its roster, whose version is given.
+    NotOwner(Version),
+}
+
+/// Reports the outcome of a granted request to the owner of its key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Complete {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Host that held the grant.
+    pub holder: HostId,
+    /// Address that the acknowledgement goes to.
+    pub reply: SocketAddrV4,
+    /// `NotRun` releases the grant.
+    pub outcome: Outcome,
+}
+
+/// Acknowledges a `Complete`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Completed {
+    /// Key of the request.
+    pub key: RequestKey,
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,50 @@
+//! Core types of marigoldusher: ids, sizes, rates, time, packets, requests and rosters.
+//!
+//! Nothing here performs I/O or reads a clock.
+
+mod beat;
+mod claim;
+mod error;
+mod fleet;
+mod flow_id;
+mod name;
+mod number;
+mod offer;
+mod outcome;
+mod packet;
+mod payload;
+mod profile;
+mod ratio;
+mod register;
+mod relay;
+mod request;
+mod request_key;
+mod roster;
+mod service;
+mod span;
+mod time;
+
+pub use beat::{Beat, BeatAck, Peer};
+pub use claim::{Claim, Complete, Completed, Decision, Verdict};
+pub use error::ParseError;
+pub use fleet::{Balancer, Fleet};
+pub use flow_id::FlowId;
+pub use name::{DataCentre, HostId, InstanceId, ProfileName, ServiceName};
+pub use number::{
+    Attempt, Bucket, Buckets, Budget, ByteCount, Generation, Incarnation, MessageId, Priority,
+    Sequence, Slots, Version, Weight,
+};
+pub use offer::{Offer, OfferDone, OfferOutcome, OfferReply};
+pub use outcome::{Outcome, Refusal};
+pub use packet::{Body, Packet, Segment};
+pub use payload::Payload;
+pub use profile::{ClassRule, Profile};
+pub use ratio::{Rate, Share};
+pub use register::{Hint, Register, Registered};
+pub use relay::{Relay, RelayMode};
+pub use request::{Request, RequestId};
+pub use request_key::RequestKey;
+pub use roster::{HostState, Member, Roster};
+pub use service::Service;
+pub use span::Span;
+pub use time::Time;
--- /dev/null
+++ b/crates/types/src/offer.rs
@@ -0,0 +1,63 @@
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Attempt, Budget, Outcome, Payload, Priority, RequestId, RequestKey, Span};
+
+/// Offers a queued request to another agent of the service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Where the request came in.
+    pub id: RequestId,
+    /// The caller's idempotency key.
+    pub key: RequestKey,
+    /// The request may not be repeated.
+    pub once: bool,
+    /// Method name.
+    pub method: String,
+    /// Time left until the caller's deadline.
+    pub left: Span,
+    /// Number of this transmission.
+    pub attempt: Attempt,
+    /// Time since the caller's first attempt.
+    pub age: Span,
+    /// Attempts left across all layers.
+    pub budget: Budget,
+    /// Precedence under overload.
+    pub priority: Priority,
+    /// Parameters.
+    pub body: Payload,
+    /// Wait at the sender; the receiver takes the request only if its own is shorter.
+    pub wait: Span,
+    /// Address that replies go to.
+    pub reply: SocketAddrV4,
+}
+
+/// Answer to an offer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferReply {
+    /// The request offered.
+    pub id: RequestId,
+    /// The receiver owns the request from now on.
+    pub taken: bool,
+    /// Wait at the receiver.
+    pub wait: Span,
+}
+
+/// Outcome of a request that was taken, sent back to the agent that offered it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferOutcome {
+    /// The request.
+    pub id: RequestId,
+    /// Its outcome.
+    pub outcome: Outcome,
+    /// Address that the acknowledgement goes to.
+    pub reply: SocketAddrV4,
+}
+
+/// Acknowledges an `OfferOutcome`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferDone {
+    /// The request.
+    pub id: RequestId,
+}
--- /dev/null
+++ b/crates/types/src/register.rs
@@ -0,0 +1,34 @@
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{FlowId, Version};
+
+/// Tells the owner of a bucket that a flow of that bucket is held elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Register {
+    /// The flow.
+    pub flow: FlowId,
+    /// Address of the agent that holds it.
+    pub holder: SocketAddrV4,
+    /// Roster version by which the receiver owns the bucket.
+    pub roster: Version,
+}
+
+/// Acknowledges a `Register`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registered {
+    /// The flow.
+    pub flow: FlowId,
+    /// Agent that the owner considers the holder.
+    pub holder: SocketAddrV4,
+}
+
+/// Tells a balancer which agent holds a flow.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hint {
+    /// The flow.
+    pub flow: FlowId,
+    /// Address of the agent that holds it.
+    pub holder: SocketAddrV4,
+}
