--- /dev/null
+++ b/crates/wire/src/meta.rs
@@ -0,0 +1,32 @@
+use serde::{Deserialize, Serialize};
+use usher_types::{Attempt, Budget, Priority, RequestKey};
+
+/// Metadata of a request, in `params.meta`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Meta {
+    /// Idempotency key, the same in every attempt.
+    pub key: RequestKey,
+    /// The request may not be repeated.
+    #[serde(default)]
+    pub once: bool,
+    /// Time left when the caller sent the request, in milliseconds.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+    /// Number of this transmission; the first is 1.
+    #[serde(default = "first_attempt")]
+    pub attempt: Attempt,
+    /// Time since the first transmission, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
+    /// Attempts left across all layers.
+    #[serde(default)]
+    pub budget: Option<Budget>,
+    /// Precedence under overload; the profile's when absent.
+    #[serde(default)]
+    pub priority: Option<Priority>,
+}
+
+fn first_attempt() -> Attempt {
+    Attempt::new(1)
+}
