--- /dev/null
+++ b/crates/daemon/src/args.rs
@@ -0,0 +1,82 @@
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use async_std::channel;
+use miette::{IntoDiagnostic, Result};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::settings::{Role, Settings};
+use crate::logs;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_SETTINGS: u8 = 2;
+
+/// Layer-4 load balancer daemon: a balancer on an entry instance or an agent beside a backend
+/// server.
+///
+/// SIGTERM begins a planned stop: no request in progress is cut.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "marigoldusherd --settings /etc/marigoldusher/agent.ini",
+    note = "Exit status: 0 stopped as planned, 1 failed, 2 wrong settings."
+)]
+pub struct Args {
+    /// INI file; docs/settings.md lists its keys
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+impl Args {
+    /// Runs the process until a planned stop has finished.
+    ///
+    /// # Errors
+    /// Fails when the settings are wrong or the process cannot go on.
+    pub fn run(&self) -> Result<()> {
+        let settings = Settings::load(&self.settings)?;
+        if self.check {
+            println!("{}: settings are valid", self.settings.display());
+            return Ok(());
+        }
+        let stop = stop_signal()?;
+        let file = settings.log_file.as_deref();
+        let level = settings.log_level;
+        match settings.role {
+            Role::Balancer(role) => {
+                logs::start(file, level, &role.instance, &role.common.centre)?;
+                usher_runtime::run_balancer(role, stop).into_diagnostic()
+            }
+            Role::Agent(role) => {
+                logs::start(file, level, &role.host, &role.common.centre)?;
+                usher_runtime::run_agent(role, stop).into_diagnostic()
+            }
+        }
+    }
+
+    /// Exit status after a failed [`Args::run`].
+    pub fn failure(&self) -> u8 {
+        match Settings::load(&self.settings) {
+            Err(_) => EXIT_SETTINGS,
+            Ok(_) => EXIT_FAILED,
+        }
+    }
+}
+
+// The receiver gets a message at the first SIGTERM or SIGINT; a second one ends the process.
+fn stop_signal() -> Result<channel::Receiver<()>> {
+    let (sender, receiver) = channel::bounded(1);
+    let mut signals = Signals::new([SIGTERM, SIGINT]).into_diagnostic()?;
+    std::thread::spawn(move || {
+        for count in 0.. {
+            if signals.forever().next().is_none() || count > 0 {
+                std::process::exit(i32::from(EXIT_FAILED));
+            }
+            // The runtime has ended when nobody receives.
+            let _ = sender.send_blocking(());
+        }
+    });
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,66 @@
+use std::path::PathBuf;
+
+use miette::Diagnostic;
+use thiserror::Error;
+
+/// A fault in a settings file; the daemon ends with exit status 2.
+#[derive(Debug, Error, Diagnostic)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("MU-7001: cannot read settings file {}: {reason}", file.display())]
+    #[diagnostic(help("give the path of an existing INI file with --settings"))]
+    Unreadable {
+        /// Path of the file.
+        file: PathBuf,
+        /// What the system or the parser reports.
+        reason: String,
+    },
+    /// A section that no role has.
+    #[error("MU-7002: {}: unknown section [{section}]", file.display())]
+    #[diagnostic(help("sections are [process], [balancer], [agent], [log] and [metrics]"))]
+    Section {
+        /// Path of the file.
+        file: PathBuf,
+        /// Name of the section.
+        section: String,
+    },
+    /// A key that the section does not have.
+    #[error("MU-7003: {}: [{section}] has an unknown key '{key}'", file.display())]
+    #[diagnostic(help("docs/settings.md lists the keys of each section"))]
+    Key {
+        /// Path of the file.
+        file: PathBuf,
+        /// Name of the section.
+        section: String,
+        /// Name of the key.
+        key: String,
+    },
+    /// A key that must be present.
+    #[error("MU-7004: {}: [{section}] lacks '{key}': {allowed}", file.display())]
+    #[diagnostic(help("docs/settings.md lists the keys of each section"))]
+    Missing {
+        /// Path of the file.
+        file: PathBuf,
+        /// Name of the section.
+        section: &'static str,
+        /// Name of the key.
+        key: &'static str,
+        /// Values that the key takes.
+        allowed: &'static str,
+    },
+    /// A value that the key does not take.
+    #[error("MU-7005: {}: [{section}] {key} = '{value}': expected {allowed}", file.display())]
+    #[diagnostic(help("correct the value and start the process again"))]
+    Value {
+        /// Path of the file.
+        file: PathBuf,
+        /// Name of the section.
+        section: &'static str,
+        /// Name of the key.
+        key: &'static str,
+        /// The value in the file.
+        value: String,
+        /// Values that the key takes.
+        allowed: &'static str,
+    },
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,12 @@
 //! Settings, logs and arguments of `marigoldusherd`.
+
+mod args;
+mod error;
+mod logs;
+mod section;
+mod settings;
+
+pub use args::Args;
+pub use error::SettingsError;
+pub use logs::start as start_logs;
+pub use settings::{Role, Settings};
--- /dev/null
+++ b/crates/runtime/src/event.rs
@@ -0,0 +1,82 @@
+use std::fmt::{self, Display, Write as _};
+
+use log::Level;
+
+/// A numbered log event; `docs/events.md` lists all of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Number, written as `MU-E<code>`.
+    pub code: u16,
+    /// Level of the log line.
+    pub level: Level,
+    /// What happened.
+    pub text: &'static str,
+}
+
+macro_rules! events {
+    ($($name:ident = $code:literal, $level:ident, $text:literal;)*) => {
+        $(pub(crate) const $name: Event = Event { code: $code, level: Level::$level, text: $text };)*
+
+        /// All events, in the order of their numbers.
+        pub const EVENTS: &[Event] = &[$($name),*];
+    };
+}
+
+events! {
+    STARTED = 1001, Info, "process started";
+    STOPPING = 1002, Info, "planned stop began";
+    STOPPED = 1003, Info, "process stopped";
+    WAITING = 1004, Info, "planned stop waits for work";
+    JOINED = 1101, Info, "joined the roster";
+    LEFT = 1102, Info, "left the roster";
+    ROSTER = 1103, Info, "roster adopted";
+    SUSPECTED = 1104, Warn, "member suspected";
+    RESTORED = 1105, Info, "member heard again";
+    REMOVED = 1106, Warn, "member removed from the roster";
+    ROSTER_WRITE = 1107, Warn, "roster write failed";
+    CONFIG = 1201, Info, "configuration adopted";
+    CONFIG_PEER = 1202, Info, "configuration fetched from a peer";
+    CONFIG_INVALID = 1203, Error, "object not understood";
+    STORE_DOWN = 1301, Warn, "store not reachable";
+    STORE_UP = 1302, Info, "store reachable";
+    BACKEND_UP = 1401, Info, "backend server connected";
+    BACKEND_DOWN = 1402, Warn, "backend server not reachable";
+    HANDED_OVER = 1501, Info, "flows handed over";
+    HANDOVER_FAILED = 1502, Warn, "handover failed";
+    RECORDS_HANDED = 1503, Info, "dedupe records handed over";
+    MALFORMED = 1601, Debug, "malformed datagram dropped";
+    SEND_FAILED = 1602, Debug, "datagram not sent";
+}
+
+impl Event {
+    /// Writes the event to the log with its fields as `key=value`.
+    pub(crate) fn log(self, fields: &[(&str, &dyn Display)]) {
+        if !log::log_enabled!(self.level) {
+            return;
+        }
+        log::log!(self.level, "{self}{}", Fields(fields));
+    }
+}
+
+impl Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "event=MU-E{} text=\"{}\"", self.code, self.text)
+    }
+}
+
+struct Fields<'a>(&'a [(&'a str, &'a dyn Display)]);
+
+impl Display for Fields<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (key, value) in self.0 {
+            let text = value.to_string();
+            if text.contains([' ', '"', '=']) {
+                write!(f, " {key}={text:?}")?;
+            } else {
+                f.write_char(' ')?;
+                write!(f, "{key}={text}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/settings.rs
@@ -0,0 +1,54 @@
+use std::net::SocketAddrV4;
+
+use usher_types::{DataCentre, HostId, InstanceId, ServiceName, Slots};
+
+/// Settings that both roles have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Common {
+    /// Data centre of the process.
+    pub centre: DataCentre,
+    /// TCP address of the platform's object API.
+    pub store: SocketAddrV4,
+    /// TCP address of the administration RPC.
+    pub admin: SocketAddrV4,
+    /// Administration RPC of other processes, asked when the store is down at start.
+    pub peers: Vec<SocketAddrV4>,
+    /// UDP address of a statsd server.
+    pub statsd: Option<SocketAddrV4>,
+}
+
+/// Settings of a balancer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BalancerSettings {
+    /// Settings that both roles have.
+    pub common: Common,
+    /// Instance that the process runs on.
+    pub instance: InstanceId,
+    /// UDP address for packets from the fabric.
+    pub packets: SocketAddrV4,
+    /// UDP address for heartbeats and hints.
+    pub control: SocketAddrV4,
+    /// Number of traffic threads.
+    pub threads: usize,
+    /// Flows that the hint table holds at most.
+    pub hints: usize,
+}
+
+/// Settings of an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Settings that both roles have.
+    pub common: Common,
+    /// Host that the process runs on.
+    pub host: HostId,
+    /// Service of the backend server.
+    pub service: ServiceName,
+    /// UDP address for all datagrams.
+    pub listen: SocketAddrV4,
+    /// UDP address of the fabric for answers.
+    pub fabric: SocketAddrV4,
+    /// TCP address of the backend server.
+    pub backend: SocketAddrV4,
+    /// Requests that the backend server runs at the same time.
+    pub slots: Slots,
+}
--- /dev/null
+++ b/crates/standins/src/backend.rs
@@ -0,0 +1,5 @@
+mod args;
+mod server;
+
+pub use args::BackendArgs;
+pub use server::Backend;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,9 @@
 //! Test stand-ins for the platform's store and fabric, a backend server and a caller.
+
+mod backend;
+mod caller;
+mod clock;
+mod fabric;
+
+pub use backend::{Backend, BackendArgs};
+pub use fabric::FabricArgs;
