--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,18 @@
 //! Routing decisions of the balancer: tables, routes, hints and the retry budget.
+//!
+//! Tables and routers are immutable; a change builds new ones, and threads share them in an `Arc`.
+
+mod forward;
+mod hint_table;
+mod pool;
+mod retry_budget;
+mod route;
+mod router;
+mod table;
+
+pub use forward::{DropReason, Forward};
+pub use hint_table::HintTable;
+pub use retry_budget::RetryBudget;
+pub use route::Route;
+pub use router::Router;
+pub use table::Table;
--- /dev/null
+++ b/crates/routing/src/route.rs
@@ -0,0 +1,77 @@
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// Agents that a packet may visit, in order; held without allocation.
+///
+/// The first [`Route::current`] addresses are candidates for a new flow. The others are agents
+/// that may hold the flow: owners under earlier rosters, draining members, suspected members.
+///
+/// ```
+/// use usher_routing::Route;
+/// let route = Route::default();
+/// assert!(route.agents().is_empty());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Route {
+    agents: [SocketAddrV4; Route::MAX],
+    length: u8,
+    current: u8,
+}
+
+impl Route {
+    /// Largest number of addresses in a route.
+    pub const MAX: usize = 6;
+
+    /// The addresses, first choice first.
+    pub fn agents(&self) -> &[SocketAddrV4] {
+        &self.agents[..usize::from(self.length)]
+    }
+
+    /// Number of leading addresses that are candidates for a new flow.
+    pub fn current(&self) -> u8 {
+        self.current
+    }
+
+    /// Appends a candidate, or an agent that may hold the flow once `current` is closed.
+    pub(crate) fn push(&mut self, agent: SocketAddrV4, candidate: bool) {
+        let full = usize::from(self.length) == Self::MAX;
+        if full || self.agents().contains(&agent) {
+            return;
+        }
+        self.agents[usize::from(self.length)] = agent;
+        self.length += 1;
+        if candidate {
+            self.current = self.length;
+        }
+    }
+
+    /// The route that starts at a flow's holder; the holder counts as current.
+    pub(crate) fn led_by(&self, holder: SocketAddrV4) -> Self {
+        let mut led = Self::default();
+        led.push(holder, true);
+        let skipped = self.expendable();
+        for (index, agent) in self.agents().iter().enumerate() {
+            if Some(index) != skipped {
+                led.push(*agent, index < usize::from(self.current));
+            }
+        }
+        led
+    }
+
+    /// Entry of a full route that gives way: the third candidate, which owned the bucket under
+    /// no roster, otherwise the last address.
+    fn expendable(&self) -> Option<usize> {
+        let third = usize::from(self.current).saturating_sub(1);
+        let place = if third >= 2 { third } else { Self::MAX - 1 };
+        (usize::from(self.length) == Self::MAX).then_some(place)
+    }
+}
+
+impl Default for Route {
+    fn default() -> Self {
+        Self {
+            agents: [SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0); Self::MAX],
+            length: 0,
+            current: 0,
+        }
+    }
+}
