--- /dev/null
+++ b/crates/config/src/cache.rs
@@ -0,0 +1,156 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use usher_types::Version;
+
+use crate::{Kind, Object, ObjectKey};
+
+/// What became of an object that was offered to a cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is newer than what the cache held and replaces it.
+    Adopted,
+    /// The cache holds this version or a newer one.
+    Ignored,
+}
+
+/// Newest known version of every object, tombstones included.
+///
+/// A higher version replaces a lower one and never the reverse, whoever sends it. Tombstones stay,
+/// so that an old value from a stale source cannot bring a deleted object back.
+///
+/// ```
+/// use usher_config::{Adoption, Cache, Kind, Object, WriteId};
+/// use usher_types::Version;
+/// let object = |version| Object {
+///     kind: Kind::Profile,
+///     name: "fast".parse().unwrap(),
+///     version: Version::new(version),
+///     write_id: WriteId::new(1),
+///     value: Some(usher_types::Profile::default().into()),
+/// };
+/// let mut cache = Cache::default();
+/// assert_eq!(cache.adopt(object(4)), Adoption::Adopted);
+/// assert_eq!(cache.adopt(object(3)), Adoption::Ignored);
+/// assert_eq!(cache.revision(), Version::new(4));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Cache {
+    objects: BTreeMap<ObjectKey, Object>,
+    order: BTreeSet<(Version, ObjectKey)>,
+    complete: Version,
+}
+
+impl Cache {
+    /// Adopts an object when it is newer than what the cache holds.
+    ///
+    /// ```
+    /// # use usher_config::{Cache, Kind, Object, WriteId};
+    /// let mut cache = Cache::default();
+    /// let name = "fast".parse()?;
+    /// let version = usher_types::Version::new(9);
+    /// cache.adopt(Object { kind: Kind::Profile, name, version, write_id: WriteId::new(1), value: None });
+    /// assert_eq!(cache.list(Kind::Profile).count(), 0);
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn adopt(&mut self, mut object: Object) -> Adoption {
+        let key = object.key();
+        if let Some(held) = self.objects.get(&key) {
+            if held.version >= object.version {
+                return Adoption::Ignored;
+            }
+            self.order.remove(&(held.version, key.clone()));
+        }
+        if let Some(value) = &mut object.value {
+            value.set_version(object.version);
+        }
+        self.order.insert((object.version, key.clone()));
+        self.objects.insert(key, object);
+        Adoption::Adopted
+    }
+
+    /// Adopts all objects that a source holds above a version, and returns how many were newer.
+    ///
+    /// ```
+    /// use usher_config::Cache;
+    /// use usher_types::Version;
+    /// assert_eq!(Cache::default().adopt_since(Version::default(), Vec::new()), 0);
+    /// ```
+    pub fn adopt_since(&mut self, after: Version, objects: Vec<Object>) -> usize {
+        let newest = objects.iter().map(|object| object.version).max();
+        let adopted = objects
+            .into_iter()
+            .filter(|object| self.adopt(object.clone()) == Adoption::Adopted)
+            .count();
+        if let Some(newest) = newest.filter(|_| after <= self.complete) {
+            self.complete = self.complete.max(newest);
+        }
+        adopted
+    }
+
+    /// Highest version seen; lower ones may be missing.
+    ///
+    /// ```
+    /// let cache = usher_config::Cache::default();
+    /// assert_eq!(cache.revision(), usher_types::Version::new(0));
+    /// ```
+    pub fn revision(&self) -> Version {
+        self.order
+            .last()
+            .map_or_else(Version::default, |entry| entry.0)
+    }
+
+    /// Version up to which nothing is missing; watches resume from here.
+    ///
+    /// An object adopted on its own raises `revision` and not this version, because objects between
+    /// them may not have arrived yet.
+    ///
+    /// ```
+    /// let cache = usher_config::Cache::default();
+    /// assert_eq!(cache.complete(), usher_types::Version::new(0));
+    /// ```
+    pub fn complete(&self) -> Version {
+        self.complete
+    }
+
+    /// The newest known version of an object, which may be a tombstone.
+    ///
+    /// ```
+    /// use usher_config::{Cache, Kind, ObjectKey};
+    /// let key = ObjectKey::new(Kind::Profile, "fast".parse()?);
+    /// assert!(Cache::default().get(&key).is_none());
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn get(&self, key: &ObjectKey) -> Option<&Object> {
+        self.objects.get(key)
+    }
+
+    /// Objects of a kind that exist, by name.
+    ///
+    /// ```
+    /// use usher_config::{Cache, Kind};
+    /// assert_eq!(Cache::default().list(Kind::Service).count(), 0);
+    /// ```
+    pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Object> {
+        self.objects
+            .values()
+            .filter(move |object| object.kind == kind && object.value.is_some())
+    }
+
+    /// Objects above a version in version order, tombstones included.
+    ///
+    /// ```
+    /// use usher_config::Cache;
+    /// use usher_types::Version;
+    /// assert_eq!(Cache::default().since(Version::new(3)).count(), 0);
+    /// ```
+    pub fn since(&self, version: Version) -> impl Iterator<Item = &Object> {
+        self.order
+            .iter()
+            .rev()
+            .take_while(move |entry| entry.0 > version)
+            .collect::<Vec<_>>()
+            .into_iter()
+            .rev()
+            .filter_map(|entry| self.objects.get(&entry.1))
+    }
+}
--- /dev/null
+++ b/crates/config/src/store_lease.rs
@@ -0,0 +1,268 @@
+use usher_types::{Peer, Span, Time, Version};
+
+use crate::{
+    Change, Condition, ConfigError, Kind, LeaseRecord, Object, ObjectKey, ObjectName, Write,
+    WriteId,
+};
+
+// Clocks of two processes run at rates within 1 % of each other, so a bidder's clock may be ahead
+// of the holder's by up to 2 % of the term.
+const DRIFT_FACTOR: f64 = 1.02;
+
+/// Life-cycle state of a lease that this process does not hold.
+#[derive(Debug, Clone, Default)]
+pub struct Lapsed {
+    seen: Option<Seen>,
+}
+
+#[derive(Debug, Clone)]
+struct Seen {
+    version: Version,
+    term: Option<Span>,
+    since: Time,
+}
+
+/// Life-cycle state of a lease that this process holds.
+#[derive(Debug, Clone)]
+pub struct Held {
+    version: Version,
+    until: Time,
+}
+
+/// A lease on an object of the store, as one process sees it.
+///
+/// The holder checks its own clock before it acts, and each write of the lease depends on the
+/// version that the holder knows, so a holder that resumes late is fenced.
+///
+/// ```
+/// use usher_config::{StoreLease, WriteId};
+/// use usher_types::{Peer, Span, Time, Version};
+/// let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+/// let mut lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+/// lease.observe(Time::ZERO, None);
+/// assert!(lease.bid(Time::ZERO, WriteId::new(1)).is_some());
+/// let held = lease.granted(Time::ZERO, Version::new(5));
+/// assert!(held.check(Time::from_micros(2_999_999)).is_ok());
+/// assert!(held.check(Time::from_micros(3_000_000)).is_err());
+/// # Ok::<(), usher_config::ConfigError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct StoreLease<State> {
+    name: ObjectName,
+    me: Peer,
+    term: Span,
+    state: State,
+}
+
+impl<State> StoreLease<State> {
+    fn write(&self, id: WriteId, condition: Condition, held: bool) -> Write {
+        let record = LeaseRecord {
+            holder: self.me.clone(),
+            term: self.term,
+        };
+        let change = Change {
+            key: ObjectKey::new(Kind::Lease, self.name.clone()),
+            condition,
+            value: held.then(|| record.into()),
+        };
+        Write { id, change }
+    }
+
+    fn with<Next>(self, state: Next) -> StoreLease<Next> {
+        StoreLease {
+            name: self.name,
+            me: self.me,
+            term: self.term,
+            state,
+        }
+    }
+}
+
+impl StoreLease<Lapsed> {
+    /// A lease that nobody is known to hold.
+    ///
+    /// ```
+    /// # use usher_config::{StoreLease, WriteId};
+    /// # use usher_types::{Peer, Span, Time};
+    /// let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// let lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// assert!(lease.bid(Time::ZERO, WriteId::new(1)).is_none());
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn new(name: ObjectName, me: Peer, term: Span) -> Self {
+        Self {
+            name,
+            me,
+            term,
+            state: Lapsed::default(),
+        }
+    }
+
+    /// Takes the lease object as read at `now`; `None` when it does not exist.
+    ///
+    /// ```
+    /// # use usher_config::{StoreLease, WriteId};
+    /// # use usher_types::{Peer, Span, Time};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// let mut lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// lease.observe(Time::ZERO, None);
+    /// assert!(lease.bid(Time::ZERO, WriteId::new(1)).is_some());
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn observe(&mut self, now: Time, object: Option<&Object>) {
+        let version = object.map_or_else(Version::default, |object| object.version);
+        let term = match object.and_then(|object| object.value.as_ref()) {
+            Some(crate::Value::Lease(record)) => Some(record.term),
+            _ => None,
+        };
+        if self
+            .state
+            .seen
+            .as_ref()
+            .is_none_or(|seen| seen.version < version)
+        {
+            self.state.seen = Some(Seen {
+                version,
+                term,
+                since: now,
+            });
+        }
+    }
+
+    /// The write that takes the lease, if nobody can still hold it.
+    ///
+    /// A version that has not changed for its term, with a margin for clock drift, has lapsed.
+    ///
+    /// ```
+    /// # use usher_config::{StoreLease, WriteId};
+    /// # use usher_types::{Peer, Span, Time};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// let mut lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// lease.observe(Time::ZERO, None);
+    /// assert!(lease.bid(Time::ZERO, WriteId::new(1)).is_some());
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn bid(&self, now: Time, id: WriteId) -> Option<Write> {
+        let seen = self.state.seen.as_ref()?;
+        let condition = match seen.term {
+            None => Condition::Absent,
+            Some(term) if now - seen.since >= term.scale(DRIFT_FACTOR) => {
+                Condition::Version(seen.version)
+            }
+            Some(_) => return None,
+        };
+        Some(self.write(id, condition, true))
+    }
+
+    /// The bid sent at `sent` was written; the term counts from its sending.
+    ///
+    /// ```
+    /// # use usher_config::StoreLease;
+    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// let lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// let held = lease.granted(Time::ZERO, Version::new(5));
+    /// assert_eq!(held.check(Time::ZERO)?, Version::new(5));
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn granted(self, sent: Time, version: Version) -> StoreLease<Held> {
+        let until = sent + self.term;
+        self.with(Held { version, until })
+    }
+}
+
+impl StoreLease<Held> {
+    /// The version to act under, if the term has not ended at `now`.
+    ///
+    /// # Errors
+    /// `MU-2015` when the term has ended on this process's clock.
+    ///
+    /// ```
+    /// # use usher_config::StoreLease;
+    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// # let lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// let held = lease.granted(Time::ZERO, Version::new(5));
+    /// assert_eq!(held.check(Time::from_micros(3_000_000)).unwrap_err().code(), "MU-2015");
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn check(&self, now: Time) -> Result<Version, ConfigError> {
+        let until = self.state.until;
+        if now >= until {
+            return Err(ConfigError::LeaseLapsed { until, now });
+        }
+        Ok(self.state.version)
+    }
+
+    /// The write that extends the lease.
+    ///
+    /// # Errors
+    /// `MU-2015` when the term has ended on this process's clock.
+    ///
+    /// ```
+    /// # use usher_config::{Condition, StoreLease, WriteId};
+    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// # let lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// let held = lease.granted(Time::ZERO, Version::new(5));
+    /// let write = held.renewal(Time::ZERO, WriteId::new(2))?;
+    /// assert_eq!(write.change.condition, Condition::Version(Version::new(5)));
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn renewal(&self, now: Time, id: WriteId) -> Result<Write, ConfigError> {
+        let version = self.check(now)?;
+        Ok(self.write(id, Condition::Version(version), true))
+    }
+
+    /// The write that gives the lease up.
+    ///
+    /// # Errors
+    /// `MU-2015` when the term has ended on this process's clock.
+    ///
+    /// ```
+    /// # use usher_config::{StoreLease, WriteId};
+    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// # let lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// let held = lease.granted(Time::ZERO, Version::new(5));
+    /// assert!(held.release(Time::ZERO, WriteId::new(2))?.change.value.is_none());
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn release(&self, now: Time, id: WriteId) -> Result<Write, ConfigError> {
+        let version = self.check(now)?;
+        Ok(self.write(id, Condition::Version(version), false))
+    }
+
+    /// The renewal sent at `sent` was written; the term counts from its sending.
+    ///
+    /// ```
+    /// # use usher_config::StoreLease;
+    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// # let lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// let held = lease.granted(Time::ZERO, Version::new(5));
+    /// let held = held.renewed(Time::from_micros(10), Version::new(6));
+    /// assert_eq!(held.check(Time::from_micros(3_000_000))?, Version::new(6));
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    #[must_use]
+    pub fn renewed(self, sent: Time, version: Version) -> Self {
+        let until = sent + self.term;
+        self.with(Held { version, until })
+    }
+
+    /// The lease ended, was released or was taken by another process.
+    ///
+    /// ```
+    /// # use usher_config::{StoreLease, WriteId};
+    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # let me = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// # let lease = StoreLease::new("watcher".parse()?, me, Span::from_secs(3));
+    /// let lapsed = lease.granted(Time::ZERO, Version::new(5)).lapse();
+    /// assert!(lapsed.bid(Time::ZERO, WriteId::new(2)).is_none());
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn lapse(self) -> StoreLease<Lapsed> {
+        self.with(Lapsed::default())
+    }
+}
