--- a/crates/standins/src/backend/args.rs
+++ b/crates/standins/src/backend/args.rs
@@ -11,6 +11,9 @@
     /// TCP address for JSON-RPC
     #[argh(option)]
     pub listen: SocketAddrV4,
+    /// service name, repeated in each answer
+    #[argh(option)]
+    pub service: String,
     /// requests run at the same time
     #[argh(option, default = "3")]
     pub slots: usize,
--- /dev/null
+++ b/crates/standins/src/caller/driver.rs
@@ -0,0 +1,294 @@
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::{self, ErrorKind};
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use socket2::SockRef;
+use usher_types::{Attempt, Body, FlowId, Outcome, Packet, Payload, RequestKey, Span, Time};
+use usher_wire::{Meta, RequestMessage, ResponseMessage, decode_packet, encode_packet};
+
+use super::args::CallerArgs;
+use super::connection::{Connection, Waiting};
+use super::tally::Tally;
+use crate::clock;
+
+const MAX_DATAGRAM: usize = 65_536;
+const BUFFER_BYTES: usize = 8 << 20;
+const FLOWS_PER_ADDRESS: usize = 50_000;
+const FIRST_PORT: u16 = 10_000;
+// An answer this long after the deadline means that the flow is broken.
+const GRACE: Span = Span::from_secs(5);
+const MIN_WAIT: Duration = Duration::from_micros(50);
+const SECOND: Span = Span::from_secs(1);
+
+/// Runs the load of one caller process.
+#[derive(Debug)]
+pub(crate) struct Driver {
+    args: CallerArgs,
+    socket: UdpSocket,
+    rng: Pcg64,
+    start: Time,
+    flows: IndexMap<FlowId, Connection>,
+    due: BinaryHeap<Reverse<(Time, Due)>>,
+    tally: Tally,
+    next_id: u64,
+    outstanding: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Open(usize),
+    Request(usize),
+    Timer(usize),
+    Answer(usize, u32),
+    Progress,
+}
+
+impl Driver {
+    pub(crate) fn new(args: CallerArgs) -> io::Result<Self> {
+        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+        SockRef::from(&socket).set_recv_buffer_size(BUFFER_BYTES)?;
+        socket.connect(args.fabric)?;
+        let rng = Pcg64::seed_from_u64(args.seed);
+        Ok(Self {
+            args,
+            socket,
+            rng,
+            start: clock::now(),
+            flows: IndexMap::new(),
+            due: BinaryHeap::new(),
+            tally: Tally::default(),
+            next_id: 0,
+            outstanding: 0,
+        })
+    }
+
+    pub(crate) fn run(mut self) -> io::Result<Tally> {
+        self.plan();
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        while let Some(Reverse((time, due))) = self.due.peek().copied() {
+            let now = clock::now();
+            if time <= now {
+                self.due.pop();
+                self.act(now, due);
+            } else {
+                self.receive(&mut buffer, Duration::from_micros((time - now).as_micros()))?;
+            }
+            if self.is_done(now) {
+                break;
+            }
+        }
+        Ok(self.tally)
+    }
+
+    // Flows open evenly over the ramp; requests follow a Poisson process for each load.
+    fn plan(&mut self) {
+        let loads = self.args.load.clone();
+        let total: usize = loads.iter().map(|load| load.flows).sum();
+        for (index, load) in loads.iter().enumerate() {
+            for _ in 0..load.flows {
+                let number = self.flows.len();
+                let flow = self.flow_id(number, load.address);
+                self.flows.insert(flow, Connection::new(flow));
+                let at = self.start + self.args.ramp.scale(number as f64 / total as f64);
+                self.due.push(Reverse((at, Due::Open(number))));
+            }
+            self.due.push(Reverse((self.start + self.args.ramp, Due::Request(index))));
+        }
+        if self.args.progress {
+            self.due.push(Reverse((self.start + SECOND, Due::Progress)));
+        }
+    }
+
+    fn flow_id(&mut self, number: usize, service: SocketAddrV4) -> FlowId {
+        let base = u32::from(self.args.address) + (number / FLOWS_PER_ADDRESS) as u32;
+        let port = FIRST_PORT + (number % FLOWS_PER_ADDRESS) as u16;
+        let caller = SocketAddrV4::new(Ipv4Addr::from(base), port);
+        FlowId { caller, service, nonce: self.rng.random() }
+    }
+
+    fn end(&self) -> Time {
+        self.start + self.args.ramp + self.args.duration
+    }
+
+    fn is_done(&self, now: Time) -> bool {
+        now > self.end() && self.outstanding == 0
+    }
+
+    fn act(&mut self, now: Time, due: Due) {
+        match due {
+            Due::Open(flow) => {
+                let packet = self.flows[flow].open(now);
+                self.send(&packet);
+                self.arm(flow);
+            }
+            Due::Request(load) => self.request(now, load),
+            Due::Timer(flow) => self.timer(now, flow),
+            Due::Answer(flow, message) => self.expire(flow, message),
+            Due::Progress => {
+                println!("{}", self.tally);
+                if now < self.end() {
+                    self.due.push(Reverse((now + SECOND, Due::Progress)));
+                }
+            }
+        }
+    }
+
+    fn timer(&mut self, now: Time, flow: usize) {
+        let connection = &mut self.flows[flow];
+        if connection.next_timer().is_none_or(|due| due > now) {
+            return;
+        }
+        let packets = connection.tick(now);
+        self.send_all(&packets);
+        self.arm(flow);
+    }
+
+    fn arm(&mut self, flow: usize) {
+        if let Some(due) = self.flows[flow].next_timer() {
+            self.due.push(Reverse((due, Due::Timer(flow))));
+        }
+    }
+
+    fn request(&mut self, now: Time, load: usize) {
+        if now >= self.end() {
+            return;
+        }
+        let rate = self.args.load[load].rate.get();
+        let gap = -self.rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate;
+        self.due.push(Reverse((now + Span::from_secs_f64(gap), Due::Request(load))));
+        if let Some(flow) = self.pick(load) {
+            self.send_request(now, load, flow);
+        }
+    }
+
+    // A random open flow of the load.
+    fn pick(&mut self, load: usize) -> Option<usize> {
+        let before: usize = self.args.load[..load].iter().map(|earlier| earlier.flows).sum();
+        let count = self.args.load[load].flows;
+        let picked = before + self.rng.random_range(0..count);
+        self.flows[picked].is_open().then_some(picked)
+    }
+
+    fn send_request(&mut self, now: Time, load: usize, flow: usize) {
+        self.next_id += 1;
+        let id = self.next_id;
+        let spec = &self.args.load[load];
+        let request = RequestMessage {
+            id: id.into(),
+            method: spec.method.clone(),
+            meta: Meta {
+                key: RequestKey::new(self.rng.random()),
+                once: spec.once,
+                deadline_ms: Some(spec.deadline.as_millis()),
+                attempt: Attempt::new(1),
+                age_ms: 0,
+                budget: None,
+                priority: None,
+            },
+            body: Payload::from(b"{}".as_slice()),
+        };
+        let limit = now + spec.deadline + GRACE;
+        let Ok(bytes) = request.encode() else { return };
+        let connection = &mut self.flows[flow];
+        let message = connection.next_message();
+        connection.waiting.insert(message, Waiting { load, id, sent: now });
+        let packets = connection.send(now, message, bytes);
+        self.tally.requests += 1;
+        self.outstanding += 1;
+        self.due.push(Reverse((limit, Due::Answer(flow, message.get()))));
+        self.send_all(&packets);
+        self.arm(flow);
+    }
+
+    fn expire(&mut self, flow: usize, message: u32) {
+        let message = usher_types::MessageId::new(message);
+        if self.flows[flow].waiting.remove(&message).is_some() {
+            self.outstanding -= 1;
+            self.tally.broken_flows += 1;
+            eprintln!("caller: no answer on {} to message {message}", self.flow(flow));
+        }
+    }
+
+    fn flow(&self, index: usize) -> FlowId {
+        self.flows.get_index(index).map(|(flow, _)| *flow).unwrap_or_else(|| unreachable!())
+    }
+
+    fn receive(&mut self, buffer: &mut [u8], wait: Duration) -> io::Result<()> {
+        self.socket.set_read_timeout(Some(wait.max(MIN_WAIT)))?;
+        match self.socket.recv(buffer) {
+            Ok(length) => {
+                if let Ok(packet) = decode_packet(&buffer[..length]) {
+                    self.accept(clock::now(), packet);
+                }
+                Ok(())
+            }
+            Err(error) if is_transient(&error) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn accept(&mut self, now: Time, packet: Packet) {
+        let Some(flow) = self.flows.get_index_of(&packet.flow) else { return };
+        if packet.body == Body::Reset {
+            self.tally.broken_flows += 1;
+            eprintln!("caller: reset of {}", packet.flow);
+            return;
+        }
+        let was_open = self.flows[flow].is_open();
+        let (packets, message) = self.flows[flow].receive(now, packet.body);
+        self.tally.opened += u64::from(!was_open && self.flows[flow].is_open());
+        self.send_all(&packets);
+        if let Some(bytes) = message {
+            self.answer(now, flow, &bytes);
+        }
+    }
+
+    fn answer(&mut self, now: Time, flow: usize, bytes: &[u8]) {
+        let Ok(response) = ResponseMessage::decode(bytes) else {
+            self.tally.misrouted += 1;
+            return;
+        };
+        let Some(id) = response.id.as_u64() else { return };
+        let Some(waiting) = self.flows[flow].take(id) else { return };
+        self.outstanding -= 1;
+        let load = &self.args.load[waiting.load];
+        let latency = now - waiting.sent;
+        match response.outcome {
+            Outcome::Answered(payload) => {
+                let value: serde_json::Value = serde_json::from_slice(&payload).unwrap_or_default();
+                self.tally.misrouted += u64::from(value["service"] != load.service.as_str());
+                self.tally.late += u64::from(latency > load.deadline);
+                self.tally.answered += 1;
+                self.tally.record(&load.method, latency);
+            }
+            Outcome::NotRun { .. } => self.tally.not_run += 1,
+            Outcome::Unknown => self.tally.unknown += 1,
+            Outcome::Failed(_) => self.tally.failed += 1,
+        }
+    }
+
+    fn send_all(&self, packets: &[Packet]) {
+        for packet in packets {
+            self.send(packet);
+        }
+    }
+
+    fn send(&self, packet: &Packet) {
+        if let Ok(bytes) = encode_packet(packet) {
+            // A lost datagram is sent again by the flow's timers.
+            let _ = self.socket.send(&bytes);
+        }
+    }
+}
+
+fn is_transient(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::ConnectionRefused
+    )
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,4 +6,5 @@
 mod fabric;
 
 pub use backend::{Backend, BackendArgs};
+pub use caller::CallerArgs;
 pub use fabric::FabricArgs;
