--- /dev/null
+++ b/crates/members/src/balancers.rs
@@ -0,0 +1,79 @@
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use usher_placement::{key_of, rank};
+use usher_types::{DataCentre, Fleet, HostId, InstanceId, Weight};
+
+/// Balancers that hear a host.
+const PER_HOST: usize = 3;
+/// Balancers that a balancer sends heartbeats to, which bounds its control traffic.
+const PER_BALANCER: usize = 16;
+
+/// The known fleets and who sends heartbeats to which balancer.
+#[derive(Debug, Default)]
+pub(crate) struct Balancers {
+    fleets: IndexMap<DataCentre, Arc<Fleet>>,
+    ranked: IndexMap<DataCentre, Vec<HostId>>,
+}
+
+impl Balancers {
+    /// Adopts a fleet; false if a newer version is known.
+    pub(crate) fn adopt(&mut self, centre: &DataCentre, fleet: Arc<Fleet>) -> bool {
+        let known = self.fleets.get(centre);
+        if known.is_some_and(|known| known.version > fleet.version) {
+            return false;
+        }
+        // Instances and hosts follow the same naming rule, so every instance name parses.
+        let names = fleet.balancers.keys().map(InstanceId::as_str);
+        let names = names.filter_map(|name| name.parse().ok()).collect();
+        self.ranked.insert(centre.clone(), names);
+        self.fleets.insert(centre.clone(), fleet);
+        true
+    }
+
+    /// Addresses of the balancers that hear a host.
+    pub(crate) fn of_host(&self, centre: &DataCentre, host: &HostId) -> Vec<SocketAddrV4> {
+        let chosen = self.chosen(centre, host.as_str(), PER_HOST);
+        chosen
+            .into_iter()
+            .filter_map(|name| self.address(centre, name))
+            .collect()
+    }
+
+    /// Whether a balancer is among those that hear a host.
+    pub(crate) fn hears(&self, centre: &DataCentre, instance: &InstanceId, host: &HostId) -> bool {
+        let chosen = self.chosen(centre, host.as_str(), PER_HOST);
+        chosen.iter().any(|name| name.as_str() == instance.as_str())
+    }
+
+    /// Addresses of the balancers that a balancer sends heartbeats to.
+    pub(crate) fn of_balancer(&self, instance: &InstanceId) -> Vec<SocketAddrV4> {
+        let others = self
+            .ranked
+            .iter()
+            .flat_map(|(centre, names)| names.iter().map(move |name| (name, centre)))
+            .filter(|(name, _)| name.as_str() != instance.as_str());
+        let centres: IndexMap<_, _> = others.collect();
+        let all = centres.keys().map(|name| (*name, Weight::NOMINAL));
+        rank(key_of(instance.as_str()), all)
+            .into_iter()
+            .take(PER_BALANCER)
+            .filter_map(|name| self.address(centres.get(name)?, name))
+            .collect()
+    }
+
+    fn chosen(&self, centre: &DataCentre, key: &str, count: usize) -> Vec<&HostId> {
+        let names = self.ranked.get(centre).map_or(&[][..], Vec::as_slice);
+        let members = names.iter().map(|name| (name, Weight::NOMINAL));
+        let mut order = rank(key_of(key), members);
+        order.truncate(count);
+        order
+    }
+
+    fn address(&self, centre: &DataCentre, name: &HostId) -> Option<SocketAddrV4> {
+        let fleet = self.fleets.get(centre)?;
+        let instance: InstanceId = name.as_str().parse().ok()?;
+        fleet.balancers.get(&instance).map(|known| known.control)
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -1,1 +1,26 @@
 //! Membership decisions: heartbeats, suspicion, host states and roster proposals.
+//!
+//! One [`Membership`] per process, for agents and balancers alike.
+
+mod action;
+mod balancers;
+mod change;
+mod event;
+mod host;
+mod host_life;
+mod identity;
+mod membership;
+mod proposal;
+mod sighting;
+mod status;
+mod watch;
+
+pub use action::Action;
+pub use change::Change;
+pub use event::Event;
+pub use host::{Announced, Draining, Host, Serving};
+pub use host_life::HostLife;
+pub use identity::Identity;
+pub use membership::Membership;
+pub use proposal::Proposal;
+pub use status::Status;
--- /dev/null
+++ b/crates/members/src/watch.rs
@@ -0,0 +1,177 @@
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use usher_placement::first;
+use usher_types::{Beat, HostId, Incarnation, Peer, Roster, Span, Time, Weight};
+
+use crate::Change;
+use crate::sighting::Sighting;
+
+/// Suspicion after which a member is removed from the roster.
+const REMOVAL: Span = Span::from_secs(10);
+/// Time between two proposals of the same removal.
+const REMOVAL_RETRY: Span = Span::from_secs(5);
+
+/// One service's members as this process sees them.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    roster: Arc<Roster>,
+    sightings: IndexMap<HostId, Sighting>,
+    distrusted: bool,
+    next_removal: Time,
+}
+
+impl Watch {
+    pub(crate) fn new() -> Self {
+        Self {
+            roster: Arc::default(),
+            sightings: IndexMap::new(),
+            distrusted: false,
+            next_removal: Time::ZERO,
+        }
+    }
+
+    pub(crate) fn roster(&self) -> &Arc<Roster> {
+        &self.roster
+    }
+
+    /// Adopts a roster; `observed` tells whether this process hears a member directly.
+    pub(crate) fn adopt(
+        &mut self,
+        now: Time,
+        roster: Arc<Roster>,
+        own: Option<&HostId>,
+        observed: impl Fn(&HostId, &usher_types::Member) -> bool,
+    ) {
+        let earlier = std::mem::replace(&mut self.roster, roster);
+        let roster = Arc::clone(&self.roster);
+        self.sightings
+            .retain(|host, _| roster.members.contains_key(host));
+        for (host, member) in &roster.members {
+            if Some(host) == own {
+                continue;
+            }
+            let observed = observed(host, member);
+            let sighting = self
+                .sightings
+                .entry(host.clone())
+                .or_insert_with(|| Sighting::new(now, observed));
+            sighting.observe(now, observed);
+            let known = earlier.members.get(host);
+            if known.is_some_and(|known| known.incarnation < member.incarnation) {
+                sighting.renew(now);
+            }
+        }
+        self.next_removal = now;
+    }
+
+    /// Counts a member's heartbeat; false if it is stale or from an earlier process.
+    pub(crate) fn on_beat(&mut self, now: Time, host: &HostId, beat: &Beat) -> bool {
+        let listed = self.roster.members.get(host);
+        let current = listed.is_some_and(|member| member.incarnation <= beat.incarnation);
+        let sighting = self.sightings.get_mut(host).filter(|_| current);
+        sighting.is_some_and(|sighting| sighting.on_beat(now, beat))
+    }
+
+    pub(crate) fn alive_at(&mut self, host: &HostId, time: Time) {
+        if let Some(sighting) = self.sightings.get_mut(host) {
+            sighting.alive_at(time);
+        }
+    }
+
+    /// Counts that another process no longer hears a member.
+    pub(crate) fn on_report(&mut self, now: Time, from: &Peer, suspect: &HostId) {
+        let about_itself = matches!(from, Peer::Host(host) if host == suspect);
+        let sighting = self.sightings.get_mut(suspect).filter(|_| !about_itself);
+        if let Some(sighting) = sighting {
+            sighting.on_report(now, from);
+        }
+    }
+
+    /// Treats all members as heard now; used after this process was paused.
+    pub(crate) fn excuse(&mut self, now: Time) {
+        for sighting in self.sightings.values_mut() {
+            sighting.alive_at(now);
+        }
+    }
+
+    /// Re-evaluates all members; returns whether suspicion or trust changed.
+    pub(crate) fn update(&mut self, now: Time) -> (bool, bool) {
+        let dead = self
+            .sightings
+            .values()
+            .filter(|sighting| sighting.looks_dead(now))
+            .count();
+        let distrusted = dead * 2 > self.roster.members.len();
+        let trust_changed = distrusted != self.distrusted;
+        self.distrusted = distrusted;
+        let mut suspicion_changed = false;
+        for sighting in self.sightings.values_mut() {
+            let before = sighting.is_suspected();
+            sighting.update(now, !distrusted);
+            suspicion_changed |= sighting.is_suspected() != before;
+        }
+        (suspicion_changed, trust_changed)
+    }
+
+    pub(crate) fn is_distrusted(&self) -> bool {
+        self.distrusted
+    }
+
+    pub(crate) fn suspected(&self) -> Vec<HostId> {
+        let suspected = self.sightings.iter().filter(|(_, s)| s.is_suspected());
+        suspected.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Members that this process reports as silent; a distrusted view reports nothing new.
+    pub(crate) fn silent(&self, now: Time) -> impl Iterator<Item = &HostId> {
+        let reported = move |sighting: &Sighting| {
+            sighting.is_silent(now) && (!self.distrusted || sighting.is_suspected())
+        };
+        self.sightings
+            .iter()
+            .filter(move |(_, sighting)| reported(sighting))
+            .map(|(host, _)| host)
+    }
+
+    /// Members that are not suspected, without this process's own host.
+    pub(crate) fn live(&self) -> impl Iterator<Item = &HostId> {
+        self.sightings
+            .iter()
+            .filter(|(_, sighting)| !sighting.is_suspected())
+            .map(|(host, _)| host)
+    }
+
+    /// The removal that is due, if this host is the one to propose it.
+    pub(crate) fn removal(&mut self, now: Time, own: &HostId) -> Option<Change> {
+        if self.distrusted || now < self.next_removal || !self.roster.members.contains_key(own) {
+            return None;
+        }
+        let hosts = self.overdue(now);
+        if hosts.is_empty() {
+            return None;
+        }
+        let live = self.live().chain([own]);
+        let members = live.map(|host| (host, Weight::NOMINAL));
+        if first(self.roster.version.get(), members) != Some(own) {
+            return None;
+        }
+        self.next_removal = now + REMOVAL_RETRY;
+        Some(Change::Remove { hosts })
+    }
+
+    fn overdue(&self, now: Time) -> Vec<(HostId, Incarnation)> {
+        let due = |sighting: &Sighting| {
+            sighting
+                .suspected_since()
+                .is_some_and(|since| now.since(since) >= REMOVAL)
+        };
+        self.sightings
+            .iter()
+            .filter(|(_, sighting)| due(sighting))
+            .filter_map(|(host, _)| {
+                Some((host.clone(), self.roster.members.get(host)?.incarnation))
+            })
+            .collect()
+    }
+}
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -48,7 +48,8 @@
     pub(crate) fn led_by(&self, holder: SocketAddrV4) -> Self {
         let mut led = Self::default();
         led.push(holder, true);
-        let skipped = self.expendable();
+        let listed = self.agents().contains(&holder);
+        let skipped = self.expendable().filter(|_| !listed);
         for (index, agent) in self.agents().iter().enumerate() {
             if Some(index) != skipped {
                 led.push(*agent, index < usize::from(self.current));
