admission: Scheduler with classes, slots, claims, refusals and offers

Cause: the agent needs the part that decides when and where a request runs. Change: the Scheduler with its complete interface. A request is a typestate (Queued, Claimed, Dispatched, Finished, and Refusing, Offered, Lent beside them) held in one table with its queues and timers.

--- /dev/null
+++ b/crates/admission/src/arrival.rs
@@ -0,0 +1,172 @@
+//! Arrivals: duplicates, classification and admission.
+
+use usher_types::{Attempt, ClassRule, Refusal, Request, RequestId, Span, Time};
+
+use crate::class::Class;
+use crate::entry::Entry;
+use crate::job::{Job, Queued};
+use crate::queue::Rank;
+use crate::task::{Caller, Doubt, Task};
+use crate::{Action, Counter, QueueOrder, Scheduler};
+
+impl Scheduler {
+    pub(crate) fn arrive(&mut self, now: Time, request: Request) {
+        if self.join(now, &request) {
+            self.count(Counter::Joined);
+            return;
+        }
+        let caller = Caller::Local(request.id);
+        let job = Job::new(self.task(now, request, caller));
+        if self.draining.is_some() {
+            self.refuse(now, job, Refusal::Draining);
+        } else if job.task.request.budget.get() == 0 {
+            self.refuse(now, job, Refusal::Budget);
+        } else if job.task.request.deadline <= now {
+            self.refuse(now, job, Refusal::Expired);
+        } else {
+            self.place(now, job);
+        }
+    }
+
+    /// Attaches a duplicate to the request that is held under the same id or key.
+    fn join(&mut self, now: Time, request: &Request) -> bool {
+        let id = self.table.resolve(request.id);
+        let known = self.table.get(&id).is_some();
+        let held = known.then_some(id).or(self.table.holder(request.key));
+        let Some(held) = held else { return false };
+        let Some(mut entry) = self.table.take(&held) else {
+            return false;
+        };
+        let caller = Caller::Local(request.id);
+        if !entry.task().callers.contains(&caller) {
+            self.attach(now, entry.task_mut(), request, held);
+        }
+        if let Entry::Finished(job) = &entry {
+            let outcome = job.state.outcome.clone();
+            let id = request.id;
+            self.out.push(Action::Reply { id, outcome });
+        }
+        self.table.insert(entry);
+        true
+    }
+
+    fn attach(&mut self, now: Time, task: &mut Task, request: &Request, held: RequestId) {
+        task.callers.push(Caller::Local(request.id));
+        if request.id != held {
+            self.table.alias(request.id, held);
+        }
+        // An attempt in between went to another agent.
+        if request.attempt > task.request.attempt.next() {
+            task.doubt = task.doubt.max(Doubt::Retry);
+        }
+        task.request.attempt = task.request.attempt.max(request.attempt);
+        task.request.deadline = task.request.deadline.max(request.deadline);
+        task.rank = self.rank(task.request.deadline, task.rank.sequence);
+        task.limit_start(now, self.policy.refusal);
+    }
+
+    /// The record of a request that is not held yet.
+    pub(crate) fn task(&mut self, now: Time, mut request: Request, caller: Caller) -> Task {
+        let rule = self.profile.methods.get(&request.method);
+        let long = rule.is_some_and(|rule| rule.long);
+        request.priority = rule.map_or(request.priority, |rule: &ClassRule| rule.priority);
+        let cost = self.cost(&request.method, long);
+        let class = if self.policy.classes && (long || cost > self.profile.short_bound) {
+            Class::Long
+        } else {
+            Class::Short
+        };
+        let doubt = if request.attempt > Attempt::new(1) {
+            Doubt::Retry
+        } else {
+            Doubt::None
+        };
+        self.sequence += 1;
+        let mut task = Task {
+            callers: vec![caller],
+            arrived: now,
+            class,
+            cost,
+            latest: request.deadline,
+            rank: self.rank(request.deadline, self.sequence),
+            doubt,
+            granted: false,
+            offers: Vec::new(),
+            request,
+        };
+        task.limit_start(now, self.policy.refusal);
+        task
+    }
+
+    fn cost(&self, method: &str, long: bool) -> Span {
+        let bound = self.profile.short_bound;
+        let assumed = || {
+            if long {
+                bound
+            } else {
+                self.estimates.overall().min(bound)
+            }
+        };
+        self.estimates.of(method).unwrap_or_else(assumed)
+    }
+
+    fn rank(&self, deadline: Time, sequence: u64) -> Rank {
+        let deadline = match self.policy.order {
+            QueueOrder::Fifo { .. } => Time::ZERO,
+            QueueOrder::Deadline => deadline,
+        };
+        Rank { deadline, sequence }
+    }
+
+    /// Queues a request that can meet its deadline here, else offers or refuses it.
+    pub(crate) fn place(&mut self, now: Time, mut job: Job<Queued>) {
+        job.task.limit_start(now, self.policy.refusal);
+        if let Some(shed) = self.admit(now, &job.task) {
+            for id in shed {
+                self.shed(now, id);
+            }
+            self.table.insert(Entry::Queued(job));
+        } else if let Some(peer) = self.faster_peer(now, &job.task) {
+            self.offer(now, job, peer);
+        } else {
+            self.refuse(now, job, Refusal::TooLate);
+        }
+    }
+
+    /// Requests to shed so that the task can be queued; `None` when it must be refused.
+    pub(crate) fn admit(&self, now: Time, task: &Task) -> Option<Vec<RequestId>> {
+        if task.request.deadline <= now {
+            return None;
+        }
+        if let QueueOrder::Fifo { length } = self.policy.order
+            && self.table.waiting_count() >= length
+        {
+            return None;
+        }
+        let queue = self.table.queue(task.class);
+        let outlook = self.outlook(now, task.class);
+        let idle = outlook.wait(queue.work()) == Span::ZERO;
+        if idle || !self.policy.refusal {
+            return Some(Vec::new());
+        }
+        if self.policy.shedding {
+            return queue.make_room(now, task, &outlook);
+        }
+        let wait = outlook.wait(queue.work_before(task.rank));
+        (wait + task.cost <= task.left(now)).then(Vec::new)
+    }
+
+    fn shed(&mut self, now: Time, id: RequestId) {
+        self.withdraw(now, &id, Refusal::Shed);
+    }
+
+    /// Refuses a request that waits for a slot.
+    pub(crate) fn withdraw(&mut self, now: Time, id: &RequestId, refusal: Refusal) {
+        match self.table.take(id) {
+            Some(Entry::Queued(job)) => self.refuse(now, job, refusal),
+            Some(Entry::Claimed(job)) => self.refuse_claimed(now, job, refusal),
+            Some(entry) => self.table.insert(entry),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/expiry.rs
@@ -0,0 +1,86 @@
+//! Timers: deadlines, lapsed grants, aging of runs and resends.
+
+use usher_types::{Outcome, Refusal, RequestId, Time};
+
+use crate::class::Class;
+use crate::entry::Entry;
+use crate::job::{Claimed, Dispatched, Job};
+use crate::{Action, Counter, Scheduler};
+
+impl Scheduler {
+    /// Applies all timers that are due.
+    pub(crate) fn expire(&mut self, now: Time) {
+        while let Some(id) = self.table.first_due(now) {
+            if let Some(entry) = self.table.take(&id) {
+                self.expire_entry(now, entry);
+            }
+        }
+        if self.draining.is_some_and(|until| until <= now) {
+            self.refuse_queued(now);
+        }
+    }
+
+    fn expire_entry(&mut self, now: Time, entry: Entry) {
+        match entry {
+            Entry::Queued(job) => self.refuse(now, job, Refusal::Expired),
+            Entry::Claimed(job) => self.expire_claimed(now, job),
+            Entry::Dispatched(job) => self.check_run(now, job),
+            Entry::Refusing(job) => {
+                self.release_when_granted(&job.task);
+                self.finish(now, job, Outcome::Unknown);
+            }
+            Entry::Offered(job) => self.resend_offer(now, job),
+            Entry::Lent(job) => {
+                self.count(Counter::OutcomeLost);
+                self.finish(now, job, Outcome::Unknown);
+            }
+            Entry::Finished(job) => self.resend_outcome(now, job),
+        }
+    }
+
+    fn expire_claimed(&mut self, now: Time, job: Job<Claimed>) {
+        if job.task.latest <= now {
+            self.refuse_claimed(now, job, Refusal::Expired);
+        } else {
+            self.count(Counter::ClaimLapsed);
+            self.table.insert(Entry::Queued(job.lapse()));
+        }
+    }
+
+    /// Counts a run past the short bound as long and cancels one past its deadline.
+    fn check_run(&mut self, now: Time, mut job: Job<Dispatched>) {
+        let id = job.task.id();
+        let running = now.since(job.state.started);
+        let overdue = running >= self.profile.short_bound;
+        if self.policy.classes && job.task.class == Class::Short && overdue {
+            job.task.class = Class::Long;
+            self.runs.age(&id);
+            self.count(Counter::Aged);
+        }
+        let deadline = job.task.request.deadline;
+        if now < deadline {
+            job.state.check = Some(deadline);
+        } else {
+            job.state.check = None;
+            self.cancel_run(&mut job);
+        }
+        self.table.insert(Entry::Dispatched(job));
+    }
+
+    pub(crate) fn cancel_run(&mut self, job: &mut Job<Dispatched>) {
+        if !job.state.cancelled {
+            job.state.cancelled = true;
+            let id = job.task.id();
+            self.out.push(Action::CancelRun { id });
+        }
+    }
+
+    /// Refuses what is still queued at the end of the drain's queue time.
+    fn refuse_queued(&mut self, now: Time) {
+        let queues = [Class::Short, Class::Long].map(|class| self.table.queue(class));
+        let ids: Vec<RequestId> = queues.iter().flat_map(|q| q.iter()).map(|w| w.id).collect();
+        for id in ids {
+            self.withdraw(now, &id, Refusal::Draining);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/queue.rs
@@ -0,0 +1,126 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use usher_types::{Priority, RequestId, Span, Time};
+
+use crate::outlook::Outlook;
+use crate::task::Task;
+
+/// Position in a queue: by deadline, then by arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    pub(crate) deadline: Time,
+    pub(crate) sequence: u64,
+}
+
+/// Whether a queued request may be dispatched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Readiness {
+    Ready,
+    Unclaimed,
+    Claiming,
+}
+
+/// What the queue knows of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Waiting {
+    pub(crate) id: RequestId,
+    pub(crate) cost: Span,
+    pub(crate) latest: Time,
+    pub(crate) deadline: Time,
+    pub(crate) priority: Priority,
+    pub(crate) readiness: Readiness,
+    pub(crate) offerable: bool,
+}
+
+/// Requests of one class that wait for a slot.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    order: BTreeMap<Rank, Waiting>,
+    work: Span,
+}
+
+impl Queue {
+    pub(crate) fn insert(&mut self, rank: Rank, waiting: Waiting) {
+        self.work = self.work + waiting.cost;
+        self.order.insert(rank, waiting);
+    }
+
+    pub(crate) fn remove(&mut self, rank: Rank) {
+        if let Some(waiting) = self.order.remove(&rank) {
+            self.work = self.work - waiting.cost;
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Sum of the estimated service times.
+    pub(crate) fn work(&self) -> Span {
+        self.work
+    }
+
+    /// Requests in the order of dispatch.
+    pub(crate) fn iter(&self) -> impl DoubleEndedIterator<Item = &Waiting> {
+        self.order.values()
+    }
+
+    pub(crate) fn first_ready(&self) -> Option<&Waiting> {
+        self.iter().find(|w| w.readiness == Readiness::Ready)
+    }
+
+    /// Estimated service times of the requests that go before `rank`.
+    pub(crate) fn work_before(&self, rank: Rank) -> Span {
+        sum(self.order.range(..rank).map(|(_, w)| w.cost))
+    }
+
+    /// Requests that must be shed so that `task` and all behind it meet their deadlines.
+    ///
+    /// `None` when work of lower priority does not suffice.
+    pub(crate) fn make_room(
+        &self,
+        now: Time,
+        task: &Task,
+        outlook: &Outlook,
+    ) -> Option<Vec<RequestId>> {
+        let mut shed = BTreeSet::new();
+        while let Some(missed) = self.first_missed(now, task, outlook, &shed) {
+            let (rank, _) = self
+                .order
+                .range(..=missed)
+                .filter(|(rank, w)| !shed.contains(*rank) && w.priority < task.request.priority)
+                .min_by_key(|(rank, w)| (w.priority, std::cmp::Reverse(**rank)))?;
+            shed.insert(*rank);
+        }
+        Some(shed.iter().map(|rank| self.order[rank].id).collect())
+    }
+
+    /// The first request that would miss its deadline because of `task`, or `task` itself.
+    fn first_missed(
+        &self,
+        now: Time,
+        task: &Task,
+        outlook: &Outlook,
+        shed: &BTreeSet<Rank>,
+    ) -> Option<Rank> {
+        let kept = |rank: &Rank| !shed.contains(rank);
+        let before = self.order.range(..task.rank);
+        let mut ahead = sum(before.filter(|(r, _)| kept(r)).map(|(_, w)| w.cost));
+        if outlook.wait(ahead) + task.cost > task.left(now) {
+            return Some(task.rank);
+        }
+        for (rank, waiting) in self.order.range(task.rank..).filter(|(r, _)| kept(r)) {
+            let left = waiting.deadline.since(now);
+            let met = outlook.wait(ahead) + waiting.cost <= left;
+            if met && outlook.wait(ahead + task.cost) + waiting.cost > left {
+                return Some(*rank);
+            }
+            ahead = ahead + waiting.cost;
+        }
+        None
+    }
+}
+
+fn sum(spans: impl Iterator<Item = Span>) -> Span {
+    spans.fold(Span::ZERO, |total, span| total + span)
+}
--- /dev/null
+++ b/crates/admission/src/scheduler.rs
@@ -0,0 +1,231 @@
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use usher_types::{Profile, RequestId, RequestKey, Slots, Span, Time, Weight};
+
+use crate::class::Class;
+use crate::estimate::Estimates;
+use crate::meter::Meter;
+use crate::outlook::Outlook;
+use crate::peers::Peers;
+use crate::recent::Recent;
+use crate::retry::RetryBudget;
+use crate::runs::Runs;
+use crate::table::Table;
+use crate::{Action, Counter, Event, Policy};
+
+// Round trip of a claim that is assumed until one has been measured.
+const CLAIM_LEAD: Span = Span::from_millis(5);
+// Callers' default deadline; P6 allows a few seconds of queued work during a drain.
+const DRAIN_QUEUE: Span = Span::from_secs(2);
+
+/// Decides when and where the requests of one host run.
+///
+/// It owns each request from its arrival to its outcome. `handle` takes an event and returns the
+/// actions that follow from it; `next_timer` says when `Event::Tick` is wanted.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) profile: Arc<Profile>,
+    pub(crate) policy: Policy,
+    pub(crate) address: SocketAddrV4,
+    pub(crate) table: Table,
+    pub(crate) runs: Runs,
+    pub(crate) estimates: Estimates,
+    pub(crate) meter: Meter,
+    pub(crate) retries: RetryBudget,
+    pub(crate) peers: Peers,
+    pub(crate) recent: Recent,
+    /// Keys of requests that ended while the verdict on their claim was pending.
+    pub(crate) releases: HashMap<RequestId, RequestKey>,
+    /// How long before a slot is expected to be free a claim is sent.
+    pub(crate) claim_lead: Span,
+    pub(crate) claim_wake: Option<Time>,
+    /// No dispatch before this time, after the backend server refused one.
+    pub(crate) pause: Option<Time>,
+    pub(crate) backoff: Span,
+    pub(crate) sequence: u64,
+    /// End of the time in which queued requests may still be dispatched during a drain.
+    pub(crate) draining: Option<Time>,
+    drained: bool,
+    pub(crate) out: Vec<Action>,
+}
+
+impl Scheduler {
+    /// A scheduler without requests; `address` is where peers send replies to its offers.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use usher_admission::{Policy, Scheduler};
+    /// use usher_types::{Profile, Slots, Span, Time};
+    /// let address = "127.0.0.1:7000".parse()?;
+    /// let profile = Arc::new(Profile::default());
+    /// let scheduler = Scheduler::new(profile, Slots::new(3), Policy::default(), address);
+    /// assert_eq!(scheduler.wait(Time::ZERO), Span::ZERO);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn new(profile: Arc<Profile>, slots: Slots, policy: Policy, address: SocketAddrV4) -> Self {
+        Self {
+            profile,
+            policy,
+            address,
+            table: Table::default(),
+            runs: Runs::new(slots),
+            estimates: Estimates::default(),
+            meter: Meter::default(),
+            retries: RetryBudget::new(),
+            peers: Peers::default(),
+            recent: Recent::default(),
+            releases: HashMap::new(),
+            claim_lead: CLAIM_LEAD,
+            claim_wake: None,
+            pause: None,
+            backoff: Span::ZERO,
+            sequence: 0,
+            draining: None,
+            drained: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// Applies an event and returns the actions that follow from it, in order.
+    ///
+    /// Timers that are due are applied first.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use usher_admission::{Action, Event, Policy, Scheduler};
+    /// use usher_types::{Profile, Slots, Time};
+    /// let address = "127.0.0.1:7000".parse()?;
+    /// let profile = Arc::new(Profile::default());
+    /// let mut scheduler = Scheduler::new(profile, Slots::new(3), Policy::default(), address);
+    /// assert_eq!(scheduler.handle(Time::ZERO, Event::Drain), [Action::Drained]);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        self.meter.advance(now, self.runs.slots);
+        self.expire(now);
+        self.apply(now, event);
+        self.dispatch_ready(now);
+        self.share(now);
+        self.ask_claims(now);
+        self.check_drained();
+        std::mem::take(&mut self.out)
+    }
+
+    fn apply(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(now, request),
+            Event::Permit { id, start_by } => self.permit(now, id, start_by),
+            Event::Settled { id, outcome } => self.settled(now, id, outcome),
+            Event::Denied { id } => self.denied(now, id),
+            Event::Finished { id, outcome } => self.finished(now, id, outcome),
+            Event::Lost { id } => self.lost(now, id),
+            Event::Refused { id } => self.refused(now, id),
+            Event::Cancel { id } => self.cancel(now, id),
+            Event::Offered(offer) => self.offered(now, offer),
+            Event::OfferReply { from, reply } => self.offer_reply(now, from, &reply),
+            Event::OfferOutcome(outcome) => self.offer_outcome(now, outcome),
+            Event::OfferDone(done) => self.offer_done(now, done.id),
+            Event::Peers(waits) => self.peers = Peers::new(waits),
+            Event::Profile(profile) => self.profile = profile,
+            Event::Slots(slots) => self.runs.slots = slots,
+            Event::Drain => {
+                self.draining.get_or_insert(now + DRAIN_QUEUE);
+            }
+            Event::Tick => {}
+        }
+    }
+
+    /// When `Event::Tick` is wanted if no other event occurs.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use usher_admission::{Policy, Scheduler};
+    /// use usher_types::{Profile, Slots};
+    /// let address = "127.0.0.1:7000".parse()?;
+    /// let profile = Arc::new(Profile::default());
+    /// let scheduler = Scheduler::new(profile, Slots::new(3), Policy::default(), address);
+    /// assert_eq!(scheduler.next_timer(), None);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn next_timer(&self) -> Option<Time> {
+        let waiting = self.table.waiting_count() > 0;
+        let timers = [
+            self.table.next_timer(),
+            self.meter.next_timer(),
+            self.claim_wake,
+            self.pause.filter(|_| waiting),
+            self.draining.filter(|_| waiting),
+        ];
+        timers.into_iter().flatten().min()
+    }
+
+    /// Estimated wait of a short request that arrives now.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use usher_admission::{Policy, Scheduler};
+    /// use usher_types::{Profile, Slots, Span, Time};
+    /// let address = "127.0.0.1:7000".parse()?;
+    /// let profile = Arc::new(Profile::default());
+    /// let scheduler = Scheduler::new(profile, Slots::new(0), Policy::default(), address);
+    /// assert!(scheduler.wait(Time::ZERO) > Span::from_secs(60));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn wait(&self, now: Time) -> Span {
+        self.class_wait(now, Class::Short)
+    }
+
+    /// Measured strength of the backend server, reduced during a cold start.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use usher_admission::{Policy, Scheduler};
+    /// use usher_types::{Profile, Slots, Weight};
+    /// let address = "127.0.0.1:7000".parse()?;
+    /// let profile = Arc::new(Profile::default());
+    /// let scheduler = Scheduler::new(profile, Slots::new(3), Policy::default(), address);
+    /// assert_eq!(scheduler.weight(), Weight::new(100));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn weight(&self) -> Weight {
+        self.meter.weight()
+    }
+
+    pub(crate) fn class_wait(&self, now: Time, class: Class) -> Span {
+        let work = self.table.queue(class).work();
+        self.outlook(now, class).wait(work)
+    }
+
+    pub(crate) fn outlook(&self, now: Time, class: Class) -> Outlook {
+        let outlook = Outlook::new(self.runs.remaining(now));
+        if class == Class::Short {
+            return outlook;
+        }
+        let long = self.runs.remaining_long(now, self.long_limit());
+        let short = self.table.queue(Class::Short).work();
+        outlook.behind(short).limited(long)
+    }
+
+    /// Slots that long work may hold.
+    pub(crate) fn long_limit(&self) -> usize {
+        let slots = usize::from(self.runs.slots.get());
+        if self.policy.reservation {
+            slots.saturating_sub(1).max(1)
+        } else {
+            slots
+        }
+    }
+
+    pub(crate) fn count(&mut self, counter: Counter) {
+        self.out.push(Action::Count(counter));
+    }
+
+    fn check_drained(&mut self) {
+        if self.draining.is_some() && !self.drained && self.table.is_empty() {
+            self.drained = true;
+            self.out.push(Action::Drained);
+        }
+    }
+}
