Add the ledger of non-repeatable requests and its claimant

Change: the crate has a peer lease (typestate Lapsed and Held), a Ledger for the owner of keys and a Claimant for the holder of requests. Grants carry the rest of the owner's lease. Earlier rosters are settled one by one: by this process, by records handed over, or by an activation quorum plus one lease length. Freshness uses a margin of one packet lifetime plus one lease. A process that skipped rosters grants nothing until it is given a complete lineage.

types: Claim has the holder's incarnation, Complete has incarnation and sent, and Completed has sent. Without them a delayed release frees a later grant of the same host, and a restarted agent replaces the grant of its predecessor.

--- /dev/null
+++ b/crates/dedupe/src/action.rs
@@ -0,0 +1,104 @@
+use std::net::SocketAddrV4;
+
+use usher_types::{
+    Claim, Complete, Completed, HostId, Outcome, RequestKey, Time, Verdict, Version,
+};
+
+use crate::Parcel;
+
+/// What a `Ledger` wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LedgerAction {
+    /// Send a verdict.
+    Verdict {
+        /// Agent of the holder.
+        to: SocketAddrV4,
+        /// The message.
+        verdict: Verdict,
+    },
+    /// Acknowledge an outcome.
+    Completed {
+        /// Agent of the holder.
+        to: SocketAddrV4,
+        /// The message.
+        completed: Completed,
+    },
+    /// Hand records over; repeated until `TakeoverAcked`.
+    Handover {
+        /// Host that receives them.
+        to: HostId,
+        /// The records.
+        parcel: Parcel,
+    },
+    /// Acknowledge a parcel to its sender as `TakeoverAcked`.
+    Acknowledge {
+        /// Host that sent it.
+        to: HostId,
+        /// `roster` of the parcel.
+        roster: Version,
+    },
+    /// The agent has left the roster and every record has been taken over.
+    Drained,
+    /// Count an occurrence.
+    Count(Counter),
+}
+
+/// Occurrences that a `Ledger` counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Counter {
+    /// A key was granted.
+    Granted,
+    /// A claim arrived for a key that has a record.
+    Duplicate,
+    /// A claim was deferred, for lack of a lease or of settled predecessors.
+    Deferred,
+    /// A claim was refused because an earlier owner may have granted its key.
+    Stale,
+    /// A claim arrived for a key of another owner.
+    Misdirected,
+    /// A holder did not report within the run limit.
+    Abandoned,
+}
+
+/// What a `Claimant` wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimantAction {
+    /// Send a claim to the key's owner, which may be this agent.
+    Claim {
+        /// Agent of the owner.
+        to: SocketAddrV4,
+        /// The message.
+        claim: Claim,
+    },
+    /// Report an outcome to the key's owner.
+    Complete {
+        /// Agent of the owner.
+        to: SocketAddrV4,
+        /// The message.
+        complete: Complete,
+    },
+    /// The request may be dispatched; the backend server must not start it after `start_by`.
+    Permit {
+        /// Key of the request.
+        key: RequestKey,
+        /// Local time of the last permitted start.
+        start_by: Time,
+    },
+    /// The key has run, here or elsewhere, or may have.
+    Settled {
+        /// Key of the request.
+        key: RequestKey,
+        /// What to tell the caller.
+        outcome: Outcome,
+    },
+    /// The key is claimed already; `Settled` follows by the deadline.
+    Running {
+        /// Key of the request.
+        key: RequestKey,
+    },
+    /// No grant came in time; this process has not dispatched the key and will not for this request.
+    Denied {
+        /// Key of the request.
+        key: RequestKey,
+    },
+}
--- /dev/null
+++ b/crates/dedupe/src/event.rs
@@ -0,0 +1,86 @@
+use std::sync::Arc;
+
+use usher_types::{
+    Attempt, BeatAck, Claim, Complete, Completed, HostId, Outcome, RequestKey, Roster, Span, Time,
+    Verdict, Version,
+};
+
+use crate::Parcel;
+
+/// A newly adopted roster with the earlier ones whose owners may still act.
+#[derive(Debug, Clone)]
+pub struct Lineage {
+    /// The adopted roster.
+    pub roster: Arc<Roster>,
+    /// Earlier rosters known to the caller, in any order.
+    pub earlier: Vec<Arc<Roster>>,
+    /// `earlier` holds the roster that this one replaced, and every other one that some process
+    /// still reports as unsettled.
+    pub complete: bool,
+}
+
+/// Input of a `Ledger`.
+#[derive(Debug, Clone)]
+pub enum LedgerEvent {
+    /// A roster was adopted; lower versions are ignored.
+    Roster(Lineage),
+    /// A holder asks for a grant.
+    Claim(Claim),
+    /// A holder reports an outcome.
+    Complete(Complete),
+    /// A member acknowledged an own heartbeat.
+    Ack(BeatAck),
+    /// A member has adopted a roster version, seen in a `Beat` or `BeatAck`.
+    Adopted {
+        /// The member.
+        host: HostId,
+        /// Version that it has adopted.
+        roster: Version,
+    },
+    /// An operator confirms that the members of rosters up to this version run no more.
+    Confirmed(Version),
+    /// Another agent hands over records.
+    Takeover(Parcel),
+    /// An agent has taken over the records sent to it.
+    TakeoverAcked {
+        /// The agent that has them.
+        from: HostId,
+        /// `roster` of the parcel.
+        roster: Version,
+    },
+    /// This agent is about to leave; it owns its keys until a roster without it is adopted.
+    Drain,
+    /// The timer has expired.
+    Tick,
+}
+
+/// Input of a `Claimant`.
+#[derive(Debug, Clone)]
+pub enum ClaimantEvent {
+    /// A request needs a grant.
+    Ask {
+        /// Key of the request.
+        key: RequestKey,
+        /// Transmission number of the request.
+        attempt: Attempt,
+        /// Time since the caller's first attempt, as of now, including all time spent queued.
+        age: Span,
+        /// When the request no longer needs a grant.
+        deadline: Time,
+    },
+    /// The owner has answered a claim.
+    Verdict(Verdict),
+    /// A permitted request has ended; `NotRun` releases the key.
+    Report {
+        /// Key of the request.
+        key: RequestKey,
+        /// Its outcome.
+        outcome: Outcome,
+    },
+    /// The owner has recorded an outcome.
+    Completed(Completed),
+    /// A roster was adopted; lower versions are ignored.
+    Roster(Arc<Roster>),
+    /// The timer has expired.
+    Tick,
+}
--- /dev/null
+++ b/crates/dedupe/src/lease.rs
@@ -0,0 +1,139 @@
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use usher_types::{BeatAck, HostId, Peer, Roster, Span, Time, Version};
+
+use crate::limits::LEASE;
+use crate::ownership::{Agent, is_member, lease_quorum};
+
+/// State of a lease without a current quorum.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lapsed;
+
+/// State of a lease with a quorum; it knows when it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    until: Time,
+}
+
+/// An owner's right to act on one roster version, renewed by acknowledged heartbeats.
+///
+/// ```
+/// use std::sync::Arc;
+/// use usher_dedupe::{Agent, Lease, Renewal};
+/// use usher_types::{Incarnation, Roster, Time};
+/// let agent = Agent { host: "a".parse()?, incarnation: Incarnation::new(1) };
+/// let lease = Lease::new(agent, Arc::new(Roster::default()), Time::ZERO);
+/// assert!(matches!(lease.renew(Time::ZERO), Renewal::Lapsed(_)));
+/// # Ok::<(), usher_types::ParseError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct Lease<S> {
+    agent: Agent,
+    roster: Arc<Roster>,
+    adopted: Time,
+    acked: IndexMap<HostId, Time>,
+    state: S,
+}
+
+/// A lease in either state.
+#[derive(Debug, Clone)]
+pub enum Renewal {
+    /// No quorum has acknowledged within the last lease length.
+    Lapsed(Lease<Lapsed>),
+    /// A quorum has acknowledged.
+    Held(Lease<Held>),
+}
+
+impl<S> Lease<S> {
+    /// Records an acknowledgement of an own heartbeat.
+    ///
+    /// Counts it only when the peer has adopted this very roster and the heartbeat was sent
+    /// after this process adopted it.
+    #[must_use]
+    pub fn acknowledge(mut self, now: Time, ack: &BeatAck) -> Self {
+        let Peer::Host(host) = &ack.from else {
+            return self;
+        };
+        let counts = ack.roster == self.roster.version
+            && self.roster.members.contains_key(host)
+            && (self.adopted..=now).contains(&ack.sent);
+        if counts {
+            let latest = self.acked.entry(host.clone()).or_insert(ack.sent);
+            *latest = ack.sent.max(*latest);
+        }
+        self
+    }
+
+    /// Moves to the state that the acknowledgements received so far justify.
+    pub fn renew(self, now: Time) -> Renewal {
+        match self.expiry(now).filter(|until| *until > now) {
+            Some(until) => Renewal::Held(self.with(Held { until })),
+            None => Renewal::Lapsed(self.with(Lapsed)),
+        }
+    }
+
+    /// Roster version that the lease is for.
+    pub fn version(&self) -> Version {
+        self.roster.version
+    }
+
+    // The own vote counts as given now: this process stops when it adopts a newer roster.
+    fn expiry(&self, now: Time) -> Option<Time> {
+        if !is_member(&self.roster, &self.agent) {
+            return None;
+        }
+        let peers = self.acked.iter().filter(|(h, _)| **h != self.agent.host);
+        let mut votes: Vec<Time> = peers.map(|(_, sent)| *sent).collect();
+        votes.push(now);
+        votes.sort_unstable_by(|a, b| b.cmp(a));
+        let decisive = votes.get(lease_quorum(self.roster.members.len()) - 1)?;
+        Some(*decisive + LEASE)
+    }
+
+    fn with<T>(self, state: T) -> Lease<T> {
+        Lease {
+            agent: self.agent,
+            roster: self.roster,
+            adopted: self.adopted,
+            acked: self.acked,
+            state,
+        }
+    }
+}
+
+impl Lease<Lapsed> {
+    /// A lease that no member has acknowledged yet.
+    pub fn new(agent: Agent, roster: Arc<Roster>, now: Time) -> Self {
+        Self {
+            agent,
+            roster,
+            adopted: now,
+            acked: IndexMap::new(),
+            state: Lapsed,
+        }
+    }
+}
+
+impl Lease<Held> {
+    /// Time left, zero when the lease has ended.
+    pub fn rest(&self, now: Time) -> Span {
+        self.state.until - now
+    }
+}
+
+impl Renewal {
+    pub(crate) fn acknowledge(self, now: Time, ack: &BeatAck) -> Self {
+        match self {
+            Self::Lapsed(lease) => lease.acknowledge(now, ack).renew(now),
+            Self::Held(lease) => lease.acknowledge(now, ack).renew(now),
+        }
+    }
+
+    pub(crate) fn renew(self, now: Time) -> Self {
+        match self {
+            Self::Lapsed(lease) => lease.renew(now),
+            Self::Held(lease) => lease.renew(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dedupe/src/ledger.rs
@@ -0,0 +1,371 @@
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use usher_types::{
+    Attempt, Claim, Complete, Completed, Decision, HostId, Outcome, RequestKey, Span, Time,
+    Verdict, Version,
+};
+
+use crate::action::{Counter, LedgerAction};
+use crate::event::{LedgerEvent, Lineage};
+use crate::handover::Handovers;
+use crate::history::{History, Standing};
+use crate::lease::{Lease, Renewal};
+use crate::limits::{RETENTION, RETRY, lateness, longer};
+use crate::ownership::{Agent, owner_of};
+use crate::parcel::Parcel;
+use crate::record::State;
+use crate::table::Table;
+
+/// How a process came to its first roster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// This process created the service's roster, so no earlier owner exists.
+    Created,
+    /// The service had rosters before.
+    Joined,
+}
+
+// Whether a key without a current record may be granted.
+enum Gate {
+    Open(Span),
+    Wait(Span),
+    Stale,
+}
+
+/// Decides, as the owner of keys, which holder may dispatch a request.
+///
+/// ```
+/// use usher_dedupe::{Agent, Ledger, LedgerEvent, Origin};
+/// use usher_types::{Incarnation, Time};
+/// let agent = Agent { host: "a".parse()?, incarnation: Incarnation::new(1) };
+/// let mut ledger = Ledger::new(agent, Origin::Created);
+/// assert!(ledger.handle(Time::ZERO, LedgerEvent::Tick).is_empty());
+/// # Ok::<(), usher_types::ParseError>(())
+/// ```
+#[derive(Debug)]
+pub struct Ledger {
+    agent: Agent,
+    history: History,
+    lease: Option<Renewal>,
+    table: Table,
+    handovers: Handovers,
+    draining: bool,
+}
+
+impl Ledger {
+    /// A ledger without a roster.
+    ///
+    /// ```
+    /// use usher_dedupe::{Agent, Ledger, Origin};
+    /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// assert!(Ledger::new(agent, Origin::Joined).is_empty());
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn new(agent: Agent, origin: Origin) -> Self {
+        Self {
+            history: History::new(agent.clone(), origin),
+            agent,
+            lease: None,
+            table: Table::default(),
+            handovers: Handovers::default(),
+            draining: false,
+        }
+    }
+
+    /// Applies an event; `now` must be read after the event's message was received.
+    ///
+    /// ```
+    /// use usher_dedupe::{Agent, Ledger, LedgerAction, LedgerEvent, Origin};
+    /// use usher_types::Time;
+    /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// let mut ledger = Ledger::new(agent, Origin::Joined);
+    /// let actions = ledger.handle(Time::ZERO, LedgerEvent::Drain);
+    /// assert_eq!(actions, [LedgerAction::Drained]);
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn handle(&mut self, now: Time, event: LedgerEvent) -> Vec<LedgerAction> {
+        let mut actions = self.advance(now);
+        match event {
+            LedgerEvent::Roster(lineage) => self.adopt(now, lineage),
+            LedgerEvent::Claim(claim) => actions.extend(self.claim(now, &claim)),
+            LedgerEvent::Complete(complete) => actions.extend(self.complete(now, complete)),
+            LedgerEvent::Ack(ack) => {
+                self.lease = self.lease.take().map(|lease| lease.acknowledge(now, &ack));
+            }
+            LedgerEvent::Adopted { host, roster } => self.history.adopted(now, host, roster),
+            LedgerEvent::Confirmed(version) => self.history.confirm(now, version),
+            LedgerEvent::Takeover(parcel) => actions.extend(self.take_over(now, parcel)),
+            LedgerEvent::TakeoverAcked { from, roster } => {
+                self.handovers.acknowledge(&from, roster);
+            }
+            LedgerEvent::Drain => self.draining = true,
+            LedgerEvent::Tick => {}
+        }
+        actions.extend(self.handovers.transmit(now));
+        if self.is_drained() {
+            self.draining = false;
+            actions.push(LedgerAction::Drained);
+        }
+        actions
+    }
+
+    /// When the ledger next needs a `Tick`.
+    ///
+    /// ```
+    /// use usher_dedupe::{Agent, Ledger, Origin};
+    /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// assert_eq!(Ledger::new(agent, Origin::Joined).next_timer(), None);
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn next_timer(&self) -> Option<Time> {
+        let timers = [
+            self.table.next_due(),
+            self.handovers.next_due(),
+            self.history.next_fold(),
+        ];
+        timers.into_iter().flatten().min()
+    }
+
+    /// Earlier rosters that may have an active owner; a roster's writer keeps them in its lineage.
+    ///
+    /// ```
+    /// use usher_dedupe::{Agent, Ledger, Origin};
+    /// use usher_types::Time;
+    /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// assert!(Ledger::new(agent, Origin::Joined).unsettled(Time::ZERO).is_empty());
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn unsettled(&self, now: Time) -> Vec<Version> {
+        self.history.unsettled(now).collect()
+    }
+
+    /// Hosts that have not yet taken over records sent to them.
+    ///
+    /// ```
+    /// use usher_dedupe::{Agent, Ledger, Origin};
+    /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// assert!(Ledger::new(agent, Origin::Joined).awaiting().is_empty());
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn awaiting(&self) -> Vec<HostId> {
+        self.handovers.hosts().cloned().collect()
+    }
+
+    /// Number of records.
+    ///
+    /// ```
+    /// use usher_dedupe::{Agent, Ledger, Origin};
+    /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// assert_eq!(Ledger::new(agent, Origin::Joined).len(), 0);
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether there is no record.
+    ///
+    /// ```
+    /// use usher_dedupe::{Agent, Ledger, Origin};
+    /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// assert!(Ledger::new(agent, Origin::Joined).is_empty());
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn advance(&mut self, now: Time) -> Vec<LedgerAction> {
+        self.lease = self.lease.take().map(|lease| lease.renew(now));
+        self.history.fold(now);
+        let abandoned = self.table.expire(now);
+        vec![LedgerAction::Count(Counter::Abandoned); abandoned]
+    }
+
+    fn adopt(&mut self, now: Time, lineage: Lineage) {
+        let roster = Arc::clone(&lineage.roster);
+        if !self.history.adopt(now, lineage) {
+            return;
+        }
+        let lease = Lease::new(self.agent.clone(), Arc::clone(&roster), now);
+        self.lease = Some(lease.renew(now));
+        self.handovers.clear();
+        let mut records: IndexMap<HostId, Vec<_>> = IndexMap::new();
+        for (key, record) in self.table.records(now) {
+            if let Some(owner) = owner_of(&roster, key) {
+                records.entry(owner.host).or_default().push((key, record));
+            }
+        }
+        for (host, member) in &roster.members {
+            let to = Agent {
+                host: host.clone(),
+                incarnation: member.incarnation,
+            };
+            let records = records.swap_remove(host).unwrap_or_default();
+            if to != self.agent && (self.history.may_gain(&to) || !records.is_empty()) {
+                let mut parcel = self.history.parcel(now, to);
+                parcel.records = records;
+                self.handovers.send(now, parcel);
+            }
+        }
+    }
+
+    fn claim(&mut self, now: Time, claim: &Claim) -> Vec<LedgerAction> {
+        let Some((decision, counter)) = self.decide(now, claim) else {
+            return Vec::new();
+        };
+        let verdict = Verdict {
+            key: claim.key,
+            sent: claim.sent,
+            decision,
+        };
+        let to = claim.reply;
+        vec![
+            LedgerAction::Count(counter),
+            LedgerAction::Verdict { to, verdict },
+        ]
+    }
+
+    // Claims that their holder has replaced get no verdict.
+    fn decide(&mut self, now: Time, claim: &Claim) -> Option<(Decision, Counter)> {
+        if !self.owns(claim.key) {
+            let version = self.history.version();
+            return Some((Decision::NotOwner(version), Counter::Misdirected));
+        }
+        let claimer = Agent {
+            host: claim.holder.clone(),
+            incarnation: claim.incarnation,
+        };
+        let decision = match self.table.get(claim.key) {
+            None => return Some(self.grant(now, claim, claimer)),
+            Some(State::Granted { holder, sent, span }) if *holder == claimer => {
+                if claim.sent > *sent {
+                    return Some(self.grant(now, claim, claimer));
+                }
+                if claim.sent < *sent {
+                    return None;
+                }
+                Decision::Granted(*span)
+            }
+            Some(State::Released { holder, sent }) => {
+                if *holder == claimer && claim.sent <= *sent {
+                    return None;
+                }
+                return Some(self.grant(now, claim, claimer));
+            }
+            Some(State::Granted { .. }) => Decision::Running,
+            Some(State::Finished(outcome)) => Decision::Finished(outcome.clone()),
+            Some(State::Unknown) => Decision::Unknown,
+        };
+        Some((decision, Counter::Duplicate))
+    }
+
+    fn grant(&mut self, now: Time, claim: &Claim, holder: Agent) -> (Decision, Counter) {
+        match self.gate(now, claim) {
+            Gate::Wait(span) => (Decision::Wait(span), Counter::Deferred),
+            Gate::Stale => (Decision::Unknown, Counter::Stale),
+            Gate::Open(span) => {
+                let sent = claim.sent;
+                let state = State::Granted { holder, sent, span };
+                self.table.put(now, claim.key, state);
+                (Decision::Granted(span), Counter::Granted)
+            }
+        }
+    }
+
+    fn gate(&self, now: Time, claim: &Claim) -> Gate {
+        let since = match self.history.standing(now, claim.key) {
+            Standing::Unsettled(until) => {
+                return Gate::Wait(until.map_or(RETRY, |until| until - now).max(RETRY));
+            }
+            Standing::Since(since) => since,
+        };
+        let oldest = longer(claim.age) + lateness();
+        if oldest >= RETENTION {
+            return Gate::Stale;
+        }
+        if let Some(since) = since {
+            let known = now - since;
+            if claim.attempt <= Attempt::new(1) && known <= lateness() {
+                return Gate::Wait((lateness() - known).max(RETRY));
+            }
+            if oldest >= known {
+                return Gate::Stale;
+            }
+        }
+        match &self.lease {
+            Some(Renewal::Held(lease)) => Gate::Open(lease.rest(now)),
+            _ => Gate::Wait(RETRY),
+        }
+    }
+
+    fn complete(&mut self, now: Time, complete: Complete) -> Vec<LedgerAction> {
+        let key = complete.key;
+        if !self.owns(key) {
+            return vec![LedgerAction::Count(Counter::Misdirected)];
+        }
+        let to = complete.reply;
+        let sent = complete.sent;
+        if matches!(complete.outcome, Outcome::NotRun { .. }) {
+            self.release(now, complete);
+        } else {
+            let reported = State::of(complete.outcome);
+            let state = match self.table.get(key) {
+                Some(State::Finished(_)) => None,
+                Some(State::Unknown) if reported == State::Unknown => None,
+                _ => Some(reported),
+            };
+            if let Some(state) = state {
+                self.table.put(now, key, state);
+            }
+        }
+        let completed = Completed { key, sent };
+        vec![LedgerAction::Completed { to, completed }]
+    }
+
+    // Only the process that has the grant can give it back.
+    fn release(&mut self, now: Time, complete: Complete) {
+        let releaser = Agent {
+            host: complete.holder,
+            incarnation: complete.incarnation,
+        };
+        let Some(State::Granted { holder, sent, .. }) = self.table.get(complete.key) else {
+            return;
+        };
+        if *holder == releaser && complete.sent >= *sent {
+            let state = State::Released {
+                holder: releaser,
+                sent: complete.sent,
+            };
+            self.table.put(now, complete.key, state);
+        }
+    }
+
+    // A parcel ahead of the adopted roster is not acknowledged, so it comes again.
+    fn take_over(&mut self, now: Time, parcel: Parcel) -> Option<LedgerAction> {
+        if parcel.to != self.agent || !self.history.receive(now, &parcel) {
+            return None;
+        }
+        for (key, record) in parcel.records {
+            self.table.merge(now, key, record);
+        }
+        Some(LedgerAction::Acknowledge {
+            to: parcel.from.host,
+            roster: parcel.roster,
+        })
+    }
+
+    fn owns(&self, key: RequestKey) -> bool {
+        let roster = self.history.current();
+        roster.and_then(|roster| owner_of(roster, key)).as_ref() == Some(&self.agent)
+    }
+
+    fn is_drained(&self) -> bool {
+        let left = self.history.current().is_none_or(|roster| {
+            let member = roster.members.get(&self.agent.host);
+            member.is_none_or(|member| member.incarnation != self.agent.incarnation)
+        });
+        self.draining && left && self.handovers.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/dedupe/src/parcel.rs
@@ -0,0 +1,36 @@
+use serde::{Deserialize, Serialize};
+use usher_types::{RequestKey, Span, Version};
+
+use crate::{Agent, Record};
+
+/// States that all records of an owner under one roster are included.
+///
+/// It holds for the keys that the owner and every agent of the path owned in turn.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cover {
+    /// Roster under which the owner granted.
+    pub roster: Version,
+    /// The owner whose records are included.
+    pub owner: Agent,
+    /// Rosters and agents through which the records came.
+    pub path: Vec<(Version, Agent)>,
+}
+
+/// Records handed to the agent that owns their keys under a newer roster.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Parcel {
+    /// The agent that hands over.
+    pub from: Agent,
+    /// The agent that receives.
+    pub to: Agent,
+    /// Roster that the sender has adopted and that makes the receiver the owner.
+    pub roster: Version,
+    /// Earlier owners whose records are complete in this parcel.
+    pub covers: Vec<Cover>,
+    /// Earlier rosters that the sender still distinguishes.
+    pub rosters: Vec<Version>,
+    /// Time since all rosters older than those had stopped; `None` when there were none.
+    pub since: Option<Span>,
+    /// Records of keys that the receiver owns.
+    pub records: Vec<(RequestKey, Record)>,
+}
--- a/crates/types/src/claim.rs
+++ b/crates/types/src/claim.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, HostId, Outcome, RequestKey, Span, Time, Version};
+use crate::{Attempt, HostId, Incarnation, Outcome, RequestKey, Span, Time, Version};
 
 /// Asks the owner of a key for leave to dispatch a request that may not be repeated.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +15,8 @@
     pub age: Span,
     /// Host whose agent holds the request.
     pub holder: HostId,
+    /// Incarnation of that agent; a later process knows nothing of its predecessor's claims.
+    pub incarnation: Incarnation,
     /// Address that the verdict goes to.
     pub reply: SocketAddrV4,
     /// Roster version by which the receiver is the owner.
@@ -58,6 +60,10 @@
     pub key: RequestKey,
     /// Host that held the grant.
     pub holder: HostId,
+    /// Incarnation of that agent.
+    pub incarnation: Incarnation,
+    /// `sent` of the claim that was granted; a late duplicate must not release a later grant.
+    pub sent: Time,
     /// Address that the acknowledgement goes to.
     pub reply: SocketAddrV4,
     /// `NotRun` releases the grant.
@@ -69,4 +75,6 @@
 pub struct Completed {
     /// Key of the request.
     pub key: RequestKey,
+    /// `sent` of the `Complete`.
+    pub sent: Time,
 }
