Service envelope for agent messages and predecessors in rosters

Cause: a stale roster could send an offer or a claim to an address that now belongs to another service, and a joining process could not know which earlier owners may still act. Change: agent messages carry service and generation; a roster lists the earlier rosters that are not settled. Conclusion: both are needed for isolation and at-most-once.

--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -6,8 +6,8 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::settings::{Role, Settings};
 use crate::logs;
+use crate::settings::{Role, Settings};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_SETTINGS: u8 = 2;
--- a/crates/daemon/src/section.rs
+++ b/crates/daemon/src/section.rs
@@ -25,7 +25,12 @@
         allowed: &'static str,
     ) -> Result<T, SettingsError> {
         let file = self.file.clone();
-        let missing = SettingsError::Missing { file, section: self.name, key, allowed };
+        let missing = SettingsError::Missing {
+            file,
+            section: self.name,
+            key,
+            allowed,
+        };
         self.optional(key, allowed)?.ok_or(missing)
     }
 
@@ -35,7 +40,9 @@
         key: &'static str,
         allowed: &'static str,
     ) -> Result<Option<T>, SettingsError> {
-        let Some(value) = self.keys.shift_remove(key) else { return Ok(None) };
+        let Some(value) = self.keys.shift_remove(key) else {
+            return Ok(None);
+        };
         match value.trim().parse() {
             Ok(parsed) => Ok(Some(parsed)),
             Err(_) => Err(self.invalid(key, value, allowed)),
@@ -48,8 +55,13 @@
         key: &'static str,
         allowed: &'static str,
     ) -> Result<Vec<T>, SettingsError> {
-        let Some(value) = self.keys.shift_remove(key) else { return Ok(Vec::new()) };
-        let parts = value.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let Some(value) = self.keys.shift_remove(key) else {
+            return Ok(Vec::new());
+        };
+        let parts = value
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
         let parsed: Result<Vec<T>, _> = parts.map(T::from_str).collect();
         parsed.map_err(|_| self.invalid(key, value, allowed))
     }
@@ -57,14 +69,22 @@
     /// Refuses keys that nothing has read.
     pub(crate) fn finish(self) -> Result<(), SettingsError> {
         match self.keys.into_keys().next() {
-            Some(key) => {
-                Err(SettingsError::Key { file: self.file, section: self.name.to_owned(), key })
-            }
+            Some(key) => Err(SettingsError::Key {
+                file: self.file,
+                section: self.name.to_owned(),
+                key,
+            }),
             None => Ok(()),
         }
     }
 
     fn invalid(&self, key: &'static str, value: String, allowed: &'static str) -> SettingsError {
-        SettingsError::Value { file: self.file.clone(), section: self.name, key, value, allowed }
+        SettingsError::Value {
+            file: self.file.clone(),
+            section: self.name,
+            key,
+            value,
+            allowed,
+        }
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -58,17 +58,26 @@
             reason: reason.to_string(),
         };
         let text = fs::read_to_string(path).map_err(|error| unreadable(&error))?;
-        let sections: Sections =
-            serde_ini::from_str(&text).map_err(|error| unreadable(&error))?;
+        let sections: Sections = serde_ini::from_str(&text).map_err(|error| unreadable(&error))?;
         Self::read(path, sections)
     }
 
     fn read(path: &Path, mut sections: Sections) -> Result<Self, SettingsError> {
-        if let Some(section) = sections.keys().find(|name| !SECTIONS.contains(&name.as_str())) {
-            return Err(SettingsError::Section { file: path.into(), section: section.clone() });
+        if let Some(section) = sections
+            .keys()
+            .find(|name| !SECTIONS.contains(&name.as_str()))
+        {
+            return Err(SettingsError::Section {
+                file: path.into(),
+                section: section.clone(),
+            });
         }
         let mut take = |name: &'static str| {
-            Section::new(path.into(), name, sections.shift_remove(name).unwrap_or_default())
+            Section::new(
+                path.into(),
+                name,
+                sections.shift_remove(name).unwrap_or_default(),
+            )
         };
         let (mut process, mut log, mut metrics) = (take("process"), take("log"), take("metrics"));
         let role: String = process.required("role", ROLE)?;
@@ -92,13 +101,19 @@
         log.finish()?;
         metrics.finish()?;
         other_role(path, &sections)?;
-        Ok(Self { role, log_file, log_level })
+        Ok(Self {
+            role,
+            log_file,
+            log_level,
+        })
     }
 }
 
 // Keys of the other role would have no effect, so they are refused.
 fn other_role(path: &Path, sections: &Sections) -> Result<(), SettingsError> {
-    let unused = sections.iter().find_map(|(section, keys)| Some((section, keys.keys().next()?)));
+    let unused = sections
+        .iter()
+        .find_map(|(section, keys)| Some((section, keys.keys().next()?)));
     match unused {
         Some((section, key)) => Err(SettingsError::Key {
             file: path.into(),
--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -86,7 +86,9 @@
                 None::<()>,
             ));
         }
-        Ok(json!({ "service": self.args.service, "key": request.key, "text": "x".repeat(self.args.answer) }))
+        Ok(
+            json!({ "service": self.args.service, "key": request.key, "text": "x".repeat(self.args.answer) }),
+        )
     }
 
     fn begin(&self, request: &RunRequest) -> Result<Span, ErrorObjectOwned> {
--- a/crates/standins/src/caller/connection.rs
+++ b/crates/standins/src/caller/connection.rs
@@ -50,7 +50,11 @@
 
     /// The request that an answer belongs to, if it still has none.
     pub(crate) fn take(&mut self, id: u64) -> Option<Waiting> {
-        let message = self.waiting.iter().find(|(_, waiting)| waiting.id == id).map(|entry| *entry.0);
+        let message = self
+            .waiting
+            .iter()
+            .find(|(_, waiting)| waiting.id == id)
+            .map(|entry| *entry.0);
         self.waiting.remove(&message?)
     }
 
@@ -61,7 +65,10 @@
 
     pub(crate) fn send(&mut self, now: Time, message: MessageId, bytes: Vec<u8>) -> Vec<Packet> {
         let segments = self.outbox.push(now, message, bytes).unwrap_or_default();
-        segments.into_iter().map(|segment| self.packet(Body::Segment(segment))).collect()
+        segments
+            .into_iter()
+            .map(|segment| self.packet(Body::Segment(segment)))
+            .collect()
     }
 
     /// Packets to send in answer, and a whole message if one is complete.
@@ -70,12 +77,16 @@
             Body::Accept => self.opening = None,
             Body::Ack { message, index } => {
                 let segments = self.outbox.acknowledge(now, message, index);
-                let packets =
-                    segments.into_iter().map(|segment| self.packet(Body::Segment(segment)));
+                let packets = segments
+                    .into_iter()
+                    .map(|segment| self.packet(Body::Segment(segment)));
                 return (packets.collect(), None);
             }
             Body::Segment(segment) => {
-                let ack = Body::Ack { message: segment.message, index: segment.index };
+                let ack = Body::Ack {
+                    message: segment.message,
+                    index: segment.index,
+                };
                 let receipt = self.inbox.accept(segment);
                 let acks = receipt.is_acknowledged().then(|| self.packet(ack));
                 let message = match receipt {
@@ -99,15 +110,24 @@
             return vec![self.packet(Body::Open)];
         }
         let segments = self.outbox.tick(now);
-        segments.into_iter().map(|segment| self.packet(Body::Segment(segment))).collect()
+        segments
+            .into_iter()
+            .map(|segment| self.packet(Body::Segment(segment)))
+            .collect()
     }
 
     pub(crate) fn next_timer(&self) -> Option<Time> {
-        self.opening.map(|(due, _)| due).or_else(|| self.outbox.next_timer())
+        self.opening
+            .map(|(due, _)| due)
+            .or_else(|| self.outbox.next_timer())
     }
 
     fn packet(&mut self, body: Body) -> Packet {
         self.sequence = self.sequence.next();
-        Packet { flow: self.flow, sequence: self.sequence, body }
+        Packet {
+            flow: self.flow,
+            sequence: self.sequence,
+            body,
+        }
     }
 }
--- a/crates/standins/src/caller/driver.rs
+++ b/crates/standins/src/caller/driver.rs
@@ -97,7 +97,8 @@
                 let at = self.start + self.args.ramp.scale(number as f64 / total as f64);
                 self.due.push(Reverse((at, Due::Open(number))));
             }
-            self.due.push(Reverse((self.start + self.args.ramp, Due::Request(index))));
+            self.due
+                .push(Reverse((self.start + self.args.ramp, Due::Request(index))));
         }
         if self.args.progress {
             self.due.push(Reverse((self.start + SECOND, Due::Progress)));
@@ -108,7 +109,11 @@
         let base = u32::from(self.args.address) + (number / FLOWS_PER_ADDRESS) as u32;
         let port = FIRST_PORT + (number % FLOWS_PER_ADDRESS) as u16;
         let caller = SocketAddrV4::new(Ipv4Addr::from(base), port);
-        FlowId { caller, service, nonce: self.rng.random() }
+        FlowId {
+            caller,
+            service,
+            nonce: self.rng.random(),
+        }
     }
 
     fn end(&self) -> Time {
@@ -160,7 +165,10 @@
         }
         let rate = self.args.load[load].rate.get();
         let gap = -self.rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate;
-        self.due.push(Reverse((now + Span::from_secs_f64(gap), Due::Request(load))));
+        self.due.push(Reverse((
+            now + Span::from_secs_f64(gap),
+            Due::Request(load),
+        )));
         if let Some(flow) = self.pick(load) {
             self.send_request(now, load, flow);
         }
@@ -168,7 +176,10 @@
 
     // A random open flow of the load.
     fn pick(&mut self, load: usize) -> Option<usize> {
-        let before: usize = self.args.load[..load].iter().map(|earlier| earlier.flows).sum();
+        let before: usize = self.args.load[..load]
+            .iter()
+            .map(|earlier| earlier.flows)
+            .sum();
         let count = self.args.load[load].flows;
         let picked = before + self.rng.random_range(0..count);
         self.flows[picked].is_open().then_some(picked)
@@ -196,11 +207,19 @@
         let Ok(bytes) = request.encode() else { return };
         let connection = &mut self.flows[flow];
         let message = connection.next_message();
-        connection.waiting.insert(message, Waiting { load, id, sent: now });
+        connection.waiting.insert(
+            message,
+            Waiting {
+                load,
+                id,
+                sent: now,
+            },
+        );
         let packets = connection.send(now, message, bytes);
         self.tally.requests += 1;
         self.outstanding += 1;
-        self.due.push(Reverse((limit, Due::Answer(flow, message.get()))));
+        self.due
+            .push(Reverse((limit, Due::Answer(flow, message.get()))));
         self.send_all(&packets);
         self.arm(flow);
     }
@@ -210,12 +229,18 @@
         if self.flows[flow].waiting.remove(&message).is_some() {
             self.outstanding -= 1;
             self.tally.broken_flows += 1;
-            eprintln!("caller: no answer on {} to message {message}", self.flow(flow));
+            eprintln!(
+                "caller: no answer on {} to message {message}",
+                self.flow(flow)
+            );
         }
     }
 
     fn flow(&self, index: usize) -> FlowId {
-        self.flows.get_index(index).map(|(flow, _)| *flow).unwrap_or_else(|| unreachable!())
+        self.flows
+            .get_index(index)
+            .map(|(flow, _)| *flow)
+            .unwrap_or_else(|| unreachable!())
     }
 
     fn receive(&mut self, buffer: &mut [u8], wait: Duration) -> io::Result<()> {
@@ -233,7 +258,9 @@
     }
 
     fn accept(&mut self, now: Time, packet: Packet) {
-        let Some(flow) = self.flows.get_index_of(&packet.flow) else { return };
+        let Some(flow) = self.flows.get_index_of(&packet.flow) else {
+            return;
+        };
         if packet.body == Body::Reset {
             self.tally.broken_flows += 1;
             eprintln!("caller: reset of {}", packet.flow);
@@ -253,8 +280,12 @@
             self.tally.misrouted += 1;
             return;
         };
-        let Some(id) = response.id.as_u64() else { return };
-        let Some(waiting) = self.flows[flow].take(id) else { return };
+        let Some(id) = response.id.as_u64() else {
+            return;
+        };
+        let Some(waiting) = self.flows[flow].take(id) else {
+            return;
+        };
         self.outstanding -= 1;
         let load = &self.args.load[waiting.load];
         let latency = now - waiting.sent;
--- a/crates/standins/src/caller/tally.rs
+++ b/crates/standins/src/caller/tally.rs
@@ -25,7 +25,10 @@
 
 impl Tally {
     pub(crate) fn record(&mut self, method: &str, latency: Span) {
-        let histogram = self.latencies.entry(method.to_owned()).or_insert_with(new_histogram);
+        let histogram = self
+            .latencies
+            .entry(method.to_owned())
+            .or_insert_with(new_histogram);
         histogram.saturating_record(latency.as_micros());
     }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -44,7 +44,7 @@
 pub use relay::{Relay, RelayMode};
 pub use request::{Request, RequestId};
 pub use request_key::RequestKey;
-pub use roster::{HostState, Member, Roster};
+pub use roster::{HostState, Member, PastRoster, Roster};
 pub use service::Service;
 pub use span::Span;
 pub use time::Time;
--- a/crates/types/src/roster.rs
+++ b/crates/types/src/roster.rs
@@ -47,4 +47,28 @@
     pub version: Version,
     /// Members by host.
     pub members: IndexMap<HostId, Member>,
+    /// Earlier rosters whose members may still act as owners, newest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<PastRoster>,
+}
+
+/// A roster that a newer one replaced.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PastRoster {
+    /// Version that the store object had.
+    pub version: Version,
+    /// Members by host.
+    pub members: IndexMap<HostId, Member>,
+}
+
+impl PastRoster {
+    /// The roster as it was, without its own predecessors.
+    pub fn to_roster(&self) -> Roster {
+        Roster {
+            version: self.version,
+            members: self.members.clone(),
+            earlier: Vec::new(),
+        }
+    }
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,10 +1,7 @@
 use serde::{Deserialize, Serialize};
-use usher_types::{
-    Beat, BeatAck, Claim, Complete, Completed, Hint, Offer, OfferDone, OfferOutcome, OfferReply,
-    Register, Registered, Relay, Verdict,
-};
+use usher_types::{Beat, BeatAck, Generation, Hint, Relay, ServiceName};
 
-use crate::WireError;
+use crate::{AgentMessage, WireError};
 
 // Raised when a message changes in a way that older processes cannot read.
 const PROTOCOL: u8 = 1;
@@ -20,26 +17,15 @@
     Beat(Beat),
     /// Answer to a heartbeat.
     BeatAck(BeatAck),
-    /// Registers a flow with the owner of its bucket.
-    Register(Register),
-    /// Answer to a registration.
-    Registered(Registered),
-    /// Asks for leave to dispatch.
-    Claim(Claim),
-    /// Answer to a claim.
-    Verdict(Verdict),
-    /// Reports the outcome of a granted request.
-    Complete(Complete),
-    /// Answer to a report.
-    Completed(Completed),
-    /// Offers a queued request.
-    Offer(Offer),
-    /// Answer to an offer.
-    OfferReply(OfferReply),
-    /// Outcome of a request that was taken.
-    OfferOutcome(OfferOutcome),
-    /// Answer to an outcome.
-    OfferDone(OfferDone),
+    /// A message between two agents of one service.
+    Agent {
+        /// Service of the sender; an agent of another service drops the message.
+        service: ServiceName,
+        /// Generation of the service's address that the sender knows.
+        generation: Generation,
+        /// The message.
+        message: AgentMessage,
+    },
 }
 
 impl Datagram {
@@ -49,9 +35,10 @@
     /// Fails only when memory for the bytes cannot be had.
     ///
     /// ```
-    /// use usher_types::{Completed, RequestKey};
+    /// use usher_types::Hint;
     /// use usher_wire::Datagram;
-    /// let sent = Datagram::Completed(Completed { key: RequestKey::new(7) });
+    /// let flow = "10.0.0.1:4000>192.0.2.1:80#7".parse().unwrap();
+    /// let sent = Datagram::Hint(Hint { flow, holder: "127.0.0.1:9000".parse().unwrap() });
     /// assert_eq!(Datagram::decode(&sent.encode()?)?, sent);
     /// # Ok::<(), usher_wire::WireError>(())
     /// ```
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Decoding never panics: malformed input gives a [`WireError`] that the receiver counts.
 
+mod agent_message;
 mod datagram;
 mod error;
 mod meta;
@@ -10,6 +11,7 @@
 mod response;
 mod run;
 
+pub use agent_message::AgentMessage;
 pub use datagram::Datagram;
 pub use error::WireError;
 pub use meta::Meta;
