Add the flow table of the agent

Cause: an agent needs to accept, find, forward, serve and hand over flows. Change: crates/flows with FlowTable (relay decisions, directory, registration, segments, handover, drain), Inbox and Outbox for callers and agents, and a table row type whose states are Open, Moving and Closing.

--- /dev/null
+++ b/crates/flows/src/directory.rs
@@ -0,0 +1,103 @@
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use usher_types::{FlowId, Time, Version};
+
+use crate::{Located, PACKET_LIFETIME};
+
+/// Where this agent believes that a flow is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Entry {
+    pub(crate) holder: SocketAddrV4,
+    pub(crate) basis: Basis,
+    pub(crate) roster: Version,
+    until: Time,
+}
+
+/// What a directory entry rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Basis {
+    /// An `Open` was passed on; the holder has not confirmed it.
+    Hunted,
+    /// The holder registered the flow or acknowledged its handover.
+    Confirmed,
+    /// The bucket's new owner asked for the flow and decides on it.
+    Probed,
+}
+
+/// Flows that are held by other agents.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    entries: IndexMap<FlowId, Entry>,
+}
+
+impl Directory {
+    pub(crate) fn find(&self, now: Time, flow: &FlowId) -> Option<Entry> {
+        let entry = self.entries.get(flow)?;
+        (now < entry.until).then_some(*entry)
+    }
+
+    /// Sets the holder of a flow. `roster` is the version by which it is a member.
+    pub(crate) fn set(
+        &mut self,
+        flow: FlowId,
+        holder: SocketAddrV4,
+        basis: Basis,
+        roster: Version,
+        until: Time,
+    ) {
+        let entry = Entry {
+            holder,
+            basis,
+            roster,
+            until,
+        };
+        self.entries.insert(flow, entry);
+    }
+
+    /// Extends an entry that is in use.
+    pub(crate) fn touch(&mut self, flow: &FlowId, until: Time) {
+        if let Some(entry) = self.entries.get_mut(flow) {
+            entry.until = entry.until.max(until);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, flow: &FlowId) {
+        self.entries.swap_remove(flow);
+    }
+
+    /// Lets an entry expire after the packet lifetime, so that a late `Open` finds it.
+    pub(crate) fn retire(&mut self, now: Time, flow: &FlowId, holder: SocketAddrV4) {
+        if let Some(entry) = self.entries.get_mut(flow)
+            && entry.holder == holder
+        {
+            entry.until = entry.until.min(now + PACKET_LIFETIME);
+        }
+    }
+
+    /// Drops entries of holders that have left under a roster version.
+    pub(crate) fn retain(&mut self, roster: Version, remains: impl Fn(SocketAddrV4) -> bool) {
+        self.entries
+            .retain(|_, entry| entry.roster > roster || remains(entry.holder));
+    }
+
+    pub(crate) fn sweep(&mut self, now: Time) {
+        self.entries.retain(|_, entry| now < entry.until);
+    }
+
+    /// Entries that the next owners of their buckets need.
+    pub(crate) fn located(&self, now: Time) -> Vec<Located> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| now < entry.until && entry.basis != Basis::Probed)
+            .map(|(flow, entry)| Located {
+                flow: *flow,
+                holder: entry.holder,
+            })
+            .collect()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/flows/src/event.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use usher_types::{FlowId, HostId, Register, Registered, Relay, RequestId, Roster, Span, Version};
+
+use crate::Parcel;
+
+/// Input of the flow table.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A caller's packet, from a balancer or another agent.
+    Relay(Relay),
+    /// The service's roster; older versions are ignored.
+    Roster(Arc<Roster>),
+    /// Every member has adopted this roster version; starts the settle time.
+    Adopted(Version),
+    /// Own estimated queue wait.
+    Wait(Span),
+    /// Message to the caller in answer to a delivered one.
+    ///
+    /// Empty bytes send nothing and only mark the message as answered.
+    Reply {
+        /// Where the message came in.
+        id: RequestId,
+        /// The whole answer.
+        bytes: Vec<u8>,
+    },
+    /// Another agent registers a flow.
+    Register {
+        /// Address of the sender.
+        from: SocketAddrV4,
+        /// The message.
+        register: Register,
+    },
+    /// A bucket owner answers a registration.
+    Registered {
+        /// Address of the sender.
+        from: SocketAddrV4,
+        /// The message.
+        registered: Registered,
+    },
+    /// Another agent hands over flows; answered by `Action::TookOver`.
+    Handover(Parcel),
+    /// A host acknowledged the flows of a handover.
+    HandedOver {
+        /// Receiver of the parcel.
+        to: HostId,
+        /// Flows listed in its `TookOver`.
+        flows: Vec<FlowId>,
+    },
+    /// No acknowledgement came; the receiver may or may not have the parcel.
+    HandoverFailed {
+        /// Receiver of the parcel.
+        to: HostId,
+    },
+    /// A planned stop or drain begins.
+    Drain,
+    /// The time of `next_timer` has come.
+    Tick,
+}
--- /dev/null
+++ b/crates/flows/src/settings.rs
@@ -0,0 +1,66 @@
+use std::net::SocketAddrV4;
+
+use usher_types::{Buckets, Generation, HostId, ServiceName, Span};
+
+const IDLE: Span = Span::from_secs(3_600);
+// Covers several retries of a lost registration.
+const SETTLE: Span = Span::from_secs(10);
+
+/// Fixed parameters of a flow table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Service of this host.
+    pub service: ServiceName,
+    /// Oldest generation of the service's address that is served.
+    pub generation: Generation,
+    /// Number of buckets of the service.
+    pub buckets: Buckets,
+    /// This host.
+    pub host: HostId,
+    /// UDP address of this agent.
+    pub agent: SocketAddrV4,
+    /// Queue wait above which new flows go to the second candidate.
+    pub hunt: Span,
+    /// Time without traffic after which a flow expires.
+    pub idle: Span,
+    /// Time from the adoption of a roster by all members until unknown flows are reset.
+    pub settle: Span,
+}
+
+impl Settings {
+    /// Settings with the default idle (1 h) and settle (10 s) times.
+    ///
+    /// ```
+    /// use usher_flows::Settings;
+    /// use usher_types::{Buckets, Generation, Span};
+    /// let settings = Settings::new(
+    ///     "booking-desk".parse()?,
+    ///     Generation::new(1),
+    ///     Buckets::new(4_096),
+    ///     "booking-desk-1".parse()?,
+    ///     "127.0.0.1:7001".parse().unwrap(),
+    ///     Span::from_millis(5),
+    /// );
+    /// assert_eq!(settings.idle, Span::from_secs(3_600));
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn new(
+        service: ServiceName,
+        generation: Generation,
+        buckets: Buckets,
+        host: HostId,
+        agent: SocketAddrV4,
+        hunt: Span,
+    ) -> Self {
+        Self {
+            service,
+            generation,
+            buckets,
+            host,
+            agent,
+            hunt,
+            idle: IDLE,
+            settle: SETTLE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flows/src/table/handover.rs
@@ -0,0 +1,351 @@
+use std::mem;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use usher_types::{FlowId, HostId, Roster, Span, Time};
+
+use super::{FlowTable, SWEEPS_PER_IDLE};
+use crate::directory::Basis;
+use crate::flow::{Flow, Held};
+use crate::transit::Transit;
+use crate::{Action, Counter, FlowState, Located, Parcel};
+
+const RETRY: Span = Span::from_millis(500);
+// Keeps a parcel of idle flows near 64 KB.
+const PARCEL_FLOWS: usize = 256;
+
+impl FlowTable {
+    pub(super) fn adopt_roster(&mut self, now: Time, roster: &Arc<Roster>) {
+        let Some(before) = self.membership.adopt(roster) else {
+            return;
+        };
+        let membership = &self.membership;
+        let remains = |agent| membership.remains(&before, agent);
+        self.directory.retain(roster.version, remains);
+        self.yields.retain(|_, holder| remains(*holder));
+        let gone: Vec<HostId> = self
+            .transits
+            .keys()
+            .filter(|host| {
+                !before
+                    .members
+                    .get(*host)
+                    .is_some_and(|member| remains(member.agent))
+            })
+            .cloned()
+            .collect();
+        for host in gone {
+            self.cancel_transit(&host);
+        }
+        self.register_all(now);
+    }
+
+    pub(super) fn drain(&mut self, now: Time) {
+        if self.draining {
+            return;
+        }
+        self.draining = true;
+        self.leaving.extend(self.held.keys());
+        self.located = self.directory.located(now);
+    }
+
+    /// Queues a flow for handover when it has to leave and no reply is pending.
+    pub(super) fn queue_if_leaving(&mut self, flow: FlowId) {
+        if self.draining || self.yields.contains_key(&flow) {
+            self.leaving.insert(flow);
+        }
+    }
+
+    /// Sends what is queued to hosts that have no parcel under way.
+    pub(super) fn dispatch(&mut self) {
+        if self.leaving.is_empty() && self.located.is_empty() {
+            return;
+        }
+        let mut transits: IndexMap<HostId, Transit> = IndexMap::new();
+        for flow in self.ready() {
+            if let Some((host, _)) = self.destination(&flow)
+                && !self.transits.contains_key(&host)
+            {
+                let transit = transits.entry(host).or_default();
+                if transit.flows.len() < PARCEL_FLOWS {
+                    transit.flows.push(flow);
+                }
+            }
+        }
+        for located in mem::take(&mut self.located) {
+            match self.successor(&located.flow) {
+                Some((host, _)) if !self.transits.contains_key(&host) => {
+                    transits.entry(host).or_default().directory.push(located);
+                }
+                Some(_) => self.located.push(located),
+                None => {}
+            }
+        }
+        for (host, transit) in transits {
+            self.start_transit(host, transit);
+        }
+    }
+
+    /// Queued flows that are open and await no reply; others leave the queue.
+    fn ready(&mut self) -> Vec<FlowId> {
+        let (held, yields, draining) = (&self.held, &self.yields, self.draining);
+        self.leaving.retain(|flow| {
+            let is_free =
+                matches!(held.get(flow), Some(Held::Open(open)) if open.view().pending() == 0);
+            is_free && (draining || yields.contains_key(flow))
+        });
+        self.leaving.iter().copied().collect()
+    }
+
+    fn destination(&self, flow: &FlowId) -> Option<(HostId, SocketAddrV4)> {
+        match self.yields.get(flow) {
+            Some(holder) => {
+                let host = self.membership.host_at(*holder)?;
+                Some((host.clone(), *holder))
+            }
+            None if self.draining => self.successor(flow),
+            None => None,
+        }
+    }
+
+    /// Who owns a flow's bucket once this agent has left.
+    fn successor(&self, flow: &FlowId) -> Option<(HostId, SocketAddrV4)> {
+        let own = &self.settings.host;
+        let (host, member) = self
+            .membership
+            .successor(flow, self.settings.buckets, own)?;
+        Some((host.clone(), member.agent))
+    }
+
+    fn start_transit(&mut self, host: HostId, transit: Transit) {
+        let Some(to) = self.membership.agent_of(&host) else {
+            return;
+        };
+        for flow in &transit.flows {
+            self.leaving.swap_remove(flow);
+            self.resend.clear(flow);
+            if let Some(Held::Open(open)) = self.held.swap_remove(flow) {
+                self.held.insert(*flow, Held::Moving(open.freeze(to)));
+            }
+        }
+        self.send_parcel(host.clone(), &transit);
+        self.transits.insert(host, transit);
+    }
+
+    fn send_parcel(&mut self, host: HostId, transit: &Transit) {
+        let state = |flow: &FlowId| match self.held.get(flow) {
+            Some(Held::Moving(moving)) => Some(moving.export(*flow)),
+            _ => None,
+        };
+        let parcel = Parcel {
+            from: self.settings.agent,
+            flows: transit.flows.iter().filter_map(state).collect(),
+            directory: transit.directory.clone(),
+        };
+        self.actions.push(Action::Handover { host, parcel });
+    }
+
+    pub(super) fn handover_failed(&mut self, now: Time, to: &HostId) {
+        if let Some(transit) = self.transits.get_mut(to) {
+            transit.retry = Some(now + RETRY);
+        }
+    }
+
+    /// Repeats parcels to the same hosts: a receiver may hold the flows although no
+    /// acknowledgement came, so no other agent may get them.
+    pub(super) fn retry_transits(&mut self, now: Time) {
+        let due = |transit: &Transit| transit.retry.is_some_and(|retry| retry <= now);
+        let hosts: Vec<HostId> = self
+            .transits
+            .iter()
+            .filter(|(_, transit)| due(transit))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in hosts {
+            if let Some(mut transit) = self.transits.swap_remove(&host) {
+                transit.retry = None;
+                self.send_parcel(host.clone(), &transit);
+                self.transits.insert(host, transit);
+            }
+        }
+    }
+
+    pub(super) fn handed_over(&mut self, now: Time, to: &HostId, flows: &[FlowId]) {
+        let Some(mut transit) = self.transits.swap_remove(to) else {
+            return;
+        };
+        let taken: IndexSet<FlowId> = flows.iter().copied().collect();
+        let (done, left) = transit
+            .flows
+            .into_iter()
+            .partition(|flow| taken.contains(flow));
+        self.discard(now, done);
+        if !Vec::is_empty(&left) {
+            transit.flows = left;
+            transit.directory.clear();
+            transit.retry = Some(now + RETRY);
+            self.transits.insert(to.clone(), transit);
+        }
+    }
+
+    /// Keeps only directory entries of flows that another agent holds now.
+    fn discard(&mut self, now: Time, flows: Vec<FlowId>) {
+        let until = now + self.settings.idle;
+        let roster = self.membership.version();
+        for flow in flows {
+            let Some(Held::Moving(moving)) = self.held.get(&flow) else {
+                continue;
+            };
+            let holder = moving.to();
+            self.held.swap_remove(&flow);
+            self.yields.swap_remove(&flow);
+            self.directory
+                .set(flow, holder, Basis::Confirmed, roster, until);
+            self.count(Counter::HandedOver);
+            self.register_holder(now, flow, holder);
+        }
+    }
+
+    /// Serves the flows of a parcel here again because its receiver has left.
+    fn cancel_transit(&mut self, host: &HostId) {
+        let Some(transit) = self.transits.swap_remove(host) else {
+            return;
+        };
+        for flow in transit.flows {
+            self.thaw(flow);
+            self.queue_if_leaving(flow);
+        }
+        self.located.extend(transit.directory);
+    }
+
+    fn thaw(&mut self, flow: FlowId) {
+        match self.held.swap_remove(&flow) {
+            Some(Held::Moving(moving)) => {
+                self.held.insert(flow, Held::Open(moving.thaw()));
+                self.schedule_resend(flow);
+            }
+            Some(held) => {
+                self.held.insert(flow, held);
+            }
+            None => {}
+        }
+    }
+
+    /// Takes over the flows of another agent and lists those that it may discard.
+    pub(super) fn take_over(&mut self, now: Time, parcel: Parcel) {
+        let from = parcel.from;
+        let mut flows = Vec::with_capacity(parcel.flows.len());
+        for state in parcel.flows {
+            let flow = state.flow;
+            if self.take_flow(now, from, state) {
+                flows.push(flow);
+            }
+        }
+        for located in parcel.directory {
+            self.take_located(now, located);
+        }
+        self.actions.push(Action::TookOver { flows });
+    }
+
+    fn take_flow(&mut self, now: Time, from: SocketAddrV4, state: FlowState) -> bool {
+        let flow = state.flow;
+        match self.held.get(&flow) {
+            Some(Held::Closing(_)) => return true,
+            Some(Held::Moving(moving)) if moving.to() == from && self.settings.agent < from => {
+                // Both agents hand the flow to each other; the lower address keeps it.
+                self.leave_transits(&flow);
+                self.thaw(flow);
+            }
+            Some(Held::Moving(_)) => return false,
+            Some(Held::Open(_)) if self.yields.get(&flow) == Some(&from) => {
+                self.yields.swap_remove(&flow);
+            }
+            Some(Held::Open(_)) => {}
+            None => self.adopt_flow(now, from, flow),
+        }
+        self.merge(now, state);
+        self.queue_if_leaving(flow);
+        true
+    }
+
+    fn adopt_flow(&mut self, now: Time, from: SocketAddrV4, flow: FlowId) {
+        // A repeated parcel may come after this agent has passed the flow on.
+        if let Some(entry) = self.directory.find(now, &flow)
+            && entry.basis == Basis::Confirmed
+            && entry.holder != from
+            && self.membership.host_at(entry.holder).is_some()
+        {
+            self.yields.insert(flow, entry.holder);
+        }
+        self.directory.remove(&flow);
+        let mut open = Flow::new(now);
+        open.state().set_source(from);
+        self.held.insert(flow, Held::Open(open));
+        self.start_sweep(now);
+        self.count(Counter::TakenOver);
+        self.register_own(now, flow);
+    }
+
+    fn merge(&mut self, now: Time, state: FlowState) {
+        let flow = state.flow;
+        let Some(open) = self.open_flow(&flow) else {
+            return;
+        };
+        open.raise_sequence(state.sequence);
+        open.state().inbox.merge_done(&state.done);
+        let mut resent = Vec::new();
+        for output in state.output {
+            resent.extend(open.state().outbox.restore(now, output));
+        }
+        self.send_segments(flow, resent);
+        self.schedule_resend(flow);
+        for segment in state.segments {
+            self.accept_segment(flow, segment);
+        }
+    }
+
+    fn leave_transits(&mut self, flow: &FlowId) {
+        for transit in self.transits.values_mut() {
+            transit.flows.retain(|moving| moving != flow);
+        }
+    }
+
+    fn take_located(&mut self, now: Time, located: Located) {
+        let Located { flow, holder } = located;
+        let is_known = self.held.contains_key(&flow) || self.directory.find(now, &flow).is_some();
+        if holder != self.settings.agent && !is_known {
+            let until = now + self.settings.idle;
+            let roster = self.membership.version();
+            self.directory
+                .set(flow, holder, Basis::Confirmed, roster, until);
+            self.start_sweep(now);
+        }
+    }
+
+    /// Starts the periodic sweep with the first flow or directory entry.
+    pub(super) fn start_sweep(&mut self, now: Time) {
+        if self.sweep <= now {
+            self.sweep = now + self.settings.idle.scale(1.0 / SWEEPS_PER_IDLE as f64);
+        }
+    }
+
+    /// Reports once that nothing is left that another agent could take over or finish.
+    pub(super) fn report_drained(&mut self) {
+        if !self.draining || self.drained || !self.transits.is_empty() || !self.located.is_empty() {
+            return;
+        }
+        let is_left = |(flow, held): (&FlowId, &Held)| match held {
+            Held::Moving(_) => true,
+            Held::Closing(_) => false,
+            Held::Open(open) => {
+                let is_busy = open.view().pending() > 0 || !open.view().outbox.is_empty();
+                is_busy || self.successor(flow).is_some()
+            }
+        };
+        if !self.held.iter().any(is_left) {
+            self.drained = true;
+            self.actions.push(Action::Drained);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flows/src/table/membership.rs
@@ -0,0 +1,110 @@
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use usher_placement::{bucket_of, first, rank};
+use usher_types::{Buckets, FlowId, HostId, HostState, Member, Roster, Span, Time, Version};
+
+/// The roster in force and how long all members have had it.
+#[derive(Debug, Default)]
+pub(super) struct Membership {
+    roster: Arc<Roster>,
+    confirmed: Option<Time>,
+}
+
+impl Membership {
+    pub(super) fn version(&self) -> Version {
+        self.roster.version
+    }
+
+    /// Adopts a newer roster and returns the one before.
+    pub(super) fn adopt(&mut self, roster: &Arc<Roster>) -> Option<Arc<Roster>> {
+        if roster.version <= self.roster.version && !self.roster.members.is_empty() {
+            return None;
+        }
+        self.confirmed = None;
+        Some(std::mem::replace(&mut self.roster, Arc::clone(roster)))
+    }
+
+    /// Notes that every member has adopted the roster in force.
+    pub(super) fn confirm(&mut self, now: Time, version: Version) {
+        if version == self.roster.version && self.confirmed.is_none() {
+            self.confirmed = Some(now);
+        }
+    }
+
+    pub(super) fn is_settled(&self, now: Time, settle: Span) -> bool {
+        self.confirmed
+            .is_some_and(|since| now.since(since) >= settle)
+    }
+
+    /// Agent of the serving member that owns a flow's bucket.
+    pub(super) fn owner(&self, flow: &FlowId, buckets: Buckets) -> Option<SocketAddrV4> {
+        let (_, member) = self.first(flow, buckets, |_| true)?;
+        Some(member.agent)
+    }
+
+    /// Member that owns a flow's bucket once a host has left.
+    pub(super) fn successor(
+        &self,
+        flow: &FlowId,
+        buckets: Buckets,
+        leaver: &HostId,
+    ) -> Option<(&HostId, &Member)> {
+        self.first(flow, buckets, |host| host != leaver)
+    }
+
+    /// Agents of the first serving members in a bucket's order.
+    pub(super) fn candidates(
+        &self,
+        flow: &FlowId,
+        buckets: Buckets,
+        count: usize,
+    ) -> Vec<SocketAddrV4> {
+        let order = rank(key(flow, buckets), self.serving());
+        let agent = |host: &HostId| self.roster.members.get(host).map(|member| member.agent);
+        order.into_iter().filter_map(agent).take(count).collect()
+    }
+
+    pub(super) fn host_at(&self, agent: SocketAddrV4) -> Option<&HostId> {
+        let mut members = self.roster.members.iter();
+        members
+            .find(|(_, member)| member.agent == agent)
+            .map(|(host, _)| host)
+    }
+
+    pub(super) fn agent_of(&self, host: &HostId) -> Option<SocketAddrV4> {
+        self.roster.members.get(host).map(|member| member.agent)
+    }
+
+    /// Whether the agent at an address is a member and not a later process than before.
+    pub(super) fn remains(&self, before: &Roster, agent: SocketAddrV4) -> bool {
+        let Some(host) = self.host_at(agent) else {
+            return false;
+        };
+        let incarnation =
+            |roster: &Roster| roster.members.get(host).map(|member| member.incarnation);
+        incarnation(before).is_none_or(|earlier| incarnation(&self.roster) == Some(earlier))
+    }
+
+    fn first(
+        &self,
+        flow: &FlowId,
+        buckets: Buckets,
+        admit: impl Fn(&HostId) -> bool,
+    ) -> Option<(&HostId, &Member)> {
+        let members = self.serving().filter(|(host, _)| admit(host));
+        let host = first(key(flow, buckets), members)?;
+        self.roster.members.get_key_value(host)
+    }
+
+    fn serving(&self) -> impl Iterator<Item = (&HostId, usher_types::Weight)> {
+        let members = self.roster.members.iter();
+        members
+            .filter(|(_, member)| member.state == HostState::Serving)
+            .map(|(host, member)| (host, member.weight))
+    }
+}
+
+fn key(flow: &FlowId, buckets: Buckets) -> u64 {
+    u64::from(bucket_of(flow, buckets).get())
+}
--- /dev/null
+++ b/crates/flows/src/table/receive.rs
@@ -0,0 +1,293 @@
+use std::net::SocketAddrV4;
+
+use usher_types::{Body, FlowId, Relay, RelayMode, Time};
+
+use super::FlowTable;
+use crate::directory::{Basis, Entry};
+use crate::flow::{Flow, Held};
+use crate::{Action, Counter, PACKET_LIFETIME};
+
+// As many current candidates as a balancer names.
+const CANDIDATES: usize = 3;
+const MAX_ROUTE: usize = 6;
+
+impl FlowTable {
+    pub(super) fn receive(&mut self, now: Time, relay: Relay) {
+        if relay.service != self.settings.service {
+            return self.count(Counter::WrongService);
+        }
+        if relay.generation < self.settings.generation {
+            return self.count(Counter::OldGeneration);
+        }
+        let flow = relay.packet.flow;
+        match self.held.get(&flow) {
+            Some(Held::Open(_)) => self.serve(now, relay),
+            Some(Held::Moving(moving)) => {
+                let to = moving.to();
+                self.forward_direct(to, relay);
+            }
+            Some(Held::Closing(_)) => self.answer_late(flow, &relay.packet.body),
+            None => self.locate(now, relay),
+        }
+    }
+
+    fn answer_late(&mut self, flow: FlowId, body: &Body) {
+        match body {
+            Body::Close => self.send(flow, Body::Closed),
+            _ => self.count(Counter::LatePacket),
+        }
+    }
+
+    fn locate(&mut self, now: Time, relay: Relay) {
+        let flow = relay.packet.flow;
+        match self.directory.find(now, &flow) {
+            Some(entry) if self.applies(&entry, &relay) => self.follow(now, entry, relay),
+            _ => self.decide(now, relay),
+        }
+    }
+
+    /// Whether a directory entry overrides the mode of a relay.
+    ///
+    /// An owner that hunts has asked the earlier owners before, so their notes yield to it.
+    fn applies(&self, entry: &Entry, relay: &Relay) -> bool {
+        match entry.basis {
+            Basis::Confirmed => entry.holder != self.settings.agent,
+            Basis::Hunted => relay.mode != RelayMode::Hunt,
+            Basis::Probed => relay.mode == RelayMode::Owner && relay.roster < entry.roster,
+        }
+    }
+
+    fn follow(&mut self, now: Time, entry: Entry, relay: Relay) {
+        let flow = relay.packet.flow;
+        let is_open = matches!(relay.packet.body, Body::Open);
+        match entry.basis {
+            Basis::Hunted if is_open && relay.mode != RelayMode::Direct => {
+                self.forward_hunt(entry.holder, relay);
+            }
+            Basis::Probed => {
+                let mut relay = relay;
+                relay.route = vec![entry.holder];
+                relay.current = 1;
+                relay.hop = 0;
+                relay.mode = RelayMode::Probed;
+                self.forward(entry.holder, relay);
+            }
+            Basis::Hunted | Basis::Confirmed => {
+                let until = now + self.settings.idle;
+                self.directory.touch(&flow, until);
+                self.forward_direct(entry.holder, relay);
+            }
+        }
+    }
+
+    fn decide(&mut self, now: Time, relay: Relay) {
+        match relay.mode {
+            RelayMode::Probed => self.decide_alone(now, relay),
+            RelayMode::Hunt => self.decide_hunt(now, relay),
+            RelayMode::Probe => self.pass_probe(now, relay),
+            // An agent sent it to the holder it knows, whose state may still be under way.
+            RelayMode::Direct if relay.hop > 0 => self.count(Counter::UnknownFlow),
+            RelayMode::Owner | RelayMode::Direct => self.decide_owner(now, relay),
+        }
+    }
+
+    fn decide_owner(&mut self, now: Time, relay: Relay) {
+        let is_newer = self.membership.version() > relay.roster;
+        let is_hint = relay.mode == RelayMode::Direct;
+        let is_open = matches!(relay.packet.body, Body::Open);
+        match self.owner_of(&relay.packet.flow) {
+            // With equal rosters the balancer suspects the owner, and an `Open` must not wait for it.
+            Some(owner) if owner != self.settings.agent && (is_newer || is_hint || !is_open) => {
+                self.reroute(owner, relay);
+            }
+            _ => self.probe(now, relay),
+        }
+    }
+
+    /// Sends a relay that was routed by an older roster or a stale hint to the bucket's owner.
+    fn reroute(&mut self, owner: SocketAddrV4, mut relay: Relay) {
+        let flow = relay.packet.flow;
+        let mut route = self
+            .membership
+            .candidates(&flow, self.settings.buckets, CANDIDATES);
+        let current = route.len();
+        for agent in relay.route {
+            if agent != self.settings.agent && !route.contains(&agent) && route.len() < MAX_ROUTE {
+                route.push(agent);
+            }
+        }
+        relay.route = route;
+        relay.current = current as u8;
+        relay.hop = 0;
+        relay.mode = RelayMode::Owner;
+        relay.roster = relay.roster.max(self.membership.version());
+        self.forward(owner, relay);
+    }
+
+    fn probe(&mut self, now: Time, mut relay: Relay) {
+        // The earlier owners return the packet to the first agent of the route.
+        let own = self.settings.agent;
+        if relay.route.first() != Some(&own) {
+            relay.route.retain(|agent| *agent != own);
+            relay.route.insert(0, own);
+        }
+        match self.next_earlier(&relay, usize::from(relay.current).max(1)) {
+            Some(hop) => self.forward_hop(hop, RelayMode::Probe, relay),
+            None => self.decide_alone(now, relay),
+        }
+    }
+
+    fn pass_probe(&mut self, now: Time, relay: Relay) {
+        let Some(owner) = relay.route.first().copied() else {
+            return self.count(Counter::UnknownFlow);
+        };
+        if matches!(relay.packet.body, Body::Open) && owner != self.settings.agent {
+            // A stale relay may bring the same `Open` here while the owner decides.
+            let until = now + PACKET_LIFETIME;
+            let flow = relay.packet.flow;
+            self.directory
+                .set(flow, owner, Basis::Probed, relay.roster, until);
+        }
+        match self.next_earlier(&relay, usize::from(relay.hop) + 1) {
+            Some(hop) => self.forward_hop(hop, RelayMode::Probe, relay),
+            None => self.forward_hop(0, RelayMode::Probed, relay),
+        }
+    }
+
+    /// Position of the next earlier owner that still runs.
+    fn next_earlier(&self, relay: &Relay, from: usize) -> Option<usize> {
+        let runs = |agent: SocketAddrV4| {
+            agent != self.settings.agent && self.membership.host_at(agent).is_some()
+        };
+        (from..relay.route.len()).find(|place| runs(relay.route[*place]))
+    }
+
+    /// Decides as the bucket's owner when no other agent knows the flow.
+    fn decide_alone(&mut self, now: Time, relay: Relay) {
+        let flow = relay.packet.flow;
+        let is_settled = self.is_settled(now, &relay);
+        match &relay.packet.body {
+            Body::Open if self.prefers_other(&relay) => self.hunt(now, relay),
+            Body::Open => self.accept(now, &relay),
+            Body::Close if is_settled => self.send(flow, Body::Closed),
+            Body::Segment(_) | Body::Ack { .. } if is_settled => {
+                self.count(Counter::Reset);
+                self.send(flow, Body::Reset);
+            }
+            Body::Close | Body::Segment(_) | Body::Ack { .. } => self.count(Counter::UnknownFlow),
+            Body::Accept | Body::Closed | Body::Reset => self.count(Counter::Malformed),
+        }
+    }
+
+    fn is_settled(&self, now: Time, relay: &Relay) -> bool {
+        relay.roster <= self.membership.version()
+            && self.owner_of(&relay.packet.flow) == Some(self.settings.agent)
+            && self.membership.is_settled(now, self.settings.settle)
+    }
+
+    fn prefers_other(&self, relay: &Relay) -> bool {
+        let busy = self.wait > self.settings.hunt && self.next_candidate(relay).is_some();
+        self.draining || busy
+    }
+
+    fn hunt(&mut self, now: Time, relay: Relay) {
+        let Some(second) = self.next_candidate(&relay) else {
+            return self.count(Counter::NoCandidate);
+        };
+        // The holder registers well before this entry expires.
+        let until = now + PACKET_LIFETIME;
+        let flow = relay.packet.flow;
+        self.directory
+            .set(flow, second, Basis::Hunted, relay.roster, until);
+        self.count(Counter::Hunted);
+        self.forward_hunt(second, relay);
+    }
+
+    fn decide_hunt(&mut self, now: Time, relay: Relay) {
+        if !matches!(relay.packet.body, Body::Open) {
+            return self.count(Counter::UnknownFlow);
+        }
+        if !self.draining {
+            return self.accept(now, &relay);
+        }
+        match self.next_candidate(&relay) {
+            Some(next) => self.forward_hunt(next, relay),
+            None => self.count(Counter::NoCandidate),
+        }
+    }
+
+    /// The current candidate that follows this agent in the route.
+    fn next_candidate(&self, relay: &Relay) -> Option<SocketAddrV4> {
+        let current = usize::from(relay.current).min(relay.route.len());
+        let candidates = &relay.route[..current];
+        let own = candidates
+            .iter()
+            .position(|agent| *agent == self.settings.agent)?;
+        candidates.get(own + 1).copied()
+    }
+
+    fn accept(&mut self, now: Time, relay: &Relay) {
+        let flow = relay.packet.flow;
+        self.directory.remove(&flow);
+        self.held.insert(flow, Held::Open(Flow::new(now)));
+        self.start_sweep(now);
+        self.count(Counter::Accepted);
+        self.send(flow, Body::Accept);
+        self.hint(relay);
+        self.register_own(now, flow);
+    }
+
+    /// Tells the balancer who holds the flow, unless it sent the relay here itself.
+    pub(super) fn hint(&mut self, relay: &Relay) {
+        if relay.hop > 0 {
+            self.actions.push(Action::Hint {
+                balancer: relay.balancer,
+                hint: usher_types::Hint {
+                    flow: relay.packet.flow,
+                    holder: self.settings.agent,
+                },
+            });
+        }
+    }
+
+    fn forward_hunt(&mut self, to: SocketAddrV4, mut relay: Relay) {
+        let place = relay.route.iter().position(|agent| *agent == to);
+        let hop = place.unwrap_or(relay.route.len());
+        if place.is_none() {
+            relay.route.push(to);
+        }
+        relay.hop = hop as u8;
+        relay.mode = RelayMode::Hunt;
+        self.forward(to, relay);
+    }
+
+    /// Sends a relay to the flow's holder; the route then lists the agents passed.
+    fn forward_direct(&mut self, to: SocketAddrV4, mut relay: Relay) {
+        if relay.mode != RelayMode::Direct || relay.hop == 0 {
+            relay.route = vec![self.settings.agent];
+            relay.current = 0;
+        }
+        if relay.route.len() >= MAX_ROUTE {
+            return self.count(Counter::HopLimit);
+        }
+        relay.route.push(to);
+        relay.hop = (relay.route.len() - 1) as u8;
+        relay.mode = RelayMode::Direct;
+        self.forward(to, relay);
+    }
+
+    fn forward_hop(&mut self, hop: usize, mode: RelayMode, mut relay: Relay) {
+        let to = relay.route[hop];
+        relay.hop = hop as u8;
+        relay.mode = mode;
+        self.forward(to, relay);
+    }
+
+    fn forward(&mut self, to: SocketAddrV4, relay: Relay) {
+        self.actions.push(Action::Forward { to, relay });
+    }
+
+    pub(super) fn owner_of(&self, flow: &FlowId) -> Option<SocketAddrV4> {
+        self.membership.owner(flow, self.settings.buckets)
+    }
+}
--- /dev/null
+++ b/crates/flows/src/timers.rs
@@ -0,0 +1,40 @@
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+use usher_types::{FlowId, Time};
+
+/// One timer per flow, in order of time.
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    due: IndexMap<FlowId, Time>,
+    order: BTreeSet<(Time, FlowId)>,
+}
+
+impl Timers {
+    /// Sets or moves the timer of a flow.
+    pub(crate) fn set(&mut self, flow: FlowId, due: Time) {
+        self.clear(&flow);
+        self.due.insert(flow, due);
+        self.order.insert((due, flow));
+    }
+
+    pub(crate) fn clear(&mut self, flow: &FlowId) {
+        if let Some(due) = self.due.swap_remove(flow) {
+            self.order.remove(&(due, *flow));
+        }
+    }
+
+    /// Removes and returns a flow whose time has come.
+    pub(crate) fn pop(&mut self, now: Time) -> Option<FlowId> {
+        let (due, flow) = *self.order.first()?;
+        if due > now {
+            return None;
+        }
+        self.clear(&flow);
+        Some(flow)
+    }
+
+    pub(crate) fn next(&self) -> Option<Time> {
+        self.order.first().map(|(due, _)| *due)
+    }
+}
