standins: object store with conditional writes, watches and fault switches

Cause: the client of the object API needs a published protocol to be tested against. Change: module store of standins, an HTTP/1.1 server on tide with ETag, If-Match, If-None-Match, X-Write-Id, a long-poll watch, counters and fault switches. A watch searches and registers under one lock, so it misses no change.

--- /dev/null
+++ b/crates/standins/src/store/fault_gate.rs
@@ -0,0 +1,42 @@
+use std::time::Duration;
+
+use async_std::task;
+use tide::http::Method;
+use tide::{Middleware, Next, Request, Response, StatusCode};
+
+use super::faults::Down;
+use super::shared::Shared;
+
+// Longer than any client waits; the task then ends.
+const HANG: Duration = Duration::from_mins(1);
+
+/// Applies the fault switches to the requests for objects.
+#[derive(Debug)]
+pub(crate) struct FaultGate;
+
+#[tide::utils::async_trait]
+impl Middleware<Shared> for FaultGate {
+    async fn handle(&self, request: Request<Shared>, next: Next<'_, Shared>) -> tide::Result {
+        let shared = request.state().clone();
+        let faults = shared.faults();
+        match faults.down {
+            Some(Down::Refuse) => return Ok(Response::new(StatusCode::ServiceUnavailable)),
+            Some(Down::Hang) => return Ok(hang().await),
+            None => {}
+        }
+        let is_write = matches!(request.method(), Method::Put | Method::Delete);
+        let response = next.run(request).await;
+        if faults.delay_ms > 0 {
+            task::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if is_write && response.status().is_success() && shared.take_lost() {
+            return Ok(hang().await);
+        }
+        Ok(response)
+    }
+}
+
+async fn hang() -> Response {
+    task::sleep(HANG).await;
+    Response::new(StatusCode::ServiceUnavailable)
+}
--- /dev/null
+++ b/crates/standins/src/store/shared.rs
@@ -0,0 +1,145 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_std::channel::{Receiver, Sender, bounded};
+use usher_types::Version;
+
+use super::faults::Faults;
+use super::record::{Precondition, Record};
+use super::space::{Refusal, Space};
+use super::stats::Stats;
+
+/// State of the store, shared by the tasks of all requests.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Shared {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    space: Space,
+    // What reads show while the stale fault is on.
+    snapshot: Option<Space>,
+    faults: Faults,
+    stats: Stats,
+    waiters: Vec<Sender<()>>,
+}
+
+impl State {
+    fn view(&self) -> &Space {
+        self.snapshot.as_ref().unwrap_or(&self.space)
+    }
+
+    fn wake_watches(&mut self) {
+        // Closing the channel wakes its watch.
+        self.waiters.clear();
+    }
+}
+
+/// Objects above a version, and the version up to which they are complete.
+#[derive(Debug)]
+pub(crate) struct Found {
+    pub(crate) records: Vec<Record>,
+    pub(crate) revision: Version,
+    /// Present when there are none; made under the lock of the search, so no change is missed.
+    pub(crate) waiting: Option<Waiting>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn read(&self, kind: &str, name: &str) -> Option<Record> {
+        let mut state = self.lock();
+        state.stats.reads += 1;
+        state.view().get(kind, name).cloned()
+    }
+
+    pub(crate) fn count_read(&self) {
+        self.lock().stats.reads += 1;
+    }
+
+    pub(crate) fn since(&self, version: Version, kind: Option<&str>) -> Found {
+        let mut state = self.lock();
+        let records = state.view().since(version, kind);
+        let revision = state.view().last();
+        let waiting = records.is_empty().then(|| {
+            let (sender, receiver) = bounded(1);
+            state.waiters.retain(|waiter| !waiter.is_closed());
+            state.waiters.push(sender);
+            state.stats.waiting += 1;
+            Waiting {
+                shared: self.clone(),
+                receiver,
+            }
+        });
+        Found {
+            records,
+            revision,
+            waiting,
+        }
+    }
+
+    pub(crate) fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        write_id: &str,
+        condition: Precondition,
+        value: serde_json::Value,
+    ) -> Result<Record, Refusal> {
+        let mut state = self.lock();
+        state.stats.writes += 1;
+        let written = state.space.write(kind, name, write_id, condition, value)?;
+        state.wake_watches();
+        Ok(written)
+    }
+
+    pub(crate) fn faults(&self) -> Faults {
+        self.lock().faults
+    }
+
+    pub(crate) fn set_faults(&self, faults: Faults) {
+        let mut state = self.lock();
+        if !faults.stale {
+            state.snapshot = None;
+        } else if state.snapshot.is_none() {
+            state.snapshot = Some(state.space.clone());
+        }
+        state.faults = faults;
+        state.wake_watches();
+    }
+
+    /// Whether the answer of the write that was just made is to be lost.
+    pub(crate) fn take_lost(&self) -> bool {
+        let faults = &mut self.lock().faults;
+        let lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        lost
+    }
+
+    pub(crate) fn stats(&self) -> Stats {
+        self.lock().stats
+    }
+}
+
+/// A watch that waits; it counts until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    shared: Shared,
+    receiver: Receiver<()>,
+}
+
+impl Waiting {
+    /// Returns at the next change, which closes the channel.
+    pub(crate) async fn changed(&self) {
+        let closed = self.receiver.recv().await;
+        debug_assert!(closed.is_err(), "nothing is sent on the channel");
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.shared.lock().stats.waiting -= 1;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/store/stats.rs
@@ -0,0 +1,12 @@
+use serde::{Deserialize, Serialize};
+
+/// Counts of calls since the start; a pending watch counts as one read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Single objects, lists and watches.
+    pub reads: u64,
+    /// Writes and deletions, refused ones included.
+    pub writes: u64,
+    /// Watches that wait now.
+    pub waiting: u64,
+}
