--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -133,6 +133,7 @@
         let Roster {
             version: _,
             members,
+            earlier: _,
         } = roster;
         for (host, member) in members {
             let Member {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,10 +1,13 @@
 //! Test stand-ins for the platform's store and fabric, a backend server and a caller.
 
+mod args;
 mod backend;
 mod caller;
 mod clock;
 mod fabric;
+pub mod store;
 
+pub use args::Args;
 pub use backend::{Backend, BackendArgs};
 pub use caller::CallerArgs;
 pub use fabric::FabricArgs;
