platform: client of the object API with read-back of lost answers

Cause: processes and operators need conditional writes whose outcome is known even when the store's answer is lost. Connections are not pooled: the pool reuses a connection after a timed-out request, and the late answer is then read as the answer to another request. Broken on purpose and restored: pooled connections turn late_answers_are_not_mixed_up red, ignoring the write id turns both lost_answer tests red, a store that wakes no watch turns watch_waits_for_the_next_change red.

--- a/crates/config/src/cache.rs
+++ b/crates/config/src/cache.rs
@@ -68,21 +68,26 @@
         Adoption::Adopted
     }
 
-    /// Adopts all objects that a source holds above a version, and returns how many were newer.
+    /// Adopts what a source holds above `after`, and returns how many objects were newer.
+    ///
+    /// The source states that nothing is missing up to `through`: the store its last version, a
+    /// peer its own `complete`.
     ///
     /// ```
     /// use usher_config::Cache;
     /// use usher_types::Version;
-    /// assert_eq!(Cache::default().adopt_since(Version::default(), Vec::new()), 0);
+    /// let mut cache = Cache::default();
+    /// assert_eq!(cache.adopt_since(Version::new(0), Version::new(4), Vec::new()), 0);
+    /// assert_eq!(cache.complete(), Version::new(4));
     /// ```
-    pub fn adopt_since(&mut self, after: Version, objects: Vec<Object>) -> usize {
-        let newest = objects.iter().map(|object| object.version).max();
+    pub fn adopt_since(&mut self, after: Version, through: Version, objects: Vec<Object>) -> usize {
         let adopted = objects
             .into_iter()
-            .filter(|object| self.adopt(object.clone()) == Adoption::Adopted)
+            .map(|object| self.adopt(object))
+            .filter(|adoption| *adoption == Adoption::Adopted)
             .count();
-        if let Some(newest) = newest.filter(|_| after <= self.complete) {
-            self.complete = self.complete.max(newest);
+        if after <= self.complete {
+            self.complete = self.complete.max(through);
         }
         adopted
     }
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,76 @@
+use thiserror::Error;
+use usher_config::{Conflict, ObjectKey, WriteId};
+use usher_types::ByteCount;
+
+/// A call to the store that failed (`MU-3xxx`).
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum PlatformError {
+    /// No attempt was answered; nothing was written.
+    #[error("MU-3001: the store at {address} does not answer: {cause}")]
+    Unreachable {
+        /// Address of the store.
+        address: String,
+        /// Failure of the last attempt.
+        cause: String,
+    },
+    /// Another write came first; nothing was overwritten.
+    #[error("MU-3002: conflict, {0}")]
+    Conflict(Box<Conflict>),
+    /// A write was sent and its outcome could not be read back in time.
+    #[error(
+        "MU-3003: outcome of write {id} to {key} is unknown: {cause}; read the object before \
+         writing it again"
+    )]
+    Unknown {
+        /// The object.
+        key: ObjectKey,
+        /// Id of the write; the object shows it if the write took effect.
+        id: WriteId,
+        /// Failure of the last attempt.
+        cause: String,
+    },
+    /// The value is larger than the store takes.
+    #[error("MU-3004: {key} is {size} bytes long, the store takes {limit}")]
+    TooLarge {
+        /// The object.
+        key: ObjectKey,
+        /// Size of the encoded value.
+        size: ByteCount,
+        /// Largest size.
+        limit: ByteCount,
+    },
+    /// The store refused the request itself.
+    #[error("MU-3005: the store answered with status {0}")]
+    Status(u16),
+    /// The answer is not what the object API defines.
+    #[error("MU-3006: the store's answer cannot be read: {0}")]
+    Unreadable(String),
+    /// The value of one object is not valid for its kind.
+    #[error("MU-3007: the value of {key} cannot be read: {cause}")]
+    Value {
+        /// Kind and name as the store has them.
+        key: String,
+        /// What is wrong with the value.
+        cause: String,
+    },
+}
+
+impl PlatformError {
+    /// The error's number, for example `MU-3005`.
+    ///
+    /// ```
+    /// assert_eq!(usher_platform::PlatformError::Status(418).code(), "MU-3005");
+    /// ```
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::Unreachable { .. } => "MU-3001",
+            Self::Conflict(_) => "MU-3002",
+            Self::Unknown { .. } => "MU-3003",
+            Self::TooLarge { .. } => "MU-3004",
+            Self::Status(_) => "MU-3005",
+            Self::Unreadable(_) => "MU-3006",
+            Self::Value { .. } => "MU-3007",
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/store_contract.rs
@@ -0,0 +1,266 @@
+//! Contract of the platform's client with the object API, fault by fault.
+
+use std::net::{SocketAddrV4, TcpListener};
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use async_std::task;
+use serde_json::json;
+use usher_config::{Cache, Condition, Kind, Object, ObjectKey, Value};
+use usher_platform::{Limits, PlatformError, Store};
+use usher_standins::store::{Stats, serve};
+use usher_types::{Profile, Span, Version};
+
+struct Bench {
+    address: SocketAddrV4,
+    store: Store,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string().parse().unwrap();
+        task::spawn(serve(listener));
+        let store = Store::new(address, limits());
+        Self { address, store }
+    }
+
+    async fn faults(&self, faults: serde_json::Value) {
+        let url = format!("http://{}/faults", self.address);
+        let request = surf::put(url).body_json(&faults).unwrap();
+        assert_eq!(request.await.unwrap().status(), 204);
+    }
+
+    async fn stats(&self) -> Stats {
+        let url = format!("http://{}/v1/stats", self.address);
+        surf::get(url).recv_json().await.unwrap()
+    }
+
+    async fn create(&self, name: &str) -> Version {
+        self.store
+            .put(key(name), Condition::Absent, profile(5))
+            .await
+            .unwrap()
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        attempt: Span::from_millis(200),
+        total: Span::from_millis(1_500),
+        first_pause: Span::from_millis(10),
+        max_pause: Span::from_millis(50),
+        ..Limits::default()
+    }
+}
+
+fn key(name: &str) -> ObjectKey {
+    ObjectKey::new(Kind::Profile, name.parse().unwrap())
+}
+
+fn profile(hunt: u64) -> Value {
+    let hunt = Span::from_millis(hunt);
+    Profile {
+        hunt,
+        ..Profile::default()
+    }
+    .into()
+}
+
+fn hunt(object: Option<Object>) -> Option<Span> {
+    match object?.value? {
+        Value::Profile(profile) => Some(profile.hunt),
+        _ => None,
+    }
+}
+
+// Guards against a second creation or a write on an old version that overwrites silently.
+#[async_std::test]
+async fn conditional_writes_do_not_overwrite() {
+    let bench = Bench::new();
+    let first = bench.create("fast").await;
+    let again = bench
+        .store
+        .put(key("fast"), Condition::Absent, profile(6))
+        .await;
+    assert_matches!(again, Err(PlatformError::Conflict(conflict)) => {
+        assert_eq!(conflict.diff().to_string(), "hunt: 5ms -> 6ms\n");
+        assert!(!conflict.uncertain);
+    });
+    let second = Condition::Version(first);
+    let second = bench
+        .store
+        .put(key("fast"), second, profile(7))
+        .await
+        .unwrap();
+    let late = bench
+        .store
+        .put(key("fast"), Condition::Version(first), profile(8))
+        .await;
+    assert_matches!(late, Err(PlatformError::Conflict(_)));
+    let object = bench.store.get(&key("fast")).await.unwrap();
+    assert_eq!(object.as_ref().map(|object| object.version), Some(second));
+    assert_eq!(hunt(object), Some(Span::from_millis(7)));
+}
+
+// Guards against a deleted object that cannot be told from one that never existed.
+#[async_std::test]
+async fn tombstones_are_seen_and_replaced() {
+    let bench = Bench::new();
+    assert_eq!(bench.store.get(&key("fast")).await.unwrap(), None);
+    let created = bench.create("fast").await;
+    let deleted = bench.store.delete(key("fast"), created).await.unwrap();
+    let tombstone = bench.store.get(&key("fast")).await.unwrap().unwrap();
+    assert_eq!((tombstone.version, tombstone.value), (deleted, None));
+    let listed = bench.store.list(None, Version::default()).await.unwrap();
+    assert_eq!(listed.objects.len(), 1);
+    assert!(bench.create("fast").await > deleted);
+}
+
+// Guards against a write that is made twice, or reported as failed, because its answer was lost.
+#[async_std::test]
+async fn lost_answers_are_read_back() {
+    let bench = Bench::new();
+    bench.faults(json!({ "lose_answers": 1 })).await;
+    let version = bench.create("fast").await;
+    assert_eq!(version, Version::new(1));
+    assert_eq!(bench.stats().await.writes, 1);
+    bench.faults(json!({ "lose_answers": 1 })).await;
+    let deleted = bench.store.delete(key("fast"), version).await.unwrap();
+    assert_eq!(deleted, Version::new(2));
+}
+
+// Guards against a stale replica that makes a finished write look as if it had not happened.
+#[async_std::test]
+async fn lost_answer_with_stale_reads_is_written_once() {
+    let bench = Bench::new();
+    bench
+        .faults(json!({ "lose_answers": 1, "stale": true }))
+        .await;
+    assert_eq!(bench.create("fast").await, Version::new(1));
+    bench.faults(json!({})).await;
+    let listed = bench.store.list(None, Version::default()).await.unwrap();
+    assert_eq!(listed.through, Version::new(1));
+}
+
+// Guards against a late answer that is taken for the answer to a later request.
+#[async_std::test]
+async fn late_answers_are_not_mixed_up() {
+    let bench = Bench::new();
+    bench.create("slow").await;
+    bench.create("fast").await;
+    bench.faults(json!({ "delay_ms": 300 })).await;
+    let late = bench.store.get(&key("slow")).await;
+    assert_matches!(late, Err(PlatformError::Unreachable { .. }));
+    bench.faults(json!({})).await;
+    for _ in 0..20 {
+        let object = bench.store.get(&key("fast")).await.unwrap().unwrap();
+        assert_eq!(object.version, Version::new(2));
+        task::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+// Guards against a wait without end, and against a wrong statement on whether a write was made.
+#[async_std::test]
+async fn outages_end_in_time_with_the_right_error() {
+    let bench = Bench::new();
+    for down in ["refuse", "hang"] {
+        bench.faults(json!({ "down": down })).await;
+        let start = Instant::now();
+        let read = bench.store.get(&key("fast")).await;
+        assert_matches!(read, Err(PlatformError::Unreachable { .. }));
+        let written = bench
+            .store
+            .put(key("fast"), Condition::Absent, profile(5))
+            .await;
+        assert_matches!(written, Err(PlatformError::Unknown { .. }));
+        assert!(start.elapsed() < Duration::from_secs(4));
+    }
+    let nobody = Store::new("127.0.0.1:1".parse().unwrap(), limits());
+    let written = nobody.put(key("fast"), Condition::Absent, profile(5)).await;
+    assert_matches!(written, Err(PlatformError::Unreachable { .. }));
+}
+
+// Guards against an outage shorter than the limit that fails a call.
+#[async_std::test]
+async fn short_outage_is_ridden_out() {
+    let bench = Bench::new();
+    bench.faults(json!({ "down": "refuse" })).await;
+    let store = bench.store.clone();
+    let writer =
+        task::spawn(async move { store.put(key("fast"), Condition::Absent, profile(5)).await });
+    task::sleep(Duration::from_millis(300)).await;
+    bench.faults(json!({})).await;
+    assert_eq!(writer.await.unwrap(), Version::new(1));
+}
+
+// Guards against a watch that misses a change or polls the store while it waits.
+#[async_std::test]
+async fn watch_waits_for_the_next_change() {
+    let bench = Bench::new();
+    let since = bench.create("fast").await;
+    let store = bench.store.clone();
+    let wait = Span::from_secs(2);
+    let watch = task::spawn(async move { store.watch(None, since, wait).await });
+    while bench.stats().await.waiting == 0 {
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    let start = Instant::now();
+    bench.create("other").await;
+    let batch = watch.await.unwrap();
+    assert!(start.elapsed() < Duration::from_secs(1));
+    assert_eq!(batch.objects.len(), 1);
+    assert_eq!(bench.stats().await.reads, 1);
+    let mut cache = Cache::default();
+    batch.adopt_into(&mut cache);
+    assert_eq!(
+        cache.complete(),
+        Version::default(),
+        "version 1 was not seen"
+    );
+    let wait = Span::from_millis(50);
+    let empty = bench
+        .store
+        .watch(None, Version::new(2), wait)
+        .await
+        .unwrap();
+    assert!(empty.objects.is_empty());
+    assert_eq!(bench.stats().await.waiting, 0);
+}
+
+// Guards against one object of a later release that hides all others.
+#[async_std::test]
+async fn unreadable_objects_do_not_hide_others() {
+    let bench = Bench::new();
+    let url = format!("http://{}/v1/objects/profile/odd", bench.address);
+    let body = json!({ "colour": "orange" });
+    let request = surf::put(url)
+        .header("if-none-match", "*")
+        .body_json(&body)
+        .unwrap();
+    assert_eq!(request.await.unwrap().status(), 200);
+    bench.create("fast").await;
+    let batch = bench.store.list(None, Version::default()).await.unwrap();
+    assert_eq!(batch.objects.len(), 1);
+    assert_matches!(batch.unreadable.as_slice(), [PlatformError::Value { .. }]);
+}
+
+// Guards against the limit on values, and writes without a condition, being accepted.
+#[async_std::test]
+async fn store_enforces_its_limits() {
+    let bench = Bench::new();
+    let url = format!("http://{}/v1/objects/profile/big", bench.address);
+    let bare = surf::put(&url).body("{}").await.unwrap();
+    assert_eq!(bare.status(), 428);
+    let big = format!("\"{}\"", "x".repeat(1 << 20));
+    let request = surf::put(&url).header("if-none-match", "*").body(big);
+    assert_eq!(request.await.unwrap().status(), 413);
+    let small = Limits {
+        value: usher_types::ByteCount::new(10),
+        ..limits()
+    };
+    let store = Store::new(bench.address, small);
+    let refused = store.put(key("big"), Condition::Absent, profile(5)).await;
+    assert_matches!(refused, Err(PlatformError::TooLarge { .. }));
+    assert_eq!(bench.stats().await.writes, 0);
+}
