Control and traffic threads of balancer and agent

Cause: the decision crates need sockets, timers and a control thread. Result: builds; the path has not run yet. Conclusion: next is the first end-to-end run.

--- a/crates/admission/src/action.rs
+++ b/crates/admission/src/action.rs
@@ -25,6 +25,8 @@
     Dispatch {
         /// The request.
         id: RequestId,
+        /// Its key.
+        key: RequestKey,
         /// Method name.
         method: String,
         /// Parameters.
--- a/crates/admission/src/running.rs
+++ b/crates/admission/src/running.rs
@@ -82,6 +82,7 @@
         let job = job.dispatch(now, check);
         self.out.push(Action::Dispatch {
             id,
+            key: job.task.request.key,
             method: job.task.request.method.clone(),
             body: job.task.request.body.clone(),
             start_by: job.state.start_by,
--- /dev/null
+++ b/crates/runtime/src/agent/control.rs
@@ -0,0 +1,377 @@
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use async_std::channel::{self, Receiver, Sender};
+use async_std::{future, task};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use serde_json::{Value, json};
+use usher_members::{Action, Event, HostLife, Identity, Membership, Proposal, Status};
+use usher_platform::{Limits, Store};
+use usher_types::{
+    HostState, Incarnation, Member, PastRoster, Roster, Span, Time, Version, Weight,
+};
+use usher_wire::Datagram;
+
+use super::view::{View, WorkerEvent};
+use crate::clock::now;
+use crate::control::{Call, ControlEvent, State, edit_roster, fetch_from_peers, follow, serve};
+use crate::{AgentSettings, RuntimeError, event, socket};
+
+const IDLE: Duration = Duration::from_secs(1);
+// Packets on their way to this agent are passed on for this long after it has left the roster.
+const LINGER: Span = Span::from_secs(2);
+const WAITING_REPORT: Span = Span::from_secs(5);
+
+/// Control state of an agent.
+pub(crate) struct Control {
+    settings: AgentSettings,
+    incarnation: Incarnation,
+    socket: UdpSocket,
+    worker: mpsc::Sender<WorkerEvent>,
+    events: Sender<ControlEvent>,
+    store: Store,
+    state: State,
+    membership: Membership,
+    status: Status,
+    unsettled: Option<Vec<Version>>,
+    created: bool,
+    phase: Phase,
+    next_report: Time,
+}
+
+// Where a planned stop stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Running,
+    Draining { stop: bool },
+    Leaving,
+    Left { since: Time },
+}
+
+impl Control {
+    pub(crate) fn new(
+        settings: AgentSettings,
+        incarnation: Incarnation,
+        socket: UdpSocket,
+        worker: mpsc::Sender<WorkerEvent>,
+        events: Sender<ControlEvent>,
+    ) -> Self {
+        let identity = Identity::Agent {
+            host: settings.host.clone(),
+            service: settings.service.clone(),
+            centre: settings.common.centre.clone(),
+            incarnation,
+        };
+        Self {
+            store: Store::new(settings.common.store, Limits::default()),
+            membership: Membership::new(identity, Box::new(Pcg64::from_os_rng())),
+            settings,
+            incarnation,
+            socket,
+            worker,
+            events,
+            state: State::default(),
+            status: Status::default(),
+            unsettled: None,
+            created: false,
+            phase: Phase::Running,
+            next_report: Time::ZERO,
+        }
+    }
+
+    pub(crate) async fn run(
+        mut self,
+        receiver: Receiver<ControlEvent>,
+        stop: Receiver<()>,
+    ) -> Result<(), RuntimeError> {
+        let _server = serve(self.settings.common.admin, self.events.clone()).await?;
+        task::spawn(follow(self.store.clone(), self.events.clone()));
+        let peers = self.settings.common.peers.clone();
+        task::spawn(fetch_from_peers(
+            peers,
+            Version::default(),
+            self.events.clone(),
+        ));
+        task::spawn(pass_stop(stop, self.events.clone()));
+        self.advance(Event::Join(self.member()));
+        while !self.is_finished() {
+            match future::timeout(self.wait(), receiver.recv()).await {
+                Ok(Ok(event)) => self.handle(event),
+                Ok(Err(_)) => break,
+                Err(_) => {}
+            }
+            self.tick();
+        }
+        event::LEFT.log(&[("service", &self.settings.service)]);
+        Ok(())
+    }
+
+    fn member(&self) -> Member {
+        Member {
+            incarnation: self.incarnation,
+            agent: self.settings.listen,
+            admin: self.settings.common.admin,
+            centre: self.settings.common.centre.clone(),
+            weight: Weight::NOMINAL,
+            state: HostState::Serving,
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        let due = self
+            .membership
+            .next_timer()
+            .map_or(IDLE, |due| Duration::from_micros((due - now()).as_micros()));
+        due.min(IDLE)
+    }
+
+    fn is_finished(&self) -> bool {
+        matches!(self.phase, Phase::Left { since } if now() - since >= LINGER)
+    }
+
+    fn tick(&mut self) {
+        if self.membership.next_timer().is_some_and(|due| due <= now()) {
+            self.advance(Event::Tick);
+        }
+        if self.phase != Phase::Running && now() >= self.next_report {
+            self.next_report = now() + WAITING_REPORT;
+            event::WAITING.log(&[("phase", &format!("{:?}", self.phase))]);
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Objects {
+                after,
+                through,
+                objects,
+            } => {
+                if !self.state.adopt(after, through, objects).is_empty() {
+                    self.apply();
+                }
+            }
+            ControlEvent::Store(true) => self.advance(Event::StoreUp),
+            ControlEvent::Store(false) => self.advance(Event::StoreDown),
+            ControlEvent::Beat { source, beat } => self.advance(Event::Beat { source, beat }),
+            ControlEvent::BeatAck(ack) => self.advance(Event::BeatAck(ack)),
+            ControlEvent::Load {
+                wait,
+                weight,
+                unsettled,
+            } => {
+                self.unsettled = Some(unsettled);
+                self.status = Status {
+                    wait,
+                    weight,
+                    ..self.status
+                };
+                self.advance(Event::Status(self.status));
+            }
+            ControlEvent::InForce(revision) => {
+                self.status.revision = revision;
+                self.advance(Event::Status(self.status));
+            }
+            ControlEvent::Drained => self.on_drained(),
+            ControlEvent::Written(roster) => self.on_written(roster),
+            ControlEvent::Call(call) => self.answer(call),
+            ControlEvent::Stop => self.begin_drain(true),
+        }
+    }
+
+    fn advance(&mut self, event: Event) {
+        for action in self.membership.handle(now(), event) {
+            match action {
+                Action::Beat { to, beat } => {
+                    let datagram = Datagram::Beat(beat);
+                    to.into_iter()
+                        .for_each(|to| socket::send(&self.socket, to, &datagram));
+                }
+                Action::Ack { to, ack } => {
+                    socket::send(&self.socket, to, &Datagram::BeatAck(ack));
+                }
+                Action::Suspected { service, hosts } => {
+                    let hosts = format!("{hosts:?}");
+                    event::SUSPECTED.log(&[("service", &service), ("hosts", &hosts)]);
+                }
+                Action::Distrusted { .. } => {}
+                Action::Propose(proposal) => self.propose(proposal),
+            }
+        }
+    }
+
+    // Gives the current configuration to membership and to the traffic thread.
+    fn apply(&mut self) {
+        let service = self.settings.service.clone();
+        let centre = self.settings.common.centre.clone();
+        if let Some(fleet) = self.state.fleet(centre.as_str()) {
+            self.advance(Event::Fleet { centre, fleet });
+        }
+        let roster = self.state.roster(&service).unwrap_or_default();
+        if let Some(view) = self.view(&roster) {
+            let _ = self.worker.send(WorkerEvent::View(view));
+        }
+        self.advance(Event::Roster { service, roster });
+        self.watch_own_entry();
+    }
+
+    fn view(&self, roster: &Arc<Roster>) -> Option<View> {
+        let entry = self.state.service(&self.settings.service)?;
+        let profile = self.state.profile(&entry.profile)?;
+        let is_member = roster.members.get(&self.settings.host);
+        is_member.filter(|member| member.incarnation == self.incarnation)?;
+        Some(View {
+            generation: entry.generation,
+            profile: Arc::new(profile.clone()),
+            roster: Arc::clone(roster),
+            revision: self.state.complete(),
+            created: self.created,
+        })
+    }
+
+    // The conditional write runs beside the control thread; its result comes back as an event.
+    fn propose(&self, proposal: Proposal) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        let service = self.settings.service.clone();
+        let unsettled = self.unsettled.clone();
+        task::spawn(async move {
+            let edit = |current: &Roster| {
+                let changed = proposal.apply(current)?;
+                Some(with_history(current, changed, unsettled.as_deref()))
+            };
+            let written = edit_roster(&store, &service, edit).await;
+            if let Err(fault) = &written {
+                event::ROSTER_WRITE.log(&[("fault", fault)]);
+            }
+            let _ = events
+                .send(ControlEvent::Written(written.unwrap_or_default()))
+                .await;
+        });
+    }
+
+    fn on_written(&mut self, roster: Option<Arc<Roster>>) {
+        let Some(roster) = roster else { return };
+        let is_first = roster.earlier.is_empty() && roster.members.len() == 1;
+        if is_first && roster.members.contains_key(&self.settings.host) {
+            self.created = true;
+        }
+        event::ROSTER.log(&[
+            ("version", &roster.version),
+            ("members", &roster.members.len()),
+        ]);
+    }
+
+    // A planned stop ends when the roster no longer lists this agent.
+    fn watch_own_entry(&mut self) {
+        let roster = self
+            .state
+            .roster(&self.settings.service)
+            .unwrap_or_default();
+        let own = roster.members.get(&self.settings.host);
+        let is_listed = own.is_some_and(|member| member.incarnation == self.incarnation);
+        if self.phase == Phase::Leaving && !is_listed {
+            self.phase = Phase::Left { since: now() };
+        }
+    }
+
+    fn begin_drain(&mut self, stop: bool) {
+        event::STOPPING.log(&[]);
+        if self.phase == Phase::Running && matches!(self.membership.life(), HostLife::Unknown) {
+            self.phase = Phase::Left { since: now() };
+            return;
+        }
+        self.phase = Phase::Draining { stop };
+        self.advance(Event::Drain);
+        let _ = self.worker.send(WorkerEvent::Drain);
+    }
+
+    fn on_drained(&mut self) {
+        if self.phase == (Phase::Draining { stop: true }) {
+            self.phase = Phase::Leaving;
+            let _ = self.worker.send(WorkerEvent::Leave);
+            self.advance(Event::Leave);
+        }
+    }
+
+    fn answer(&mut self, call: Call) {
+        match call {
+            Call::Status(reply) => self.answer_status(reply),
+            Call::Since(version, reply) => {
+                let _ = reply.try_send(self.state.since(version));
+            }
+            Call::Drain(reply) => {
+                self.begin_drain(false);
+                let _ = reply.try_send(true);
+            }
+            Call::Parcel(parcels, reply) => {
+                let own = self.state.service(&self.settings.service);
+                let is_current = own.is_some_and(|entry| parcels.generation >= entry.generation);
+                if parcels.service == self.settings.service && is_current {
+                    let content = parcels.content;
+                    let _ = self.worker.send(WorkerEvent::Handover { content, reply });
+                } else {
+                    let _ = reply.try_send(None);
+                }
+            }
+        }
+    }
+
+    // The traffic thread adds what it owns.
+    fn answer_status(&self, reply: Sender<Value>) {
+        let own = json!({
+            "role": "agent",
+            "name": self.settings.host,
+            "service": self.settings.service,
+            "centre": self.settings.common.centre,
+            "incarnation": self.incarnation,
+            "revision": self.status.revision,
+            "state": format!("{:?}", self.phase).to_lowercase(),
+        });
+        let (sender, receiver) = channel::bounded(1);
+        if self.worker.send(WorkerEvent::Status(sender)).is_err() {
+            return;
+        }
+        task::spawn(async move {
+            let mut status = own;
+            if let (Ok(Value::Object(more)), Value::Object(fields)) =
+                (receiver.recv().await, &mut status)
+            {
+                fields.extend(more);
+            }
+            let _ = reply.send(status).await;
+        });
+    }
+}
+
+// A roster lists the one it replaces and earlier ones that the writer does not know as settled.
+fn with_history(current: &Roster, mut changed: Roster, unsettled: Option<&[Version]>) -> Roster {
+    let is_open = |past: &PastRoster| unsettled.is_none_or(|open| open.contains(&past.version));
+    let mut earlier: Vec<PastRoster> = current
+        .earlier
+        .iter()
+        .filter(|p| is_open(p))
+        .cloned()
+        .collect();
+    if current.version > Version::default() && !current.members.is_empty() {
+        let members = current.members.clone();
+        earlier.insert(
+            0,
+            PastRoster {
+                version: current.version,
+                members,
+            },
+        );
+    }
+    changed.earlier = earlier;
+    changed
+}
+
+async fn pass_stop(stop: Receiver<()>, events: Sender<ControlEvent>) {
+    while stop.recv().await.is_ok() {
+        if events.send(ControlEvent::Stop).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/agent/mod.rs
@@ -0,0 +1,73 @@
+//! The agent: owns the flows and requests of one backend server.
+
+mod calls;
+mod control;
+mod counts;
+mod deliver;
+mod reader;
+mod view;
+mod worker;
+
+use std::sync::mpsc;
+use std::thread;
+
+use async_std::channel::{self, Receiver};
+use async_std::task;
+use usher_dedupe::Agent;
+
+use self::control::Control;
+use self::view::WorkerEvent;
+use self::worker::Worker;
+use crate::control::ControlEvent;
+use crate::metrics::Metrics;
+use crate::{AgentSettings, RuntimeError, backend, event, socket};
+
+const METRICS_PREFIX: &str = "marigoldusher.agent";
+
+/// Runs an agent until a planned stop has finished; a message on `stop` begins it.
+///
+/// # Errors
+/// Fails when an address cannot be used.
+pub fn run_agent(settings: AgentSettings, stop: Receiver<()>) -> Result<(), RuntimeError> {
+    let metrics = Metrics::new(METRICS_PREFIX, settings.common.statsd)?;
+    let socket = socket::bind(settings.listen)?;
+    let incarnation = crate::balancer::incarnation();
+    let agent = Agent {
+        host: settings.host.clone(),
+        incarnation,
+    };
+    let (events, receiver) = channel::unbounded::<ControlEvent>();
+    let (to_worker, worker_events) = mpsc::channel::<WorkerEvent>();
+    let (commands, runs) = channel::unbounded();
+    reader::start(&socket, to_worker.clone(), events.clone())?;
+    let reports = to_worker.clone();
+    task::spawn(backend::serve(settings.backend, runs, move |report| {
+        // The process is ending when the traffic thread has gone.
+        let _ = reports.send(WorkerEvent::Backend(report));
+    }));
+    let parts = worker::Links {
+        socket: clone(&socket)?,
+        commands,
+        events: events.clone(),
+        own: to_worker.clone(),
+        metrics,
+    };
+    let worker = Worker::new(settings.clone(), agent, parts);
+    thread::Builder::new()
+        .name("traffic".to_owned())
+        .spawn(move || worker.run(&worker_events))
+        .map_err(RuntimeError::Thread)?;
+    event::STARTED.log(&[("role", &"agent"), ("listen", &settings.listen)]);
+    let control = Control::new(settings, incarnation, socket, to_worker, events);
+    let thread = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || task::block_on(control.run(receiver, stop)))
+        .map_err(RuntimeError::Thread)?;
+    let result = thread.join().map_err(|_| RuntimeError::Control)?;
+    event::STOPPED.log(&[]);
+    result
+}
+
+fn clone(socket: &std::net::UdpSocket) -> Result<std::net::UdpSocket, RuntimeError> {
+    socket.try_clone().map_err(RuntimeError::Thread)
+}
--- /dev/null
+++ b/crates/runtime/src/balancer/control.rs
@@ -0,0 +1,329 @@
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use arc_swap::ArcSwap;
+use async_std::channel::{Receiver, Sender};
+use async_std::prelude::FutureExt;
+use async_std::{future, task};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use serde_json::{Value, json};
+use usher_config::{Kind, ObjectKey};
+use usher_members::{Action, Event, Identity, Membership, Status};
+use usher_platform::{Limits, Store};
+use usher_routing::{Router, Table};
+use usher_types::{Balancer, Fleet, HostId, Incarnation, PastRoster, Roster, ServiceName, Version};
+use usher_wire::Datagram;
+
+use crate::clock::now;
+use crate::control::{Call, ControlEvent, State, edit_fleet, fetch_from_peers, follow, serve};
+use crate::metrics::Metrics;
+use crate::{BalancerSettings, RuntimeError, event, socket};
+
+const IDLE: Duration = Duration::from_secs(1);
+const JOIN_RETRY: Duration = Duration::from_millis(300);
+
+/// Control state of a balancer.
+pub(crate) struct Control {
+    settings: BalancerSettings,
+    incarnation: Incarnation,
+    socket: UdpSocket,
+    router: Arc<ArcSwap<Router>>,
+    metrics: Metrics,
+    events: Sender<ControlEvent>,
+    store: Store,
+    state: State,
+    membership: Membership,
+    tables: IndexMap<ServiceName, Arc<Table>>,
+    suspected: IndexMap<ServiceName, Vec<HostId>>,
+}
+
+impl Control {
+    pub(crate) fn new(
+        settings: BalancerSettings,
+        socket: UdpSocket,
+        router: Arc<ArcSwap<Router>>,
+        metrics: Metrics,
+        events: Sender<ControlEvent>,
+    ) -> Self {
+        let incarnation = incarnation();
+        let identity = Identity::Balancer {
+            instance: settings.instance.clone(),
+            centre: settings.common.centre.clone(),
+            incarnation,
+        };
+        Self {
+            store: Store::new(settings.common.store, Limits::default()),
+            membership: Membership::new(identity, Box::new(Pcg64::from_os_rng())),
+            settings,
+            incarnation,
+            socket,
+            router,
+            metrics,
+            events,
+            state: State::default(),
+            tables: IndexMap::new(),
+            suspected: IndexMap::new(),
+        }
+    }
+
+    pub(crate) async fn run(
+        mut self,
+        receiver: Receiver<ControlEvent>,
+        stop: Receiver<()>,
+    ) -> Result<(), RuntimeError> {
+        let _server = serve(self.settings.common.admin, self.events.clone()).await?;
+        task::spawn(follow(self.store.clone(), self.events.clone()));
+        let peers = self.settings.common.peers.clone();
+        task::spawn(fetch_from_peers(
+            peers,
+            Version::default(),
+            self.events.clone(),
+        ));
+        task::spawn(join(
+            self.store.clone(),
+            self.settings.clone(),
+            self.incarnation,
+        ));
+        let stop = async {
+            // A closed channel means that nobody can ask for a stop.
+            if stop.recv().await.is_err() {
+                future::pending::<()>().await;
+            }
+        };
+        stop.race(self.work(receiver)).await;
+        event::STOPPING.log(&[]);
+        self.leave().await;
+        Ok(())
+    }
+
+    async fn work(&mut self, receiver: Receiver<ControlEvent>) {
+        loop {
+            let due = self
+                .membership
+                .next_timer()
+                .map_or(IDLE, |due| Duration::from_micros((due - now()).as_micros()));
+            match future::timeout(due, receiver.recv()).await {
+                Ok(Ok(event)) => self.handle(event),
+                Ok(Err(_)) => return,
+                Err(_) => self.advance(Event::Tick),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Objects {
+                after,
+                through,
+                objects,
+            } => {
+                let changed = self.state.adopt(after, through, objects);
+                self.apply(&changed);
+            }
+            ControlEvent::Store(true) => self.advance(Event::StoreUp),
+            ControlEvent::Store(false) => self.advance(Event::StoreDown),
+            ControlEvent::Beat { source, beat } => self.advance(Event::Beat { source, beat }),
+            ControlEvent::BeatAck(ack) => self.advance(Event::BeatAck(ack)),
+            ControlEvent::Call(call) => self.answer(call),
+            ControlEvent::Load { .. }
+            | ControlEvent::InForce(_)
+            | ControlEvent::Drained
+            | ControlEvent::Written(_)
+            | ControlEvent::Stop => {}
+        }
+    }
+
+    fn advance(&mut self, event: Event) {
+        for action in self.membership.handle(now(), event) {
+            match action {
+                Action::Beat { to, beat } => {
+                    let datagram = Datagram::Beat(beat);
+                    to.into_iter()
+                        .for_each(|to| socket::send(&self.socket, to, &datagram));
+                }
+                Action::Ack { to, ack } => {
+                    socket::send(&self.socket, to, &Datagram::BeatAck(ack));
+                }
+                Action::Suspected { service, hosts } => self.suspect(service, hosts),
+                // Agents write rosters; balancers only watch them.
+                Action::Distrusted { .. } | Action::Propose(_) => {}
+            }
+        }
+    }
+
+    fn suspect(&mut self, service: ServiceName, hosts: Vec<HostId>) {
+        let before = self.suspected.get(&service).map_or(&[][..], Vec::as_slice);
+        for host in hosts.iter().filter(|host| !before.contains(host)) {
+            event::SUSPECTED.log(&[("service", &service), ("host", host)]);
+        }
+        for host in before.iter().filter(|host| !hosts.contains(host)) {
+            event::RESTORED.log(&[("service", &service), ("host", host)]);
+        }
+        if let Some(table) = self.tables.get_mut(&service) {
+            *table = Arc::new(table.with_suspected(&hosts));
+        }
+        self.suspected.insert(service, hosts);
+        self.publish();
+    }
+
+    // Rebuilds the tables that a change of configuration touches.
+    fn apply(&mut self, changed: &BTreeSet<ObjectKey>) {
+        if changed.is_empty() {
+            return;
+        }
+        let services: Vec<ServiceName> = self.state.services().map(|(name, _)| name).collect();
+        self.tables.retain(|name, _| services.contains(name));
+        for service in services {
+            if self.touches(changed, &service) {
+                self.rebuild(&service);
+            }
+        }
+        self.watch_fleet(changed);
+        self.publish();
+        let revision = self.state.complete();
+        self.advance(Event::Status(Status {
+            revision,
+            ..Status::default()
+        }));
+        self.metrics.gauge("revision", revision.get());
+    }
+
+    fn touches(&self, changed: &BTreeSet<ObjectKey>, service: &ServiceName) -> bool {
+        let profile = self
+            .state
+            .service(service)
+            .map(|entry| entry.profile.as_str());
+        changed.iter().any(|key| match key.kind {
+            Kind::Service | Kind::Roster => key.name.as_str() == service.as_str(),
+            Kind::Profile => Some(key.name.as_str()) == profile,
+            Kind::Fleet | Kind::Lease => false,
+        })
+    }
+
+    fn rebuild(&mut self, service: &ServiceName) {
+        let Some(entry) = self.state.service(service) else {
+            return;
+        };
+        let buckets = self
+            .state
+            .profile(&entry.profile)
+            .map(|profile| profile.buckets);
+        let (Some(buckets), Some(roster)) = (buckets, self.state.roster(service)) else {
+            return;
+        };
+        let earlier: Vec<Roster> = roster.earlier.iter().map(PastRoster::to_roster).collect();
+        let rosters = std::iter::once(&*roster).chain(&earlier);
+        let table = Table::new(service.clone(), entry.generation, buckets, rosters);
+        let suspected = self.suspected.get(service).map_or(&[][..], Vec::as_slice);
+        let table = Arc::new(table.with_suspected(suspected));
+        self.tables.insert(service.clone(), table);
+        event::ROSTER.log(&[
+            ("service", service),
+            ("version", &roster.version),
+            ("members", &roster.members.len()),
+        ]);
+        self.advance(Event::Roster {
+            service: service.clone(),
+            roster,
+        });
+    }
+
+    fn watch_fleet(&mut self, changed: &BTreeSet<ObjectKey>) {
+        let centre = self.settings.common.centre.clone();
+        if !changed
+            .iter()
+            .any(|key| key.kind == Kind::Fleet && key.name.as_str() == centre.as_str())
+        {
+            return;
+        }
+        if let Some(fleet) = self.state.fleet(centre.as_str()) {
+            self.advance(Event::Fleet { centre, fleet });
+        }
+    }
+
+    fn publish(&self) {
+        let tables = self
+            .state
+            .services()
+            .filter_map(|(name, entry)| Some((entry.address, Arc::clone(self.tables.get(&name)?))));
+        self.router.store(Arc::new(Router::new(tables)));
+    }
+
+    fn answer(&self, call: Call) {
+        match call {
+            Call::Status(reply) => {
+                let _ = reply.try_send(self.status());
+            }
+            Call::Since(version, reply) => {
+                let _ = reply.try_send(self.state.since(version));
+            }
+            Call::Drain(reply) => {
+                let _ = reply.try_send(false);
+            }
+            Call::Parcel(_, reply) => {
+                let _ = reply.try_send(None);
+            }
+        }
+    }
+
+    fn status(&self) -> Value {
+        json!({
+            "role": "balancer",
+            "name": self.settings.instance,
+            "centre": self.settings.common.centre,
+            "incarnation": self.incarnation,
+            "revision": self.state.complete(),
+            "state": "serving",
+            "services": self.tables.len(),
+            "suspected": self.suspected.values().flatten().collect::<Vec<_>>(),
+        })
+    }
+
+    async fn leave(&self) {
+        let own = &self.settings.instance;
+        let edit = |fleet: &mut Fleet| {
+            let listed = fleet.balancers.get(own).map(|entry| entry.incarnation);
+            let is_own = listed == Some(self.incarnation);
+            is_own && fleet.balancers.shift_remove(own).is_some()
+        };
+        match edit_fleet(&self.store, &self.settings.common.centre, edit).await {
+            Ok(()) => event::LEFT.log(&[]),
+            Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
+        }
+    }
+}
+
+/// Milliseconds of wall-clock time, so that a later process on the same host has a higher one.
+pub(crate) fn incarnation() -> Incarnation {
+    let since = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation::new(since.as_millis() as u64)
+}
+
+// Writes the own entry until the store has it.
+async fn join(store: Store, settings: BalancerSettings, incarnation: Incarnation) {
+    let entry = Balancer {
+        incarnation,
+        control: settings.control,
+        admin: settings.common.admin,
+    };
+    loop {
+        let edit = |fleet: &mut Fleet| {
+            fleet
+                .balancers
+                .insert(settings.instance.clone(), entry.clone())
+                .as_ref()
+                != Some(&entry)
+        };
+        match edit_fleet(&store, &settings.common.centre, edit).await {
+            Ok(()) => return event::JOINED.log(&[("centre", &settings.common.centre)]),
+            Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
+        }
+        task::sleep(JOIN_RETRY).await;
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/control/event.rs
@@ -0,0 +1,40 @@
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use usher_config::Object;
+use usher_types::{Beat, BeatAck, Roster, Span, Version, Weight};
+
+use super::Call;
+
+/// Input of the control thread.
+#[derive(Debug)]
+pub(crate) enum ControlEvent {
+    /// All objects that a source holds above `after`, complete up to `through`.
+    Objects {
+        after: Version,
+        through: Version,
+        objects: Vec<Object>,
+    },
+    /// Whether the store can be reached.
+    Store(bool),
+    /// A heartbeat arrived.
+    Beat { source: SocketAddrV4, beat: Beat },
+    /// A heartbeat was acknowledged.
+    BeatAck(BeatAck),
+    /// What the traffic thread of an agent measures.
+    Load {
+        wait: Span,
+        weight: Weight,
+        unsettled: Vec<Version>,
+    },
+    /// The traffic thread has adopted a roster and holds no older one.
+    InForce(Version),
+    /// The traffic thread has finished its part of a planned stop.
+    Drained,
+    /// A conditional write of the roster ended.
+    Written(Option<Arc<Roster>>),
+    /// A call of the administration RPC.
+    Call(Call),
+    /// A planned stop begins.
+    Stop,
+}
--- /dev/null
+++ b/crates/runtime/src/control/feed.rs
@@ -0,0 +1,118 @@
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use async_std::channel::Sender;
+use async_std::task;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use usher_config::Object;
+use usher_platform::{Batch, Store};
+use usher_types::{Span, Version};
+
+use super::ControlEvent;
+use crate::event;
+
+// The platform counts a waiting watch as one call.
+const WATCH: Span = Span::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(500);
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Follows the store's changes until the control thread ends.
+pub(crate) async fn follow(store: Store, events: Sender<ControlEvent>) {
+    let mut since = Version::default();
+    let mut up = None;
+    loop {
+        // The first call does not wait, so that a process starts at once.
+        let wait = if since == Version::default() {
+            Span::ZERO
+        } else {
+            WATCH
+        };
+        let batch = store.watch(None, since, wait).await;
+        if up != Some(batch.is_ok()) {
+            up = Some(batch.is_ok());
+            report(batch.is_ok());
+            if events
+                .send(ControlEvent::Store(batch.is_ok()))
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+        match batch {
+            Ok(batch) => {
+                since = since.max(batch.through);
+                if !deliver(&events, batch).await {
+                    return;
+                }
+                if since == Version::default() {
+                    task::sleep(PAUSE).await;
+                }
+            }
+            Err(_) => task::sleep(PAUSE).await,
+        }
+    }
+}
+
+fn report(up: bool) {
+    if up {
+        event::STORE_UP.log(&[]);
+    } else {
+        event::STORE_DOWN.log(&[]);
+    }
+}
+
+async fn deliver(events: &Sender<ControlEvent>, batch: Batch) -> bool {
+    for fault in &batch.unreadable {
+        event::CONFIG_INVALID.log(&[("fault", fault)]);
+    }
+    let Batch {
+        after,
+        through,
+        objects,
+        ..
+    } = batch;
+    events
+        .send(ControlEvent::Objects {
+            after,
+            through,
+            objects,
+        })
+        .await
+        .is_ok()
+}
+
+/// Asks peers for objects above a version, until one answers.
+pub(crate) async fn fetch_from_peers(
+    peers: Vec<SocketAddrV4>,
+    after: Version,
+    events: Sender<ControlEvent>,
+) {
+    for peer in peers {
+        let Ok(objects) = since(peer, after).await else {
+            continue;
+        };
+        event::CONFIG_PEER.log(&[("peer", &peer), ("objects", &objects.len())]);
+        // A peer may miss objects between its own, so its answer proves no version complete.
+        let fetched = ControlEvent::Objects {
+            after,
+            through: after,
+            objects,
+        };
+        if events.send(fetched).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn since(
+    peer: SocketAddrV4,
+    after: Version,
+) -> Result<Vec<Object>, jsonrpsee::core::ClientError> {
+    let client = HttpClientBuilder::default()
+        .request_timeout(PEER_TIMEOUT)
+        .build(format!("http://{peer}"))?;
+    client.request("config.since", rpc_params![after]).await
+}
--- /dev/null
+++ b/crates/runtime/src/control/writer.rs
@@ -0,0 +1,68 @@
+use std::sync::Arc;
+
+use usher_config::{Condition, Kind, Object, ObjectKey, Value};
+use usher_platform::{PlatformError, Store};
+use usher_types::{DataCentre, Fleet, Roster, ServiceName, Version};
+
+/// Changes a service's roster on condition of the version that was read.
+///
+/// Returns the written roster, or `None` when `edit` finds nothing to change.
+///
+/// # Errors
+/// Fails when the store cannot be reached or another process wrote first.
+pub(crate) async fn edit_roster(
+    store: &Store,
+    service: &ServiceName,
+    edit: impl FnOnce(&Roster) -> Option<Roster>,
+) -> Result<Option<Arc<Roster>>, PlatformError> {
+    let key = key(Kind::Roster, service.as_str())?;
+    let current = store.get(&key).await?;
+    let roster = match current.as_ref().and_then(|object| object.value.as_ref()) {
+        Some(Value::Roster(roster)) => roster.clone(),
+        _ => Roster::default(),
+    };
+    let Some(mut changed) = edit(&roster) else {
+        return Ok(None);
+    };
+    let value = Value::Roster(changed.clone());
+    changed.version = store.put(key, condition(current.as_ref()), value).await?;
+    Ok(Some(Arc::new(changed)))
+}
+
+/// Changes a data centre's list of balancers on condition of the version that was read.
+///
+/// # Errors
+/// Fails when the store cannot be reached or another process wrote first.
+pub(crate) async fn edit_fleet(
+    store: &Store,
+    centre: &DataCentre,
+    edit: impl FnOnce(&mut Fleet) -> bool,
+) -> Result<(), PlatformError> {
+    let key = key(Kind::Fleet, centre.as_str())?;
+    let current = store.get(&key).await?;
+    let mut fleet = match current.as_ref().and_then(|object| object.value.as_ref()) {
+        Some(Value::Fleet(fleet)) => fleet.clone(),
+        _ => Fleet::default(),
+    };
+    if edit(&mut fleet) {
+        store
+            .put(key, condition(current.as_ref()), Value::Fleet(fleet))
+            .await?;
+    }
+    Ok(())
+}
+
+fn key(kind: Kind, name: &str) -> Result<ObjectKey, PlatformError> {
+    let name = name
+        .parse()
+        .map_err(|error: usher_config::ConfigError| PlatformError::Unreadable(error.to_string()))?;
+    Ok(ObjectKey::new(kind, name))
+}
+
+// A tombstone is replaced on condition of its version, like a value.
+fn condition(current: Option<&Object>) -> Condition {
+    match current {
+        Some(object) if object.version > Version::default() => Condition::Version(object.version),
+        _ => Condition::Absent,
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,12 +1,18 @@
 //! Runs the decision crates: control thread, traffic threads, sockets and administration RPC.
 
+mod agent;
 mod backend;
+mod balancer;
 mod clock;
+mod control;
 mod error;
 mod event;
 mod metrics;
 mod settings;
+mod socket;
 
+pub use agent::run_agent;
+pub use balancer::run_balancer;
 pub use clock::now;
 pub use error::RuntimeError;
 pub use event::{EVENTS, Event};
