Test at-most-once execution by tables and under random faults

Cause: the argument on the crate root needs runs that could refute it, and a packet that lies in the socket of a paused agent understates its age by the whole pause.

Change: a claimant adds its own stalls to the age of requests. Tables drive one ledger and one claimant; a property test connects six agents with delays, duplicates, losses, pauses up to 100 s, crashes, departures, removals, and rosters learned late or skipped.

--- a/crates/dedupe/src/claimant.rs
+++ b/crates/dedupe/src/claimant.rs
@@ -12,6 +12,7 @@
 use crate::event::ClaimantEvent;
 use crate::limits::{RESEND, RESEND_MAX, RETENTION, RETRY, ROUND, RUN_LIMIT, shorter};
 use crate::ownership::{Agent, owner_of};
+use crate::stall::Stall;
 
 /// Obtains, as the holder of requests, permission to dispatch them and reports their outcomes.
 ///
@@ -29,6 +30,7 @@
     reply: SocketAddrV4,
     roster: Option<Arc<Roster>>,
     last: Time,
+    stall: Stall,
     asks: IndexMap<RequestKey, Ask>,
     due: BTreeSet<(Time, RequestKey)>,
 }
@@ -40,7 +42,7 @@
     /// use usher_dedupe::{Agent, Claimant};
     /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
     /// let claimant = Claimant::new(agent, "127.0.0.1:7000".parse().unwrap());
-    /// assert_eq!(claimant.next_timer(), None);
+    /// assert!(claimant.next_timer().is_some());
     /// # Ok::<(), usher_types::ParseError>(())
     /// ```
     pub fn new(agent: Agent, reply: SocketAddrV4) -> Self {
@@ -49,6 +51,7 @@
             reply,
             roster: None,
             last: Time::ZERO,
+            stall: Stall::default(),
             asks: IndexMap::new(),
             due: BTreeSet::new(),
         }
@@ -70,6 +73,7 @@
     /// ```
     pub fn handle(&mut self, now: Time, event: ClaimantEvent) -> Vec<ClaimantAction> {
         let mut actions = Vec::new();
+        let stalled = self.stall.observe(now);
         match event {
             ClaimantEvent::Ask {
                 key,
@@ -79,7 +83,7 @@
             } => {
                 let ask = Ask {
                     attempt,
-                    age,
+                    age: age + stalled,
                     asked: now,
                     deadline,
                     shared: false,
@@ -103,17 +107,18 @@
         actions
     }
 
-    /// When the claimant next needs a `Tick`.
+    /// When the claimant next needs a `Tick`; at least once a second, to notice stalls.
     ///
     /// ```
     /// use usher_dedupe::{Agent, Claimant};
     /// let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
     /// let claimant = Claimant::new(agent, "127.0.0.1:7000".parse().unwrap());
-    /// assert!(claimant.next_timer().is_none());
+    /// assert!(claimant.next_timer().is_some());
     /// # Ok::<(), usher_types::ParseError>(())
     /// ```
     pub fn next_timer(&self) -> Option<Time> {
-        self.due.first().map(|(due, _)| *due)
+        let due = self.due.first().map(|(due, _)| *due);
+        due.into_iter().chain([self.stall.next_timer()]).min()
     }
 
     // A key that was permitted here is answered from memory: a new claim would replace its grant.
--- /dev/null
+++ b/crates/dedupe/tests/dedupe/world.rs
@@ -0,0 +1,383 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use proptest::prelude::Rng;
+use proptest::test_runner::{RngAlgorithm, TestRng};
+use usher_dedupe::{ClaimantAction, ClaimantEvent, LedgerAction, LedgerEvent, Lineage, Origin};
+use usher_types::{Attempt, BeatAck, Outcome, Peer, RequestKey, Roster, Span, Time, Version};
+
+use crate::fixture::{host_id, index, index_of, member, outcome};
+use crate::process::{Process, clock_of};
+
+pub const MS: u64 = 1_000;
+pub const SEC: u64 = 1_000 * MS;
+const LIFETIME: u64 = 30 * SEC;
+const START: u64 = 1_000 * SEC;
+
+/// A fault or planned change, applied to one host.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    Pause(u64),
+    Crash,
+    Start,
+    Leave,
+    Remove,
+    Readd,
+}
+
+#[derive(Debug, Clone)]
+enum Task {
+    Ledger(LedgerEvent),
+    Claimant(ClaimantEvent),
+    Hear(usize, Version, Time),
+    Acked(BeatAck),
+    Request(RequestKey, Attempt, Span),
+    Tick,
+    Beat,
+    Learn,
+    Start(RequestKey, Time),
+    Fault(Fault),
+}
+
+/// What happened to requests.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub runs: BTreeMap<RequestKey, u32>,
+    pub permits: BTreeSet<RequestKey>,
+}
+
+/// Several agents connected in memory, in virtual time, with disturbances drawn from a seed.
+pub struct World {
+    rng: TestRng,
+    faulty: bool,
+    now: u64,
+    next: u64,
+    tasks: BTreeMap<(u64, u64), (usize, Task)>,
+    hosts: Vec<Option<Process>>,
+    incarnations: Vec<u64>,
+    store: Option<Lineage>,
+    pub tally: Tally,
+}
+
+impl World {
+    /// Hosts of which the first `members` join one after the other.
+    pub fn new(seed: u64, hosts: usize, members: usize, faulty: bool) -> Self {
+        let mut bytes = [0; 32];
+        bytes[..8].copy_from_slice(&seed.to_le_bytes());
+        let mut world = Self {
+            rng: TestRng::from_seed(RngAlgorithm::ChaCha, &bytes),
+            faulty,
+            now: START,
+            next: 0,
+            tasks: BTreeMap::new(),
+            hosts: (0..hosts).map(|_| None).collect(),
+            incarnations: vec![0; hosts],
+            store: None,
+            tally: Tally::default(),
+        };
+        for host in 0..members {
+            world.fault(host as u64 * 100 * MS, host, Fault::Start);
+        }
+        world
+    }
+
+    pub fn fault(&mut self, at: u64, host: usize, fault: Fault) {
+        self.schedule(START + at, host, Task::Fault(fault));
+    }
+
+    /// A caller's attempts for one key, `(time, host)` each; the first one starts its age.
+    pub fn request(&mut self, key: u128, attempts: &[(u64, usize)]) {
+        let key = RequestKey::new(key);
+        for (index, (at, host)) in attempts.iter().enumerate() {
+            let age = Span::from_micros(at - attempts[0].0).scale(0.995);
+            let attempt = Attempt::new(index as u16 + 1);
+            let late = if self.chance(15) {
+                self.below(LIFETIME)
+            } else {
+                MS
+            };
+            self.schedule(START + at + late, *host, Task::Request(key, attempt, age));
+        }
+    }
+
+    pub fn run(&mut self, span: u64) {
+        while let Some(((at, _), (host, task))) = self.tasks.pop_first() {
+            if at > START + span {
+                return;
+            }
+            self.now = at;
+            let resumes = self.hosts[host].as_ref().map(|process| process.resumes);
+            match (task, resumes) {
+                (Task::Fault(fault), _) => self.apply(host, fault),
+                // The backend server starts work although its agent is paused or has crashed.
+                (Task::Start(key, start_by), _) => self.start(host, key, start_by),
+                (task, Some(resumes)) if resumes > at => self.schedule(resumes, host, task),
+                (task, Some(_)) => self.perform(host, task),
+                (_, None) => {}
+            }
+        }
+    }
+
+    fn apply(&mut self, host: usize, fault: Fault) {
+        match fault {
+            Fault::Pause(span) => {
+                let until = self.now + span;
+                if let Some(process) = &mut self.hosts[host] {
+                    process.resumes = process.resumes.max(until);
+                }
+            }
+            Fault::Crash => self.hosts[host] = None,
+            Fault::Start if self.hosts[host].is_none() => {
+                self.incarnations[host] += 1;
+                let created = self.store.is_none();
+                let origin = if created {
+                    Origin::Created
+                } else {
+                    Origin::Joined
+                };
+                let process = Process::new(host, self.incarnations[host], origin);
+                self.hosts[host] = Some(process);
+                self.write(host, true);
+                self.perform(host, Task::Learn);
+                self.perform(host, Task::Beat);
+            }
+            Fault::Start => {}
+            Fault::Leave => {
+                self.ledger(host, LedgerEvent::Drain);
+                self.write(host, false);
+                self.perform(host, Task::Learn);
+            }
+            Fault::Remove => self.write(host, false),
+            Fault::Readd => self.write(host, true),
+        }
+    }
+
+    // Store versions are not consecutive.
+    fn write(&mut self, host: usize, present: bool) {
+        let mut roster = Roster::default();
+        let mut earlier = Vec::new();
+        if let Some(lineage) = self.store.take() {
+            roster = (*lineage.roster).clone();
+            earlier = self.prune(&lineage);
+            earlier.insert(0, lineage.roster);
+        }
+        match &self.hosts[host] {
+            Some(process) if present => {
+                let agent = &process.agent;
+                roster.members.insert(agent.host.clone(), member(agent));
+            }
+            _ => {
+                roster.members.shift_remove(&host_id(host));
+            }
+        }
+        roster.version = Version::new(roster.version.get() + 3);
+        self.store = Some(Lineage {
+            roster: Arc::new(roster),
+            earlier,
+            complete: true,
+        });
+        self.announce();
+    }
+
+    // A writer that has adopted the replaced roster drops those before it that have stopped.
+    fn prune(&self, lineage: &Lineage) -> Vec<Arc<Roster>> {
+        let version = lineage.roster.version;
+        let mut live = self.hosts.iter().flatten();
+        let writer = live.find(|p| p.resumes <= self.now && p.version() == version);
+        let unsettled = writer.map(|p| p.ledger.unsettled(p.clock(self.now)));
+        let kept = |r: &&Arc<Roster>| unsettled.as_ref().is_none_or(|u| u.contains(&r.version));
+        lineage.earlier.iter().filter(kept).cloned().collect()
+    }
+
+    // A group of members may hear of a roster long after the others, or skip it.
+    fn announce(&mut self) {
+        let group = self.below(1 << self.hosts.len());
+        let slow = self.chance(50);
+        let common = self.below(150 * SEC);
+        for host in 0..self.hosts.len() {
+            let lag = match (self.faulty, slow && group >> host & 1 == 1) {
+                (false, _) => 10 * MS,
+                (true, false) => self.below(5 * SEC),
+                (true, true) => common,
+            };
+            self.schedule(self.now + lag, host, Task::Learn);
+        }
+    }
+
+    fn perform(&mut self, host: usize, task: Task) {
+        let Some(process) = &mut self.hosts[host] else {
+            return;
+        };
+        let clock = process.clock(self.now);
+        match task {
+            Task::Ledger(event) => self.ledger(host, event),
+            Task::Claimant(event) => self.claimant(host, event),
+            Task::Tick => {
+                self.ledger(host, LedgerEvent::Tick);
+                self.claimant(host, ClaimantEvent::Tick);
+            }
+            Task::Request(key, attempt, age) => {
+                let deadline = clock + Span::from_secs(8);
+                let ask = ClaimantEvent::Ask {
+                    key,
+                    attempt,
+                    age,
+                    deadline,
+                };
+                self.claimant(host, ask);
+            }
+            Task::Hear(from, roster, sent) => {
+                if let Some(ack) = process.acknowledge(sent) {
+                    self.send(from, &Task::Acked(ack));
+                }
+                let host_id = host_id(from);
+                self.ledger(
+                    host,
+                    LedgerEvent::Adopted {
+                        host: host_id,
+                        roster,
+                    },
+                );
+            }
+            Task::Acked(ack) => {
+                let roster = ack.roster;
+                if let Peer::Host(host_id) = ack.from.clone() {
+                    self.ledger(
+                        host,
+                        LedgerEvent::Adopted {
+                            host: host_id,
+                            roster,
+                        },
+                    );
+                }
+                self.ledger(host, LedgerEvent::Ack(ack));
+            }
+            Task::Beat => {
+                let roster = process.version();
+                let peers: Vec<usize> = process.peers().collect();
+                for peer in peers {
+                    self.send(peer, &Task::Hear(host, roster, clock));
+                }
+                self.schedule(self.now + SEC, host, Task::Beat);
+            }
+            Task::Learn => {
+                if let Some(lineage) = self.store.clone() {
+                    let roster = Arc::clone(&lineage.roster);
+                    process.roster = Some(Arc::clone(&roster));
+                    self.ledger(host, LedgerEvent::Roster(lineage));
+                    self.claimant(host, ClaimantEvent::Roster(roster));
+                }
+            }
+            Task::Start(..) | Task::Fault(_) => {}
+        }
+    }
+
+    fn ledger(&mut self, host: usize, event: LedgerEvent) {
+        let Some(process) = &mut self.hosts[host] else {
+            return;
+        };
+        let clock = process.clock(self.now);
+        for action in process.ledger.handle(clock, event) {
+            let (to, task) = match action {
+                LedgerAction::Verdict { to, verdict } => {
+                    (index(to), Task::Claimant(ClaimantEvent::Verdict(verdict)))
+                }
+                LedgerAction::Completed { to, completed } => (
+                    index(to),
+                    Task::Claimant(ClaimantEvent::Completed(completed)),
+                ),
+                LedgerAction::Handover { to, parcel } => {
+                    (index_of(&to), Task::Ledger(LedgerEvent::Takeover(parcel)))
+                }
+                LedgerAction::Acknowledge { to, roster } => {
+                    let from = host_id(host);
+                    let acked = LedgerEvent::TakeoverAcked { from, roster };
+                    (index_of(&to), Task::Ledger(acked))
+                }
+                LedgerAction::Drained => {
+                    self.hosts[host] = None;
+                    continue;
+                }
+                LedgerAction::Count(_) => continue,
+            };
+            self.send(to, &task);
+        }
+        self.wake(host);
+    }
+
+    fn claimant(&mut self, host: usize, event: ClaimantEvent) {
+        let Some(process) = &mut self.hosts[host] else {
+            return;
+        };
+        let clock = process.clock(self.now);
+        for action in process.claimant.handle(clock, event) {
+            match action {
+                ClaimantAction::Claim { to, claim } => {
+                    self.send(index(to), &Task::Ledger(LedgerEvent::Claim(claim)));
+                }
+                ClaimantAction::Complete { to, complete } => {
+                    self.send(index(to), &Task::Ledger(LedgerEvent::Complete(complete)));
+                }
+                ClaimantAction::Permit { key, start_by } => self.dispatch(host, key, start_by),
+                _ => {}
+            }
+        }
+        self.wake(host);
+    }
+
+    // A holder dispatches at once, late, or gives the grant back.
+    fn dispatch(&mut self, host: usize, key: RequestKey, start_by: Time) {
+        self.tally.permits.insert(key);
+        if self.chance(20) {
+            return self.report(host, key, outcome("not-run"));
+        }
+        let late = if self.faulty { self.below(4 * SEC) } else { MS };
+        self.schedule(self.now + late, host, Task::Start(key, start_by));
+    }
+
+    // The backend server shares the host's clock and refuses work past its start deadline.
+    fn start(&mut self, host: usize, key: RequestKey, start_by: Time) {
+        if clock_of(host, self.now) > start_by {
+            return self.report(host, key, outcome("not-run"));
+        }
+        *self.tally.runs.entry(key).or_default() += 1;
+        self.report(host, key, outcome("answered"));
+    }
+
+    fn report(&mut self, host: usize, key: RequestKey, outcome: Outcome) {
+        let report = ClaimantEvent::Report { key, outcome };
+        self.schedule(self.now + 10 * MS, host, Task::Claimant(report));
+    }
+
+    fn send(&mut self, to: usize, task: &Task) {
+        if self.chance(10) {
+            return;
+        }
+        let copies = if self.chance(10) { 2 } else { 1 };
+        for _ in 0..copies {
+            let longest = if self.chance(5) { LIFETIME } else { 5 * MS };
+            let delay = MS + self.below(longest);
+            self.schedule(self.now + delay, to, task.clone());
+        }
+    }
+
+    fn wake(&mut self, host: usize) {
+        let process = self.hosts[host].as_mut();
+        if let Some(at) = process.and_then(|process| process.next_wake(self.now)) {
+            self.schedule(at, host, Task::Tick);
+        }
+    }
+
+    fn schedule(&mut self, at: u64, host: usize, task: Task) {
+        self.next += 1;
+        self.tasks.insert((at, self.next), (host, task));
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.rng.next_u64() % bound
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.faulty && self.below(100) < percent
+    }
+}
