cli: profiles, services, apply and check through the store

Cause: operators need to change configuration without overwriting each other. All changes are checked as a whole before the first write, and each write depends on the version that was read.

--- /dev/null
+++ b/crates/cli/src/commands/edit.rs
@@ -0,0 +1,62 @@
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use usher_config::{Condition, Diff, Kind, Object, ObjectKey, ObjectName};
+
+use crate::document::Draft;
+use crate::error::CliError;
+use crate::output::Output;
+use crate::session::{Session, change};
+
+/// Writes back an object that `get --json` printed and that was edited since.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "edit",
+    example = "{command_name} fast fast.json",
+    note = "The file names the version that was read. If the object has changed since, nothing is overwritten and the difference is shown."
+)]
+pub(crate) struct Edit {
+    /// name of the object
+    #[argh(positional)]
+    name: ObjectName,
+
+    /// the edited output of `get --json`
+    #[argh(positional)]
+    file: PathBuf,
+
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+impl Edit {
+    pub(crate) async fn run(self, session: &Session, kind: Kind) -> Result<Output, CliError> {
+        let key = ObjectKey::new(kind, self.name);
+        let draft = Draft::read(&self.file, &key)?;
+        let Some(version) = draft.version else {
+            return Err(CliError::File {
+                path: self.file,
+                cause: "it names no version; take it from `get --json`".to_owned(),
+            });
+        };
+        let cache = session.load().await?;
+        let read = cache.get(&key);
+        if Condition::unchanged(read) != Condition::Version(version) {
+            return Err(moved(key, version.to_string(), read, &draft));
+        }
+        let change = change(key, read, Some(draft.value));
+        session.commit(&cache, vec![change]).await
+    }
+}
+
+fn moved(key: ObjectKey, expected: String, read: Option<&Object>, draft: &Draft) -> CliError {
+    let current = read.and_then(|object| object.value.as_ref());
+    let found = read.map_or_else(|| "none".to_owned(), |object| object.version.to_string());
+    CliError::Moved {
+        key,
+        expected,
+        found,
+        diff: Diff::new(current, Some(&draft.value)).to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,125 @@
+use std::io::{self, Write};
+use std::path::PathBuf;
+
+use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
+use serde_json::json;
+use thiserror::Error;
+use usher_config::{ConfigError, ObjectKey};
+use usher_platform::PlatformError;
+
+use crate::ExitStatus;
+
+/// A command that failed (`MU-4xxx`, or the code of the crate that refused it).
+#[derive(Debug, Error, Diagnostic)]
+pub(crate) enum CliError {
+    #[error("MU-4001: no store is given")]
+    #[diagnostic(help("give --store ADDRESS, or --settings FILE with `address` under [store]"))]
+    NoStore,
+
+    #[error("MU-4002: {path} cannot be read: {cause}")]
+    #[diagnostic(help("check the path and the format of the file"))]
+    File { path: PathBuf, cause: String },
+
+    #[error("MU-4003: {0} does not exist")]
+    #[diagnostic(help("`list` shows the names in the store"))]
+    Missing(ObjectKey),
+
+    #[error("MU-4004: '{pair}' is not valid: {cause}")]
+    #[diagnostic(help(
+        "write fields as key=value, for example hunt=5ms or methods.book.long=true"
+    ))]
+    Pair { pair: String, cause: String },
+
+    #[error("MU-4005: the value of {key} is not valid: {cause}")]
+    #[diagnostic(help("`get --json` shows the fields of an object that exists"))]
+    Value { key: ObjectKey, cause: String },
+
+    #[error("MU-4006: refused, nothing was written:\n{}", lines(.0))]
+    #[diagnostic(help("correct all faults listed and run the command again"))]
+    Refused(Vec<ConfigError>),
+
+    #[error("MU-4007: stopped after {} of {total} writes{}: {cause}{}", written.len(), done(written), diff(cause))]
+    #[diagnostic(help("read the objects again, then repeat the command for what is missing"))]
+    Write {
+        written: Vec<ObjectKey>,
+        total: usize,
+        cause: Box<PlatformError>,
+    },
+
+    #[error("MU-4008: written, but another operator's change does not fit it:\n{}", lines(.0))]
+    #[diagnostic(help(
+        "change one of the objects named; until then the one accepted first is in force"
+    ))]
+    Clash(Vec<ConfigError>),
+
+    #[error("MU-4009: {key} is at version {found}, not {expected}; nothing was written\n{diff}")]
+    #[diagnostic(help("read the object again and repeat the change on what it holds now"))]
+    Moved {
+        key: ObjectKey,
+        expected: String,
+        found: String,
+        diff: String,
+    },
+
+    #[error(transparent)]
+    #[diagnostic(help("check the address of the store and whether it is up"))]
+    Platform(#[from] PlatformError),
+}
+
+fn lines(faults: &[ConfigError]) -> String {
+    let lines: Vec<String> = faults.iter().map(|fault| format!("  {fault}")).collect();
+    lines.join("\n")
+}
+
+fn done(written: &[ObjectKey]) -> String {
+    let keys: Vec<String> = written.iter().map(ToString::to_string).collect();
+    if keys.is_empty() {
+        String::new()
+    } else {
+        format!(" ({})", keys.join(", "))
+    }
+}
+
+fn diff(cause: &PlatformError) -> String {
+    match cause {
+        PlatformError::Conflict(conflict) => format!("\n{}", conflict.diff()),
+        _ => String::new(),
+    }
+}
+
+impl CliError {
+    pub(crate) fn exit_status(&self) -> ExitStatus {
+        match self {
+            Self::NoStore => ExitStatus::Usage,
+            Self::Clash(_) | Self::Moved { .. } => ExitStatus::Conflict,
+            Self::Write { cause, .. } => platform_status(cause),
+            Self::Platform(cause) => platform_status(cause),
+            _ => ExitStatus::Failed,
+        }
+    }
+
+    pub(crate) fn write(&self, json: bool, err: &mut dyn Write) -> io::Result<()> {
+        let help = self.help().map(|help| help.to_string());
+        if json {
+            let message = self.to_string();
+            let code = message.split(':').next().unwrap_or_default();
+            let error = json!({ "code": code, "message": message, "hint": help });
+            return writeln!(err, "{}", json!({ "error": error }));
+        }
+        let mut text = String::new();
+        // Colours and box drawing would end up in logs and pipes.
+        let handler = GraphicalReportHandler::new_themed(GraphicalTheme::none());
+        match handler.render_report(&mut text, self) {
+            Ok(()) => write!(err, "{text}"),
+            Err(_) => writeln!(err, "{self}"),
+        }
+    }
+}
+
+fn platform_status(cause: &PlatformError) -> ExitStatus {
+    match cause {
+        PlatformError::Conflict(_) => ExitStatus::Conflict,
+        PlatformError::Unknown { .. } => ExitStatus::TimedOut,
+        _ => ExitStatus::Failed,
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,15 @@
 //! The operator's command-line tool.
+
+mod args;
+mod commands;
+mod document;
+mod error;
+mod exit_status;
+mod fields;
+mod output;
+mod run;
+mod session;
+mod settings;
+
+pub use exit_status::ExitStatus;
+pub use run::run;
