Set the version of a roster that is read before a conditional write

Cause: the version is not part of the encoded roster, so every proposal after the first one was based on another version and was discarded; one host per service did all the work. Change: edit_roster takes the version from the store object.

--- a/crates/runtime/src/control/writer.rs
+++ b/crates/runtime/src/control/writer.rs
@@ -17,10 +17,12 @@
 ) -> Result<Option<Arc<Roster>>, PlatformError> {
     let key = key(Kind::Roster, service.as_str())?;
     let current = store.get(&key).await?;
-    let roster = match current.as_ref().and_then(|object| object.value.as_ref()) {
+    let mut roster = match current.as_ref().and_then(|object| object.value.as_ref()) {
         Some(Value::Roster(roster)) => roster.clone(),
         _ => Roster::default(),
     };
+    // The version is no part of the encoded value; a deleted roster keeps the one of its tombstone.
+    roster.version = current.as_ref().map_or_else(Version::default, |object| object.version);
     let Some(mut changed) = edit(&roster) else {
         return Ok(None);
     };
