--- a/crates/members/src/balancers.rs
+++ b/crates/members/src/balancers.rs
@@ -5,6 +5,8 @@
 use usher_placement::{key_of, rank};
 use usher_types::{DataCentre, Fleet, HostId, InstanceId, Weight};
 
+use crate::Identity;
+
 /// Balancers that hear a host.
 const PER_HOST: usize = 3;
 /// Balancers that a balancer sends heartbeats to, which bounds its control traffic.
@@ -41,8 +43,19 @@
             .collect()
     }
 
-    /// Whether a balancer is among those that hear a host.
-    pub(crate) fn hears(&self, centre: &DataCentre, instance: &InstanceId, host: &HostId) -> bool {
+    /// Whether a process receives a host's heartbeats directly.
+    pub(crate) fn hears(&self, by: &Identity, centre: &DataCentre, host: &HostId) -> bool {
+        match by {
+            Identity::Agent { .. } => true,
+            Identity::Balancer {
+                instance,
+                centre: own,
+                ..
+            } => own == centre && self.is_chosen(centre, instance, host),
+        }
+    }
+
+    fn is_chosen(&self, centre: &DataCentre, instance: &InstanceId, host: &HostId) -> bool {
         let chosen = self.chosen(centre, host.as_str(), PER_HOST);
         chosen.iter().any(|name| name.as_str() == instance.as_str())
     }
--- a/crates/members/src/host.rs
+++ b/crates/members/src/host.rs
@@ -16,6 +16,26 @@
 
 /// This process's own host in one state of its life cycle.
 ///
+/// A transition consumes the value, and one that the state does not have does not compile.
+///
+/// ```
+/// use usher_members::{Change, Host};
+/// use usher_types::{HostState, Incarnation, Member, Weight};
+/// let member = Member {
+///     incarnation: Incarnation::new(1),
+///     agent: "127.0.0.1:9000".parse().unwrap(),
+///     admin: "127.0.0.1:9001".parse().unwrap(),
+///     centre: "kolkata".parse()?,
+///     weight: Weight::NOMINAL,
+///     state: HostState::Serving,
+/// };
+/// let announced = Host::announce("namedesk-1".parse()?, member);
+/// assert!(matches!(announced.join(), Change::Join { .. }));
+/// let draining = announced.serve().drain();
+/// assert!(matches!(draining.leave(), Change::Leave { .. }));
+/// # Ok::<(), usher_types::ParseError>(())
+/// ```
+///
 /// ```compile_fail
 /// # fn check(host: usher_members::Host<usher_members::Announced>) {
 /// host.leave(); // only a draining host leaves
@@ -46,14 +66,6 @@
 
 impl Host<Announced> {
     /// A host that is ready to join.
-    ///
-    /// ```
-    /// use usher_members::Host;
-    /// # fn announce(member: usher_types::Member) -> Result<(), usher_types::ParseError> {
-    /// let host = Host::announce("namedesk-1".parse()?, member);
-    /// # Ok(())
-    /// # }
-    /// ```
     pub fn announce(id: HostId, member: Member) -> Self {
         Self {
             id,
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -1,25 +1,21 @@
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use indexmap::IndexMap;
-use rand::{Rng, RngCore};
+use rand::RngCore;
 use usher_types::{
     Beat, BeatAck, DataCentre, Fleet, HostId, HostState, Peer, Roster, ServiceName, Span, Time,
     Version,
 };
 
 use crate::balancers::Balancers;
+use crate::own_host::OwnHost;
+use crate::services::Services;
 use crate::sighting::SILENCE;
 use crate::watch::Watch;
 use crate::{Action, Change, Event, HostLife, Identity, Proposal, Status};
 
 /// Time between two heartbeats.
 const BEAT: Span = Span::from_secs(1);
-/// Random delay of a process's own proposal, so that many starts spread their writes.
-const JITTER: Span = Span::from_secs(1);
-/// Time after which an own proposal is repeated if no roster confirms it.
-const PROPOSAL_RETRY: Span = Span::from_secs(3);
 /// Reported hosts per heartbeat, which bounds its size.
 const MAX_SUSPECTS: usize = 32;
 /// Members of a service that a balancer tells of a silent one.
@@ -41,19 +37,17 @@
 /// assert!(membership.next_timer().is_some());
 /// # Ok::<(), usher_types::ParseError>(())
 /// ```
+#[derive(Debug)]
 pub struct Membership {
     identity: Identity,
-    random: Box<dyn RngCore + Send>,
     status: Status,
     state: HostState,
-    life: HostLife,
+    own: OwnHost,
     store_up: bool,
     balancers: Balancers,
-    watches: IndexMap<ServiceName, Watch>,
-    services: HashMap<HostId, ServiceName>,
+    services: Services,
     ticked: Option<Time>,
     next_beat: Time,
-    next_proposal: Option<Time>,
 }
 
 impl Membership {
@@ -63,17 +57,14 @@
     pub fn new(identity: Identity, random: Box<dyn RngCore + Send>) -> Self {
         Self {
             identity,
-            random,
             status: Status::default(),
             state: HostState::Serving,
-            life: HostLife::default(),
+            own: OwnHost::new(random),
             store_up: true,
             balancers: Balancers::default(),
-            watches: IndexMap::new(),
-            services: HashMap::new(),
+            services: Services::default(),
             ticked: None,
             next_beat: Time::ZERO,
-            next_proposal: None,
         }
     }
 
@@ -94,11 +85,11 @@
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
         match event {
             Event::Tick => return self.on_tick(now),
-            Event::Roster { service, roster } => return self.on_roster(now, &service, roster),
-            Event::Forget(service) => self.forget(&service),
+            Event::Roster { service, roster } => self.on_roster(now, &service, roster),
+            Event::Forget(service) => self.services.forget(&service),
             Event::Fleet { centre, fleet } => self.on_fleet(now, &centre, fleet),
             Event::Beat { source, beat } => return self.on_beat(now, source, &beat),
-            Event::BeatAck(ack) => self.on_ack(now, &ack),
+            Event::BeatAck(ack) => self.services.on_ack(now, &ack),
             Event::Status(status) => self.status = status,
             Event::StoreDown => self.store_up = false,
             Event::StoreUp => self.store_up = true,
@@ -118,206 +109,117 @@
 
     /// When the next `Event::Tick` is due.
     pub fn next_timer(&self) -> Option<Time> {
-        let proposal = self.next_proposal.filter(|_| self.store_up);
+        let proposal = self.own.due().filter(|_| self.store_up);
         Some(proposal.map_or(self.next_beat, |time| time.min(self.next_beat)))
     }
 
     /// The state of this process's own host.
     pub fn life(&self) -> &HostLife {
-        &self.life
-    }
-
-    fn advance(&mut self, now: Time, step: impl FnOnce(HostLife) -> HostLife) {
-        self.life = step(std::mem::take(&mut self.life));
-        self.schedule_proposal(now);
+        self.own.life()
     }
 
     fn own_watch(&self) -> Option<&Watch> {
-        self.watches.get(self.identity.service()?)
+        self.services.get(self.identity.service()?)
     }
 
-    fn schedule_proposal(&mut self, now: Time) {
-        let pending = self
-            .own_watch()
-            .and_then(|watch| self.life.pending(watch.roster()));
-        self.next_proposal = pending.map(|_| {
-            let delay = self.random.random_range(0..JITTER.as_micros());
-            now + Span::from_micros(delay)
-        });
+    fn advance(&mut self, now: Time, step: impl FnOnce(HostLife) -> HostLife) {
+        let roster = self.own_watch().map(|watch| Arc::clone(watch.roster()));
+        self.own.advance(now, roster.as_deref(), step);
     }
 
-    fn on_roster(&mut self, now: Time, service: &ServiceName, roster: Arc<Roster>) -> Vec<Action> {
-        let foreign = self.identity.service().is_some_and(|own| own != service);
-        let known = self.watches.get(service);
-        if foreign || known.is_some_and(|known| known.roster().version >= roster.version) {
-            return Vec::new();
-        }
-        for host in known.iter().flat_map(|known| known.roster().members.keys()) {
-            self.services.remove(host);
-        }
-        for host in roster.members.keys() {
-            self.services.insert(host.clone(), service.clone());
-        }
-        let watch = self
-            .watches
-            .entry(service.clone())
-            .or_insert_with(Watch::new);
-        let hears = |host: &HostId, centre: &DataCentre| {
-            hears(&self.identity, &self.balancers, host, centre)
-        };
-        watch.adopt(now, roster, self.identity.host(), |host, member| {
-            hears(host, &member.centre)
-        });
-        if self.identity.service() == Some(service) {
-            let roster = Arc::clone(watch.roster());
-            self.advance(now, |life| life.adopt(&roster));
-        }
-        self.evaluate(now, service)
+    /// Moves this process's own host to the state that its roster shows.
+    fn follow(&mut self, now: Time) {
+        let roster = self.own_watch().map(|watch| Arc::clone(watch.roster()));
+        self.own
+            .advance(now, roster.as_deref(), |life| match &roster {
+                Some(roster) => life.adopt(roster),
+                None => life,
+            });
     }
 
-    fn forget(&mut self, service: &ServiceName) {
-        if let Some(watch) = self.watches.shift_remove(service) {
-            for host in watch.roster().members.keys() {
-                self.services.remove(host);
-            }
+    fn on_roster(&mut self, now: Time, service: &ServiceName, roster: Arc<Roster>) {
+        let own = self.identity.service();
+        let is_own = own == Some(service);
+        if own.is_some() && !is_own {
+            return;
+        }
+        let observer = (&self.identity, &self.balancers);
+        let adopted = self.services.adopt(now, service, roster, observer);
+        if adopted && is_own {
+            self.follow(now);
         }
     }
 
     fn on_fleet(&mut self, now: Time, centre: &DataCentre, fleet: Arc<Fleet>) {
-        if !self.balancers.adopt(centre, fleet) || centre != self.identity.centre() {
-            return;
-        }
-        for watch in self.watches.values_mut() {
-            let roster = Arc::clone(watch.roster());
-            watch.adopt(now, roster, self.identity.host(), |host, member| {
-                hears(&self.identity, &self.balancers, host, &member.centre)
-            });
+        if self.balancers.adopt(centre, fleet) && centre == self.identity.centre() {
+            self.services.refresh(now, &self.identity, &self.balancers);
         }
     }
 
     fn on_beat(&mut self, now: Time, source: SocketAddrV4, beat: &Beat) -> Vec<Action> {
         let service = match &beat.from {
-            Peer::Host(host) => {
-                let Some(service) = self.services.get(host) else {
-                    return Vec::new();
-                };
-                let Some(watch) = self.watches.get_mut(service) else {
-                    return Vec::new();
-                };
-                if !watch.on_beat(now, host, beat) {
-                    return Vec::new();
-                }
-                Some(service.clone())
-            }
             Peer::Instance(_) => None,
+            Peer::Host(host) => match self.services.on_beat(now, host, beat) {
+                Some(service) => Some(service),
+                None => return Vec::new(),
+            },
         };
-        self.on_reports(now, beat, service.as_ref());
-        self.acknowledge(source, beat, service.as_ref())
-    }
-
-    /// Counts the hosts that the sender no longer hears; an agent speaks of its own service only.
-    fn on_reports(&mut self, now: Time, beat: &Beat, service: Option<&ServiceName>) {
-        for suspect in &beat.suspects {
-            let of = self.services.get(suspect);
-            let about = of.filter(|of| service.is_none_or(|service| service == *of));
-            if let Some(watch) = about.and_then(|about| self.watches.get_mut(about)) {
-                watch.on_report(now, &beat.from, suspect);
-            }
-        }
+        self.services.on_reports(now, beat, service.as_ref());
+        let ack = self.acknowledge(beat, service.as_ref());
+        ack.map(|ack| Action::Ack { to: source, ack })
+            .into_iter()
+            .collect()
     }
 
     /// A member acknowledges no heartbeat of an older roster, so that it renews no old lease.
-    fn acknowledge(
-        &self,
-        to: SocketAddrV4,
-        beat: &Beat,
-        service: Option<&ServiceName>,
-    ) -> Vec<Action> {
-        let watch = service.and_then(|service| self.watches.get(service));
-        let roster = watch.map_or_else(Version::default, |watch| watch.roster().version);
+    fn acknowledge(&self, beat: &Beat, service: Option<&ServiceName>) -> Option<BeatAck> {
+        let roster = self.services.version(service);
         let renews = self.identity.service().is_some() && service.is_some();
-        if renews && beat.roster < roster {
-            return Vec::new();
-        }
-        let ack = BeatAck {
+        let outdated = renews && beat.roster < roster;
+        (!outdated).then(|| BeatAck {
             from: self.identity.peer(),
             roster,
             revision: self.status.revision,
             sent: beat.sent,
-        };
-        vec![Action::Ack { to, ack }]
-    }
-
-    /// The member was alive when this process sent the heartbeat that is acknowledged.
-    fn on_ack(&mut self, now: Time, ack: &BeatAck) {
-        let Peer::Host(host) = &ack.from else { return };
-        let service = self.services.get(host);
-        if let Some(watch) = service.and_then(|service| self.watches.get_mut(service)) {
-            watch.alive_at(host, ack.sent.min(now));
-        }
+        })
     }
 
     fn on_tick(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = self.own_proposal(now);
+        let mut actions: Vec<_> = self.own_proposal(now).into_iter().collect();
         if now < self.next_beat {
             return actions;
         }
         self.next_beat = now + BEAT;
         let paused = self.ticked.is_some_and(|last| now.since(last) >= SILENCE);
         self.ticked = Some(now);
-        let services: Vec<_> = self.watches.keys().cloned().collect();
-        for service in &services {
-            if paused && let Some(watch) = self.watches.get_mut(service) {
-                watch.excuse(now);
-            }
-            actions.extend(self.evaluate(now, service));
+        if paused {
+            self.services
+                .iter_mut()
+                .for_each(|(_, watch)| watch.excuse(now));
+        }
+        for (service, watch) in self.services.iter_mut() {
+            actions.extend(evaluate(now, service, watch));
         }
         actions.extend(self.beats(now));
         actions.extend(self.removal(now));
         actions
     }
 
-    fn evaluate(&mut self, now: Time, service: &ServiceName) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let Some(watch) = self.watches.get_mut(service) else {
-            return actions;
-        };
-        let (suspicion, trust) = watch.update(now);
-        if suspicion {
-            actions.push(Action::Suspected {
-                service: service.clone(),
-                hosts: watch.suspected(),
-            });
-        }
-        if trust {
-            actions.push(Action::Distrusted {
-                service: service.clone(),
-                distrusted: watch.is_distrusted(),
-            });
+    fn own_proposal(&mut self, now: Time) -> Option<Action> {
+        if !self.store_up {
+            return None;
         }
-        actions
-    }
-
-    fn own_proposal(&mut self, now: Time) -> Vec<Action> {
-        let due = self.next_proposal.is_some_and(|time| now >= time);
-        let Some(watch) = self.own_watch().filter(|_| due && self.store_up) else {
-            return Vec::new();
-        };
-        let base = watch.roster().version;
-        let change = self.life.pending(watch.roster());
-        self.next_proposal = change.is_some().then_some(now + PROPOSAL_RETRY);
-        change
-            .and_then(|change| self.propose(base, change))
-            .into_iter()
-            .collect()
+        let roster = Arc::clone(self.own_watch()?.roster());
+        let change = self.own.proposal(now, &roster)?;
+        self.propose(roster.version, change)
     }
 
     fn removal(&mut self, now: Time) -> Option<Action> {
         let host = self.identity.host()?;
-        if !self.store_up || !self.life.beats() {
+        if !self.store_up || !self.own.life().beats() {
             return None;
         }
-        let watch = self.watches.get_mut(self.identity.service()?)?;
+        let watch = self.services.get_mut(self.identity.service()?)?;
         let change = watch.removal(now, host)?;
         let base = watch.roster().version;
         self.propose(base, change)
@@ -335,7 +237,7 @@
     fn beats(&self, now: Time) -> Vec<Action> {
         match &self.identity {
             Identity::Agent { host, centre, .. } => {
-                let Some(watch) = self.own_watch().filter(|_| self.life.beats()) else {
+                let Some(watch) = self.own_watch().filter(|_| self.own.life().beats()) else {
                     return Vec::new();
                 };
                 let others = watch.roster().members.iter();
@@ -345,11 +247,11 @@
                 self.beat(now, to, watch.silent(now)).into_iter().collect()
             }
             Identity::Balancer { instance, .. } => {
-                let silent = self.watches.values().flat_map(|watch| watch.silent(now));
+                let silent = self.services.iter().flat_map(|watch| watch.silent(now));
                 let to = self.balancers.of_balancer(instance);
                 let told = self
-                    .watches
-                    .values()
+                    .services
+                    .iter()
                     .filter_map(|watch| self.tell(now, watch));
                 self.beat(now, to, silent).into_iter().chain(told).collect()
             }
@@ -390,25 +292,16 @@
     }
 }
 
-impl std::fmt::Debug for Membership {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Membership")
-            .field("identity", &self.identity)
-            .field("life", &self.life)
-            .field("store_up", &self.store_up)
-            .field("watches", &self.watches)
-            .finish_non_exhaustive()
-    }
-}
-
-/// Whether this process receives a host's heartbeats directly.
-fn hears(identity: &Identity, balancers: &Balancers, host: &HostId, centre: &DataCentre) -> bool {
-    match identity {
-        Identity::Agent { .. } => true,
-        Identity::Balancer {
-            instance,
-            centre: own,
-            ..
-        } => own == centre && balancers.hears(centre, instance, host),
-    }
+/// Re-evaluates a service and names what changed.
+fn evaluate(now: Time, service: &ServiceName, watch: &mut Watch) -> Vec<Action> {
+    let (suspicion, trust) = watch.update(now);
+    let suspected = suspicion.then(|| Action::Suspected {
+        service: service.clone(),
+        hosts: watch.suspected(),
+    });
+    let distrusted = trust.then(|| Action::Distrusted {
+        service: service.clone(),
+        distrusted: watch.is_distrusted(),
+    });
+    suspected.into_iter().chain(distrusted).collect()
 }
--- /dev/null
+++ b/crates/members/src/own_host.rs
@@ -0,0 +1,69 @@
+use std::fmt;
+
+use rand::{Rng, RngCore};
+use usher_types::{Roster, Span, Time};
+
+use crate::{Change, HostLife};
+
+/// Random delay of a proposal, so that many starts at once spread their writes.
+const JITTER: Span = Span::from_secs(1);
+/// Time after which a proposal is repeated if no roster confirms it.
+const RETRY: Span = Span::from_secs(3);
+
+/// This process's own host and the roster change that it still waits for.
+pub(crate) struct OwnHost {
+    life: HostLife,
+    random: Box<dyn RngCore + Send>,
+    due: Option<Time>,
+}
+
+impl OwnHost {
+    pub(crate) fn new(random: Box<dyn RngCore + Send>) -> Self {
+        Self {
+            life: HostLife::default(),
+            random,
+            due: None,
+        }
+    }
+
+    pub(crate) fn life(&self) -> &HostLife {
+        &self.life
+    }
+
+    /// When the next proposal is due.
+    pub(crate) fn due(&self) -> Option<Time> {
+        self.due
+    }
+
+    /// Moves along the life cycle; `roster` is `None` before the first one is read.
+    pub(crate) fn advance(
+        &mut self,
+        now: Time,
+        roster: Option<&Roster>,
+        step: impl FnOnce(HostLife) -> HostLife,
+    ) {
+        self.life = step(std::mem::take(&mut self.life));
+        let pending = roster.and_then(|roster| self.life.pending(roster));
+        self.due = pending.map(|_| {
+            let delay = self.random.random_range(0..JITTER.as_micros());
+            now + Span::from_micros(delay)
+        });
+    }
+
+    /// The change to propose, if one is due.
+    pub(crate) fn proposal(&mut self, now: Time, roster: &Roster) -> Option<Change> {
+        self.due.filter(|due| now >= *due)?;
+        let change = self.life.pending(roster);
+        self.due = change.is_some().then_some(now + RETRY);
+        change
+    }
+}
+
+impl fmt::Debug for OwnHost {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OwnHost")
+            .field("life", &self.life)
+            .field("due", &self.due)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -4,8 +4,9 @@
 use usher_placement::first;
 use usher_types::{Beat, HostId, Incarnation, Peer, Roster, Span, Time, Weight};
 
-use crate::Change;
+use crate::balancers::Balancers;
 use crate::sighting::Sighting;
+use crate::{Change, Identity};
 
 /// Suspicion after which a member is removed from the roster.
 const REMOVAL: Span = Span::from_secs(10);
@@ -35,23 +36,23 @@
         &self.roster
     }
 
-    /// Adopts a roster; `observed` tells whether this process hears a member directly.
+    /// Adopts a roster and decides which members this process hears directly.
     pub(crate) fn adopt(
         &mut self,
         now: Time,
         roster: Arc<Roster>,
-        own: Option<&HostId>,
-        observed: impl Fn(&HostId, &usher_types::Member) -> bool,
+        identity: &Identity,
+        balancers: &Balancers,
     ) {
         let earlier = std::mem::replace(&mut self.roster, roster);
         let roster = Arc::clone(&self.roster);
         self.sightings
             .retain(|host, _| roster.members.contains_key(host));
         for (host, member) in &roster.members {
-            if Some(host) == own {
+            if Some(host) == identity.host() {
                 continue;
             }
-            let observed = observed(host, member);
+            let observed = balancers.hears(identity, &member.centre, host);
             let sighting = self
                 .sightings
                 .entry(host.clone())
@@ -81,9 +82,7 @@
 
     /// Counts that another process no longer hears a member.
     pub(crate) fn on_report(&mut self, now: Time, from: &Peer, suspect: &HostId) {
-        let about_itself = matches!(from, Peer::Host(host) if host == suspect);
-        let sighting = self.sightings.get_mut(suspect).filter(|_| !about_itself);
-        if let Some(sighting) = sighting {
+        if let Some(sighting) = self.sightings.get_mut(suspect) {
             sighting.on_report(now, from);
         }
     }
