Hand over dedupe records on a planned stop and renew leases without delay

Cause: a leaving agent no longer got the roster without itself, so it never handed its records over and their keys were answered 'outcome unknown'. After each roster change leases lapsed until the next heartbeat, and requests that may not be repeated expired in the queue. A restarted process with a stale roster could acknowledge a lease that its predecessor had given up. Change: views go on after leaving; the process ends when its records are kept by others; heartbeats follow a roster change at once and are repeated for members that adopt it later; unlisted processes acknowledge no lease.

--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -1,3 +1,4 @@
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -48,6 +49,8 @@
     services: Services,
     ticked: Option<Time>,
     next_beat: Time,
+    // Members that are known to have the current roster of the own service.
+    aligned: HashSet<HostId>,
 }
 
 impl Membership {
@@ -65,6 +68,7 @@
             services: Services::default(),
             ticked: None,
             next_beat: Time::ZERO,
+            aligned: HashSet::new(),
         }
     }
 
@@ -147,6 +151,9 @@
         let adopted = self.services.adopt(now, service, roster, observer);
         if adopted && is_own {
             self.follow(now);
+            // A lease holds for one roster version, so a new one is renewed without delay.
+            self.aligned.clear();
+            self.next_beat = now;
         }
     }
 
@@ -166,16 +173,36 @@
         };
         self.services.on_reports(now, beat, service.as_ref());
         let ack = self.acknowledge(beat, service.as_ref());
-        ack.map(|ack| Action::Ack { to: source, ack })
-            .into_iter()
+        let ack = ack.map(|ack| Action::Ack { to: source, ack });
+        ack.into_iter()
+            .chain(self.align(now, source, beat))
             .collect()
     }
 
+    /// Repeats the heartbeat for a member that has only now adopted the same roster.
+    ///
+    /// It could not acknowledge the one that followed this process's own adoption.
+    fn align(&mut self, now: Time, source: SocketAddrV4, beat: &Beat) -> Option<Action> {
+        let Peer::Host(host) = &beat.from else {
+            return None;
+        };
+        let watch = self.own_watch().filter(|_| self.own.life().beats())?;
+        if beat.roster != watch.roster().version || self.aligned.contains(host) {
+            return None;
+        }
+        let repeated = self.beat(now, vec![source], watch.silent(now));
+        self.aligned.insert(host.clone());
+        repeated
+    }
+
     /// A member acknowledges no heartbeat of an older roster, so that it renews no old lease.
+    ///
+    /// A process that its roster does not list acknowledges none of its service: an earlier process
+    /// on the same host may have adopted a newer roster and stopped.
     fn acknowledge(&self, beat: &Beat, service: Option<&ServiceName>) -> Option<BeatAck> {
         let roster = self.services.version(service);
         let renews = self.identity.service().is_some() && service.is_some();
-        let outdated = renews && beat.roster < roster;
+        let outdated = renews && (beat.roster < roster || !self.own.life().beats());
         (!outdated).then(|| BeatAck {
             from: self.identity.peer(),
             roster,
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -38,6 +38,8 @@
     status: Status,
     unsettled: Option<Vec<Version>>,
     created: bool,
+    was_member: bool,
+    records_drained: bool,
     phase: Phase,
     next_report: Time,
 }
@@ -77,6 +79,8 @@
             status: Status::default(),
             unsettled: None,
             created: false,
+            was_member: false,
+            records_drained: false,
             phase: Phase::Running,
             next_report: Time::ZERO,
         }
@@ -175,6 +179,10 @@
                 self.advance(Event::Status(self.status));
             }
             ControlEvent::Drained => self.on_drained(),
+            ControlEvent::RecordsDrained => {
+                self.records_drained = true;
+                self.check_left();
+            }
             ControlEvent::Written(roster) => self.on_written(roster),
             ControlEvent::Call(call) => self.answer(call),
             ControlEvent::Stop => self.begin_drain(true),
@@ -214,15 +222,16 @@
             let _ = self.worker.send(WorkerEvent::View(view));
         }
         self.advance(Event::Roster { service, roster });
-        self.watch_own_entry();
+        self.check_left();
     }
 
-    fn view(&self, roster: &Arc<Roster>) -> Option<View> {
+    // A process that has left still needs the roster that replaced it, to hand its records over.
+    fn view(&mut self, roster: &Arc<Roster>) -> Option<View> {
         let entry = self.state.service(&self.settings.service)?;
         let profile = self.state.profile(&entry.profile)?;
-        let is_member = roster.members.get(&self.settings.host);
-        is_member.filter(|member| member.incarnation == self.incarnation)?;
-        Some(View {
+        let own = roster.members.get(&self.settings.host);
+        self.was_member |= own.is_some_and(|member| member.incarnation == self.incarnation);
+        self.was_member.then(|| View {
             generation: entry.generation,
             profile: Arc::new(profile.clone()),
             roster: Arc::clone(roster),
@@ -263,15 +272,15 @@
         ]);
     }
 
-    // A planned stop ends when the roster no longer lists this agent.
-    fn watch_own_entry(&mut self) {
+    // A planned stop ends when the roster no longer lists this agent and its records are kept by others.
+    fn check_left(&mut self) {
         let roster = self
             .state
             .roster(&self.settings.service)
             .unwrap_or_default();
         let own = roster.members.get(&self.settings.host);
         let is_listed = own.is_some_and(|member| member.incarnation == self.incarnation);
-        if self.phase == Phase::Leaving && !is_listed {
+        if self.phase == Phase::Leaving && !is_listed && self.records_drained {
             self.phase = Phase::Left { since: now() };
         }
     }
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -14,8 +14,8 @@
 };
 use usher_flows::{self as flows, FlowTable};
 use usher_types::{
-    Beat, HostId, HostState, PastRoster, Peer, RequestId, RequestKey, Roster, ServiceName, Span,
-    Time, Version,
+    Beat, Body, HostId, HostState, PastRoster, Peer, Relay, RequestId, RequestKey, Roster,
+    ServiceName, Span, Time, Version,
 };
 use usher_wire::{AgentMessage, Datagram, RunRequest, encode_packet};
 
@@ -248,7 +248,7 @@
 
     fn on_datagram(&mut self, source: SocketAddrV4, datagram: Datagram) {
         match datagram {
-            Datagram::Relay(relay) => self.flows(flows::Event::Relay(relay)),
+            Datagram::Relay(relay) => self.on_relay(relay),
             Datagram::Beat(beat) => self.on_beat(source, &beat),
             Datagram::BeatAck(ack) => {
                 if let Peer::Host(host) = &ack.from {
@@ -272,6 +272,17 @@
         }
     }
 
+    // The choice of a host for a new flow needs the current wait.
+    fn on_relay(&mut self, relay: Relay) {
+        if relay.packet.body == Body::Open
+            && let Some(parts) = &self.parts
+        {
+            let wait = parts.scheduler.wait(now());
+            self.flows(flows::Event::Wait(wait));
+        }
+        self.flows(flows::Event::Relay(relay));
+    }
+
     fn on_beat(&mut self, source: SocketAddrV4, beat: &Beat) {
         let Peer::Host(host) = &beat.from else { return };
         let is_member = self
@@ -559,7 +570,10 @@
             LedgerAction::Handover { to, parcel } => self.hand_over_records(&to, parcel),
             // The answer is collected by `take_over`.
             LedgerAction::Acknowledge { .. } => {}
-            LedgerAction::Drained => self.mark(|drained| drained.records = true),
+            LedgerAction::Drained => {
+                self.drained.records = true;
+                let _ = self.links.events.try_send(ControlEvent::RecordsDrained);
+            }
             LedgerAction::Count(counter) => self.counts.add("dedupe", &counter),
         }
     }
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -132,6 +132,7 @@
             ControlEvent::Load { .. }
             | ControlEvent::InForce(_)
             | ControlEvent::Drained
+            | ControlEvent::RecordsDrained
             | ControlEvent::Written(_)
             | ControlEvent::Stop => {}
         }
--- a/crates/runtime/src/control/event.rs
+++ b/crates/runtime/src/control/event.rs
@@ -29,8 +29,10 @@
     },
     /// The traffic thread has adopted a roster and holds no older one.
     InForce(Version),
-    /// The traffic thread has finished its part of a planned stop.
+    /// The traffic thread has handed over its flows and finished its requests.
     Drained,
+    /// The traffic thread has handed over its dedupe records.
+    RecordsDrained,
     /// A conditional write of the roster ended.
     Written(Option<Arc<Roster>>),
     /// A call of the administration RPC.
--- a/crates/runtime/src/control/writer.rs
+++ b/crates/runtime/src/control/writer.rs
@@ -22,7 +22,9 @@
         _ => Roster::default(),
     };
     // The version is no part of the encoded value; a deleted roster keeps the one of its tombstone.
-    roster.version = current.as_ref().map_or_else(Version::default, |object| object.version);
+    roster.version = current
+        .as_ref()
+        .map_or_else(Version::default, |object| object.version);
     let Some(mut changed) = edit(&roster) else {
         return Ok(None);
     };
--- a/crates/standins/src/caller/driver.rs
+++ b/crates/standins/src/caller/driver.rs
@@ -287,7 +287,7 @@
             return;
         };
         self.outstanding -= 1;
-        let load = &self.args.load[waiting.load];
+        let load = self.args.load[waiting.load].clone();
         let latency = now - waiting.sent;
         match response.outcome {
             Outcome::Answered(payload) => {
@@ -297,12 +297,30 @@
                 self.tally.answered += 1;
                 self.tally.record(&load.method, latency);
             }
-            Outcome::NotRun { .. } => self.tally.not_run += 1,
-            Outcome::Unknown => self.tally.unknown += 1,
-            Outcome::Failed(_) => self.tally.failed += 1,
+            Outcome::NotRun { refusal, .. } => {
+                self.tally.not_run += 1;
+                self.trace(now, flow, &load.method, &format!("not run: {refusal:?}"));
+            }
+            Outcome::Unknown => {
+                self.tally.unknown += 1;
+                self.trace(now, flow, &load.method, "outcome unknown");
+            }
+            Outcome::Failed(_) => {
+                self.tally.failed += 1;
+                self.trace(now, flow, &load.method, "failed");
+            }
         }
     }
 
+    // One line for each request that was not answered, for reading after a run.
+    fn trace(&self, now: Time, flow: usize, method: &str, what: &str) {
+        eprintln!(
+            "caller: {} {method} on {}: {what}",
+            now - self.start,
+            self.flow(flow)
+        );
+    }
+
     fn send_all(&self, packets: &[Packet]) {
         for packet in packets {
             self.send(packet);
