admission: fault tables, properties and strength tests; faults that they found

Cause: the scheduler had no proof beyond its examples. Faults found and fixed: a run whose deadline passed before the short bound was never counted as long; the grant of a refused retry was not given back; a late grant could be released while a newer request used the key; an outcome from a peer whose reply was lost was ignored.

--- a/crates/admission/src/arrival.rs
+++ b/crates/admission/src/arrival.rs
@@ -56,7 +56,7 @@
             self.table.alias(request.id, held);
         }
         // An attempt in between went to another agent.
-        if request.attempt > task.request.attempt.next() {
+        if request.attempt > task.request.attempt.next() && !task.granted {
             task.doubt = task.doubt.max(Doubt::Retry);
         }
         task.request.attempt = task.request.attempt.max(request.attempt);
--- a/crates/admission/src/claiming.rs
+++ b/crates/admission/src/claiming.rs
@@ -74,7 +74,8 @@
                 self.learn_lead(now, job.state.claim);
                 self.permit_queued(now, job, start_by);
             }
-            Some(Entry::Refusing(job)) => {
+            Some(Entry::Refusing(mut job)) => {
+                job.task.granted = true;
                 self.release(&job.task);
                 let refusal = job.state.refusal;
                 let outcome = self.not_run(now, refusal);
@@ -106,8 +107,11 @@
     }
 
     /// A grant arrived for a request that has ended.
+    ///
+    /// It is not given back while another request under the same key is held, which may use it.
     fn release_late(&mut self, id: RequestId) {
         match self.releases.remove(&id) {
+            Some(key) if self.table.holder(key).is_some() => {}
             Some(key) => {
                 let outcome = Outcome::NotRun {
                     refusal: Refusal::Cancelled,
--- a/crates/admission/src/event.rs
+++ b/crates/admission/src/event.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
     /// A caller's request arrived on a flow that this agent holds.
+    ///
+    /// A copy under the same id may arrive only until the request has an outcome.
     Arrive(Request),
     /// The key owner granted the claim of a request.
     Permit {
--- a/crates/admission/src/expiry.rs
+++ b/crates/admission/src/expiry.rs
@@ -5,6 +5,7 @@
 use crate::class::Class;
 use crate::entry::Entry;
 use crate::job::{Claimed, Dispatched, Job};
+use crate::task::Task;
 use crate::{Action, Counter, Scheduler};
 
 impl Scheduler {
@@ -51,22 +52,31 @@
     fn check_run(&mut self, now: Time, mut job: Job<Dispatched>) {
         let id = job.task.id();
         let running = now.since(job.state.started);
-        let overdue = running >= self.profile.short_bound;
-        if self.policy.classes && job.task.class == Class::Short && overdue {
+        if self.ages(job.task.class) && running >= self.profile.short_bound {
             job.task.class = Class::Long;
             self.runs.age(&id);
             self.count(Counter::Aged);
         }
-        let deadline = job.task.request.deadline;
-        if now < deadline {
-            job.state.check = Some(deadline);
-        } else {
-            job.state.check = None;
+        if job.task.request.deadline <= now {
             self.cancel_run(&mut job);
         }
+        job.state.check = self.next_check(now, &job.task, job.state.started);
         self.table.insert(Entry::Dispatched(job));
     }
 
+    fn ages(&self, class: Class) -> bool {
+        self.policy.classes && class == Class::Short
+    }
+
+    /// When a run reaches the short bound or its deadline, whichever lies ahead first.
+    pub(crate) fn next_check(&self, now: Time, task: &Task, started: Time) -> Option<Time> {
+        let aging = self
+            .ages(task.class)
+            .then(|| started + self.profile.short_bound);
+        let checks = [aging, Some(task.request.deadline)];
+        checks.into_iter().flatten().filter(|at| *at > now).min()
+    }
+
     pub(crate) fn cancel_run(&mut self, job: &mut Job<Dispatched>) {
         if !job.state.cancelled {
             job.state.cancelled = true;
--- a/crates/admission/src/job.rs
+++ b/crates/admission/src/job.rs
@@ -30,7 +30,7 @@
 pub(crate) struct Dispatched {
     pub(crate) start_by: Time,
     pub(crate) started: Time,
-    /// Next check of the running time; `None` after the deadline.
+    /// Next check of the running time; `None` once it is past both limits.
     pub(crate) check: Option<Time>,
     pub(crate) cancelled: bool,
 }
@@ -108,13 +108,13 @@
 }
 
 impl Job<Claimed> {
-    pub(crate) fn dispatch(mut self, now: Time, check: Time) -> Job<Dispatched> {
+    pub(crate) fn dispatch(mut self, now: Time, check: Option<Time>) -> Job<Dispatched> {
         let budget = &mut self.task.request.budget;
         *budget = usher_types::Budget::new(budget.get().saturating_sub(1));
         let state = Dispatched {
             start_by: self.state.start_by,
             started: now,
-            check: Some(check),
+            check,
             cancelled: false,
         };
         self.with(state)
--- a/crates/admission/src/running.rs
+++ b/crates/admission/src/running.rs
@@ -64,12 +64,7 @@
         let id = job.task.id();
         let class = job.task.class;
         let deadline = job.task.request.deadline;
-        let aging = self.policy.classes && class == Class::Short;
-        let check = if aging {
-            deadline.min(now + self.profile.short_bound)
-        } else {
-            deadline
-        };
+        let check = self.next_check(now, &job.task, now);
         self.runs.start(
             id,
             Run {
@@ -181,6 +176,8 @@
     fn complete(&mut self, task: &Task, outcome: Outcome) {
         if task.request.once {
             let key = task.request.key;
+            // A release sent later would void this report.
+            self.releases.retain(|_, released| *released != key);
             self.out.push(Action::Complete { key, outcome });
         }
     }
--- a/crates/admission/src/sharing.rs
+++ b/crates/admission/src/sharing.rs
@@ -146,6 +146,13 @@
         match self.table.take(&id) {
             Some(Entry::Lent(job)) => self.finish(now, job, outcome),
             Some(Entry::Offered(job)) if job.state.to == reply => self.finish(now, job, outcome),
+            // The offer was given up, but the peer had taken it.
+            Some(Entry::Queued(job)) if has_run(&outcome) => {
+                if job.state.claim.is_some() {
+                    self.release_when_granted(&job.task);
+                }
+                self.finish(now, job, outcome);
+            }
             Some(entry) => {
                 self.table.insert(entry);
                 self.count(Counter::Stale);
@@ -217,6 +224,10 @@
     }
 }
 
+fn has_run(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered(_) | Outcome::Failed(_))
+}
+
 /// The offered request on this agent's clock.
 fn request(now: Time, offer: Offer) -> Request {
     Request {
--- /dev/null
+++ b/crates/admission/tests/admission/strength.rs
@@ -0,0 +1,83 @@
+//! Runs the rows of `data/strength.json`: weight and wait after a series of runs.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use usher_admission::{Event, Policy, Scheduler};
+use usher_types::{Profile, Slots};
+
+use crate::{common, text};
+
+/// Runs of `service` milliseconds each, one after another, until `until` milliseconds.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Phase {
+    until: u64,
+    service: u64,
+    /// Every how many runs one fails, after one millisecond; 0 for none.
+    #[serde(default)]
+    failing: u32,
+    /// Bounds of the weight at the end of the phase.
+    weight: [u32; 2],
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Row {
+    guards: String,
+    phases: Vec<Phase>,
+}
+
+fn run(row: &Row) {
+    let own = common::peer(common::OWN_PORT);
+    let profile = Arc::new(Profile::default());
+    let mut scheduler = Scheduler::new(profile, Slots::new(3), Policy::default(), own);
+    let (mut now, mut number) = (0, 0);
+    for phase in &row.phases {
+        while now < phase.until {
+            number += 1;
+            let deadline = now + 1_000;
+            let arrival = format!("arrive {number} deadline={deadline}");
+            scheduler.handle(text::at(now), text::event(&arrival));
+            let failed = phase.failing > 0 && number % phase.failing == 0;
+            let result = if failed { "failed" } else { "answered" };
+            now += if failed { 1 } else { phase.service };
+            let finish = format!("finished {number} {result}");
+            scheduler.handle(text::at(now), text::event(&finish));
+        }
+        scheduler.handle(text::at(now), Event::Tick);
+        let weight = scheduler.weight().get();
+        let [low, high] = phase.weight;
+        let bounds = low..=high;
+        assert!(
+            bounds.contains(&weight),
+            "{}: {weight} at {now} ms",
+            row.guards
+        );
+    }
+}
+
+#[test]
+fn weight_table() {
+    let rows: Vec<Row> = serde_json::from_str(include_str!("../data/strength.json")).unwrap();
+    for row in &rows {
+        run(row);
+    }
+}
+
+/// Guards against one slow run that makes the whole host appear slow, or idle.
+#[test]
+fn straggler_affects_one_slot() {
+    let own = common::peer(common::OWN_PORT);
+    let profile = Arc::new(Profile::default());
+    let mut scheduler = Scheduler::new(profile, Slots::new(2), Policy::default(), own);
+    for number in 1..=2 {
+        let arrival = format!("arrive {number} deadline=9000");
+        scheduler.handle(text::at(0), text::event(&arrival));
+    }
+    scheduler.handle(text::at(10), text::event("finished 2 answered"));
+    assert_eq!(scheduler.wait(text::at(5_000)), usher_types::Span::ZERO);
+    scheduler.handle(text::at(5_000), text::event("arrive 3 deadline=9000"));
+    let wait = scheduler.wait(text::at(5_000)).as_millis();
+    assert!((5..50).contains(&wait), "wait of {wait} ms");
+}
--- /dev/null
+++ b/crates/admission/tests/admission/world/checks.rs
@@ -0,0 +1,143 @@
+//! The invariants, checked on every action.
+
+use usher_admission::Action;
+use usher_types::{Outcome, Request, RequestId, Span, Time};
+
+use super::{Run, World};
+
+const SHORT_BOUND: Span = Span::from_millis(100);
+
+impl World {
+    pub(super) fn check(&mut self, action: Action) {
+        match action {
+            Action::Claim { id, attempt, .. } => self.claims.push((id, attempt)),
+            Action::Dispatch { id, start_by, .. } => self.check_dispatch(id, start_by),
+            Action::CancelRun { id } => assert!(self.running.contains_key(&id)),
+            Action::Reply { id, outcome } => {
+                self.check_not_run(id, &outcome);
+                let previous = self.outcomes.insert(id, outcome);
+                assert_eq!(previous, None, "second outcome of {id}");
+            }
+            Action::Complete { key, outcome } => {
+                if matches!(outcome, Outcome::NotRun { .. }) {
+                    assert!(!self.ran.contains(&key), "released a key that may have run");
+                    if let Some((_, attempt)) = self.granted.remove(&key) {
+                        self.released.insert(key, attempt);
+                    }
+                }
+            }
+            Action::Offer { to, offer } => {
+                let place = (to.port(), offer.id);
+                let others = self.sent.difference(&self.declined);
+                let alone = others
+                    .into_iter()
+                    .all(|(p, id)| *id != offer.id || *p == place.0);
+                assert!(alone, "two offers of {} are outstanding", offer.id);
+                assert!(
+                    !self.running.contains_key(&offer.id),
+                    "offered while it runs"
+                );
+                self.sent.insert(place);
+            }
+            Action::OfferReply { reply, .. } => {
+                let previous = self.taken.insert(reply.id, reply.taken);
+                let ended = self.reported.contains_key(&reply.id);
+                let same = previous.is_none_or(|taken| taken == reply.taken);
+                assert!(
+                    same || (ended && !reply.taken),
+                    "changed its reply to an offer"
+                );
+                // The offering agent has its outcome and ignores this reply.
+                if ended {
+                    self.taken.insert(reply.id, true);
+                }
+            }
+            Action::OfferOutcome { outcome, .. } => {
+                let (id, outcome) = (outcome.id, outcome.outcome);
+                let previous = self.reported.get(&id);
+                assert!(
+                    previous.is_none_or(|p| *p == outcome),
+                    "outcome of {id} changed"
+                );
+                if previous.is_none() {
+                    self.check_not_run(id, &outcome);
+                    self.reported.insert(id, outcome);
+                }
+            }
+            Action::Drained => {
+                self.drained += 1;
+                assert!(
+                    self.draining && self.running.is_empty(),
+                    "drained with runs"
+                );
+            }
+            Action::OfferDone { .. } | Action::Count(_) => {}
+        }
+    }
+
+    fn check_dispatch(&mut self, id: RequestId, start_by: Time) {
+        let request = &self.requests[&id];
+        assert!(start_by > self.now, "dispatched past its start deadline");
+        assert!(
+            !self.late.contains(&id),
+            "dispatched an arrival during the drain"
+        );
+        assert!(
+            !self.reported.contains_key(&id),
+            "dispatched after its outcome"
+        );
+        if !self.is_joined(id) {
+            assert!(
+                !self.outcomes.contains_key(&id),
+                "dispatched after its outcome"
+            );
+        }
+        let repeated = !self.ran.insert(request.key);
+        if request.once {
+            let grant = self
+                .granted
+                .get(&request.key)
+                .expect("dispatched without a grant");
+            assert!(start_by <= grant.0, "start deadline exceeds the grant");
+            assert!(!repeated, "{id} runs a second time");
+        }
+        if self.policy.classes && request.method == "map" {
+            let long = self
+                .running
+                .iter()
+                .filter(|(id, run)| self.is_long(id, run));
+            let limit = usize::from(self.slots.saturating_sub(1).max(1));
+            assert!(long.count() < limit, "long work took the last slot");
+        }
+        let started = self.now;
+        self.running.insert(id, Run { started, repeated });
+        assert!(
+            self.running.len() <= usize::from(self.slots),
+            "slots exceeded"
+        );
+    }
+
+    fn is_long(&self, id: &RequestId, run: &Run) -> bool {
+        self.requests[id].method == "map" || self.now - run.started >= SHORT_BOUND
+    }
+
+    /// Another attempt of the request arrived here; it may outlive the first one's caller.
+    fn is_joined(&self, id: RequestId) -> bool {
+        let key = self.requests[&id].key;
+        self.requests.values().filter(|r| r.key == key).count() > 1
+    }
+
+    fn check_not_run(&self, id: RequestId, outcome: &Outcome) {
+        if matches!(outcome, Outcome::NotRun { .. }) {
+            let key = self.requests[&id].key;
+            assert!(
+                !self.ran.contains(&key),
+                "{id} is told not run, but may have run"
+            );
+            let twins = self.requests.values().filter(|r| r.key == key);
+            let barred = |r: &Request| r.once && self.is_released(key, r.attempt);
+            let away = twins.into_iter().any(|r| !barred(r) && self.is_away(&r.id));
+            assert!(!away, "{id} is told not run, but a peer may run it");
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/admission/world/environment.rs
@@ -0,0 +1,202 @@
+//! What callers, the key owner, the backend server and peers may do.
+
+use usher_admission::Event;
+use usher_types::{
+    Attempt, Budget, Offer, OfferOutcome, OfferReply, Outcome, Payload, Priority, Request,
+    RequestId, RequestKey, Span,
+};
+
+use super::{METHODS, PEERS, World, pick};
+use crate::common::{self, answer, not_run, peer};
+
+const GRANT: Span = Span::from_millis(80);
+
+impl World {
+    /// Callers' requests without an outcome.
+    pub(super) fn open(&self) -> Vec<Request> {
+        let open =
+            |r: &&Request| !self.outcomes.contains_key(&r.id) && !self.taken.contains_key(&r.id);
+        self.requests.values().filter(open).cloned().collect()
+    }
+
+    pub(super) fn request(&self, method: usize, left: u64) -> Request {
+        let number = self.requests.len() as u32 + 1;
+        Request {
+            id: common::id(number),
+            key: RequestKey::new(number.into()),
+            once: METHODS[method] == "book",
+            method: METHODS[method].to_owned(),
+            deadline: self.now + Span::from_millis(left),
+            attempt: Attempt::new(1),
+            age: Span::ZERO,
+            budget: Budget::new(3),
+            priority: Priority::new(1),
+            body: Payload::default(),
+        }
+    }
+
+    pub(super) fn arrive(&mut self, request: Request) {
+        self.requests.insert(request.id, request.clone());
+        if self.draining {
+            self.late.insert(request.id);
+        }
+        self.feed(Event::Arrive(request));
+    }
+
+    /// Another attempt of an earlier request, on a new flow.
+    pub(super) fn twin(&mut self, which: usize, left: u64) {
+        if let Some(mut request) = pick(which, self.requests.values().cloned()) {
+            let fresh = self.request(0, left);
+            request.id = fresh.id;
+            request.deadline = fresh.deadline;
+            request.attempt = request.attempt.next();
+            self.arrive(request);
+        }
+    }
+
+    /// The owner knows which keys have run and grants no such key.
+    pub(super) fn verdict(&mut self, which: usize, kind: u8) {
+        if self.claims.is_empty() {
+            return;
+        }
+        let (id, attempt) = self.claims.remove(which % self.claims.len());
+        let key = self.requests[&id].key;
+        let outcome = match kind {
+            7 => return self.feed(Event::Denied { id }),
+            6 => Outcome::Unknown,
+            _ => answer(),
+        };
+        if self.ran.contains(&key) || self.is_released(key, attempt) {
+            self.feed(Event::Settled { id, outcome });
+        } else {
+            let start_by = self.now + GRANT;
+            self.granted.insert(key, (start_by, attempt));
+            self.feed(Event::Permit { id, start_by });
+        }
+    }
+
+    pub(super) fn end_run(&mut self, which: usize, kind: u8) {
+        let Some(id) = pick(which, self.running.keys().copied()) else {
+            return;
+        };
+        let run = self.running.remove(&id).unwrap();
+        let key = self.requests[&id].key;
+        match kind {
+            7 => self.feed(Event::Lost { id }),
+            6 => {
+                if !run.repeated {
+                    self.ran.remove(&key);
+                }
+                self.feed(Event::Refused { id });
+            }
+            _ => {
+                let outcome = if kind == 5 {
+                    Outcome::Failed(Payload::default())
+                } else {
+                    answer()
+                };
+                self.feed(Event::Finished { id, outcome });
+            }
+        }
+    }
+
+    pub(super) fn offer(&mut self, method: usize, left: u64) {
+        let request = self.request(method, left);
+        let offer = Offer {
+            id: request.id,
+            key: request.key,
+            once: request.once,
+            method: request.method.clone(),
+            left: Span::from_millis(left),
+            attempt: request.attempt,
+            age: request.age,
+            budget: request.budget,
+            priority: request.priority,
+            body: request.body.clone(),
+            wait: Span::from_millis(left),
+            reply: peer(PEERS[0]),
+        };
+        self.requests.insert(request.id, request);
+        self.offered.push(offer.clone());
+        self.feed(Event::Offered(offer));
+    }
+
+    /// A peer receives an offer; its decision on all copies is the same.
+    pub(super) fn reply(&mut self, which: usize, taken: bool, lost: bool) {
+        let Some((port, id)) = pick(which, self.sent.iter().copied()) else {
+            return;
+        };
+        let place = (port, id);
+        self.sent.remove(&place);
+        let taken = self.lent.contains(&place) || (taken && !self.declined.contains(&place));
+        if taken {
+            self.lent.insert(place);
+        } else {
+            self.declined.insert(place);
+        }
+        if !lost {
+            let wait = Span::ZERO;
+            let reply = OfferReply { id, taken, wait };
+            let from = peer(port);
+            self.feed(Event::OfferReply { from, reply });
+        }
+    }
+
+    /// A peer ends a request that it took; it needs a grant to run a once request.
+    pub(super) fn peer_outcome(&mut self, which: usize, kind: u8) {
+        let Some((port, id)) = pick(which, self.lent.iter().copied()) else {
+            return;
+        };
+        let request = &self.requests[&id];
+        // The peer keeps the same rules, so it never says "not run" of what may have run.
+        let ran = self.ran.contains(&request.key);
+        let granted = self.granted.contains_key(&request.key);
+        let released = self.is_released(request.key, request.attempt);
+        let barred = ran || (request.once && (granted || released));
+        let outcome = match kind {
+            _ if barred => Outcome::Unknown,
+            0 => answer(),
+            1 => not_run(),
+            _ => Outcome::Unknown,
+        };
+        self.lent.remove(&(port, id));
+        // Copies that are still on their way are declined.
+        self.declined.insert((port, id));
+        if !barred && !matches!(outcome, Outcome::NotRun { .. }) {
+            self.ran.insert(request.key);
+        }
+        let reply = peer(port);
+        self.feed(Event::OfferOutcome(OfferOutcome { id, outcome, reply }));
+    }
+
+    pub(super) fn is_released(&self, key: RequestKey, attempt: Attempt) -> bool {
+        self.released
+            .get(&key)
+            .is_some_and(|released| attempt <= *released)
+    }
+
+    pub(super) fn feed(&mut self, event: Event) {
+        for action in self.scheduler.handle(self.now, event) {
+            self.check(action);
+        }
+    }
+
+    /// Lets time pass, with every timer at its time.
+    pub(super) fn pass(&mut self, span: Span) {
+        let end = self.now + span;
+        let mut ticks = 0;
+        while let Some(due) = self.scheduler.next_timer().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.feed(Event::Tick);
+            ticks += 1;
+            assert!(ticks < 5_000, "timers do not advance");
+        }
+        self.now = end;
+    }
+
+    /// Whether a copy of the request is at a peer, or may yet be taken by one.
+    pub(super) fn is_away(&self, id: &RequestId) -> bool {
+        let open = self.sent.difference(&self.declined).chain(&self.lent);
+        open.into_iter().any(|(_, away)| away == id)
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/admission/world/mod.rs
@@ -0,0 +1,229 @@
+//! The scheduler with a random environment, and the invariants that its actions must keep.
+
+mod checks;
+mod environment;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use usher_admission::{Event, Policy, Scheduler};
+use usher_types::{
+    Attempt, ClassRule, Offer, OfferDone, Outcome, Priority, Profile, Request, RequestId,
+    RequestKey, Slots, Span, Time,
+};
+
+use crate::common::{self, peer};
+
+pub const SLOTS: u16 = 3;
+pub const METHODS: [&str; 3] = ["read", "book", "map"];
+const PEERS: [u16; 2] = [1, 2];
+
+#[derive(Debug, Clone, Copy)]
+pub enum Step {
+    Pass(u64),
+    /// `ran`: an earlier attempt ran at another agent.
+    Arrive {
+        method: usize,
+        left: u64,
+        priority: u8,
+        retry: bool,
+        ran: bool,
+    },
+    Repeat(usize),
+    Twin {
+        which: usize,
+        left: u64,
+    },
+    Verdict {
+        which: usize,
+        kind: u8,
+    },
+    Run {
+        which: usize,
+        kind: u8,
+    },
+    Cancel(usize),
+    Offered {
+        method: usize,
+        left: u64,
+    },
+    OfferedAgain(usize),
+    Reply {
+        which: usize,
+        taken: bool,
+        lost: bool,
+    },
+    Outcome {
+        which: usize,
+        kind: u8,
+    },
+    Done(usize),
+    Peers(u64, u64),
+    Slots(u16),
+}
+
+#[derive(Debug)]
+struct Run {
+    started: Time,
+    /// The key had run before this run.
+    repeated: bool,
+}
+
+pub struct World {
+    scheduler: Scheduler,
+    policy: Policy,
+    now: Time,
+    slots: u16,
+    draining: bool,
+    drained: u32,
+    requests: BTreeMap<RequestId, Request>,
+    late: BTreeSet<RequestId>,
+    outcomes: BTreeMap<RequestId, Outcome>,
+    claims: Vec<(RequestId, Attempt)>,
+    granted: BTreeMap<RequestKey, (Time, Attempt)>,
+    /// Released keys; the owner grants them to later attempts only.
+    released: BTreeMap<RequestKey, Attempt>,
+    running: BTreeMap<RequestId, Run>,
+    /// Keys whose request may have run anywhere.
+    ran: BTreeSet<RequestKey>,
+    /// Offers on their way to a peer, held by it, or declined by it.
+    sent: BTreeSet<(u16, RequestId)>,
+    lent: BTreeSet<(u16, RequestId)>,
+    declined: BTreeSet<(u16, RequestId)>,
+    offered: Vec<Offer>,
+    taken: BTreeMap<RequestId, bool>,
+    reported: BTreeMap<RequestId, Outcome>,
+}
+
+fn pick<T: Clone>(which: usize, items: impl IntoIterator<Item = T>) -> Option<T> {
+    let items: Vec<T> = items.into_iter().collect();
+    (!items.is_empty()).then(|| items[which % items.len()].clone())
+}
+
+impl World {
+    pub fn new(policy: Policy) -> Self {
+        let mut profile = Profile::default();
+        let long = true;
+        let rule = ClassRule {
+            long,
+            ..ClassRule::default()
+        };
+        profile.methods.insert("map".to_owned(), rule);
+        let own = peer(common::OWN_PORT);
+        Self {
+            scheduler: Scheduler::new(Arc::new(profile), Slots::new(SLOTS), policy, own),
+            policy,
+            now: Time::ZERO,
+            slots: SLOTS,
+            draining: false,
+            drained: 0,
+            requests: BTreeMap::new(),
+            late: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
+            claims: Vec::new(),
+            granted: BTreeMap::new(),
+            released: BTreeMap::new(),
+            running: BTreeMap::new(),
+            ran: BTreeSet::new(),
+            sent: BTreeSet::new(),
+            lent: BTreeSet::new(),
+            declined: BTreeSet::new(),
+            offered: Vec::new(),
+            taken: BTreeMap::new(),
+            reported: BTreeMap::new(),
+        }
+    }
+
+    pub fn take(&mut self, step: Step) {
+        match step {
+            Step::Pass(millis) => self.pass(Span::from_millis(millis)),
+            Step::Arrive {
+                method,
+                left,
+                priority,
+                retry,
+                ran,
+            } => {
+                let mut request = self.request(method, left);
+                request.priority = Priority::new(priority);
+                request.attempt = Attempt::new(1 + u16::from(retry));
+                if ran {
+                    self.ran.insert(request.key);
+                }
+                self.arrive(request);
+            }
+            Step::Repeat(which) => {
+                // Flows deliver no copy after the outcome, so timers that are due come first.
+                self.feed(Event::Tick);
+                if let Some(request) = pick(which, self.open()) {
+                    self.feed(Event::Arrive(request));
+                }
+            }
+            Step::Twin { which, left } => self.twin(which, left),
+            Step::Verdict { which, kind } => self.verdict(which, kind),
+            Step::Run { which, kind } => self.end_run(which, kind),
+            Step::Cancel(which) => {
+                if let Some(request) = pick(which, self.open()) {
+                    self.feed(Event::Cancel { id: request.id });
+                }
+            }
+            Step::Offered { method, left } => self.offer(method, left),
+            Step::OfferedAgain(which) => {
+                if let Some(offer) = pick(which, self.offered.clone()) {
+                    self.feed(Event::Offered(offer));
+                }
+            }
+            Step::Reply { which, taken, lost } => self.reply(which, taken, lost),
+            Step::Outcome { which, kind } => self.peer_outcome(which, kind),
+            Step::Done(which) => {
+                if let Some(id) = pick(which, self.reported.keys().copied()) {
+                    self.feed(Event::OfferDone(OfferDone { id }));
+                }
+            }
+            Step::Peers(a, b) => {
+                let waits = PEERS.into_iter().zip([a, b]);
+                let waits = waits.map(|(port, ms)| (peer(port), Span::from_millis(ms)));
+                self.feed(Event::Peers(waits.collect()));
+            }
+            Step::Slots(count) => {
+                self.slots = count;
+                self.feed(Event::Slots(Slots::new(count)));
+            }
+        }
+    }
+
+    pub fn drain(&mut self) {
+        self.draining = true;
+        self.feed(Event::Drain);
+    }
+
+    /// Answers everything that is pending; then nothing may be left.
+    pub fn settle(&mut self) {
+        let first = 0;
+        for _ in 0..200 {
+            self.verdict(first, 0);
+            self.end_run(first, 0);
+            self.reply(first, false, false);
+            self.peer_outcome(first, 0);
+            for id in self.reported.keys().copied().collect::<Vec<_>>() {
+                self.feed(Event::OfferDone(OfferDone { id }));
+            }
+            self.pass(Span::from_millis(20));
+        }
+        self.pass(Span::from_secs(10));
+        for id in self
+            .requests
+            .keys()
+            .filter(|id| !self.taken.contains_key(*id))
+        {
+            assert!(self.outcomes.contains_key(id), "{id} has no outcome");
+        }
+        for (id, _) in self.taken.iter().filter(|(_, taken)| **taken) {
+            assert!(self.reported.contains_key(id), "{id} was not reported");
+        }
+        assert_eq!(
+            self.drained, 1,
+            "times that the drain was reported as complete"
+        );
+    }
+}
