Cover the remaining rules of at-most-once execution by tables

Change: rows for a predecessor's roster, a cover of another key range, a lease that outlives its roster and a folded roster; the margin includes an unnoticed pause of 2 s; the holder's keys and the decision on unrecorded keys have files of their own.

--- a/crates/dedupe/src/ask.rs
+++ b/crates/dedupe/src/ask.rs
@@ -1,5 +1,7 @@
 use usher_types::{Attempt, Claim, Outcome, Span, Time};
 
+use crate::limits::{RESEND, RESEND_MAX};
+
 /// A request's way from the first claim to its recorded outcome.
 #[derive(Debug, Clone)]
 pub(crate) enum Phase {
@@ -39,3 +41,26 @@
     pub(crate) due: Time,
     pub(crate) pause: Span,
 }
+
+impl Ask {
+    pub(crate) fn new(now: Time, attempt: Attempt, age: Span, deadline: Time) -> Self {
+        Self {
+            attempt,
+            age,
+            asked: now,
+            deadline,
+            shared: false,
+            elsewhere: false,
+            claimed: None,
+            phase: Phase::Pausing,
+            due: now,
+            pause: RESEND,
+        }
+    }
+
+    /// Plans the next transmission, after twice the last pause.
+    pub(crate) fn back_off(&mut self, now: Time) {
+        self.due = now + self.pause;
+        self.pause = (self.pause * 2).min(RESEND_MAX);
+    }
+}
--- a/crates/dedupe/src/claimant.rs
+++ b/crates/dedupe/src/claimant.rs
@@ -1,14 +1,13 @@
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use indexmap::IndexMap;
 use usher_types::{
     Claim, Complete, Completed, Decision, Outcome, Refusal, RequestKey, Roster, Span, Time, Verdict,
 };
 
 use crate::action::ClaimantAction;
 use crate::ask::{Ask, Phase};
+use crate::asks::Asks;
 use crate::event::ClaimantEvent;
 use crate::limits::{RESEND, RESEND_MAX, RETENTION, RETRY, ROUND, RUN_LIMIT, shorter};
 use crate::ownership::{Agent, owner_of};
@@ -31,8 +30,7 @@
     roster: Option<Arc<Roster>>,
     last: Time,
     stall: Stall,
-    asks: IndexMap<RequestKey, Ask>,
-    due: BTreeSet<(Time, RequestKey)>,
+    asks: Asks,
 }
 
 impl Claimant {
@@ -52,8 +50,7 @@
             roster: None,
             last: Time::ZERO,
             stall: Stall::default(),
-            asks: IndexMap::new(),
-            due: BTreeSet::new(),
+            asks: Asks::default(),
         }
     }
 
@@ -81,18 +78,7 @@
                 age,
                 deadline,
             } => {
-                let ask = Ask {
-                    attempt,
-                    age: age + stalled,
-                    asked: now,
-                    deadline,
-                    shared: false,
-                    elsewhere: false,
-                    claimed: None,
-                    phase: Phase::Pausing,
-                    due: now,
-                    pause: RESEND,
-                };
+                let ask = Ask::new(now, attempt, age + stalled, deadline);
                 self.ask(key, ask, &mut actions);
             }
             ClaimantEvent::Verdict(verdict) => self.verdict(now, verdict, &mut actions),
@@ -117,14 +103,14 @@
     /// # Ok::<(), usher_types::ParseError>(())
     /// ```
     pub fn next_timer(&self) -> Option<Time> {
-        let due = self.due.first().map(|(due, _)| *due);
+        let due = self.asks.next_due();
         due.into_iter().chain([self.stall.next_timer()]).min()
     }
 
     // A key that was permitted here is answered from memory: a new claim would replace its grant.
     fn ask(&mut self, key: RequestKey, mut ask: Ask, actions: &mut Vec<ClaimantAction>) {
-        match self.asks.get_mut(&key) {
-            None => self.put(key, ask),
+        match self.asks.get_mut(key) {
+            None => self.asks.put(key, ask),
             Some(known) => match &known.phase {
                 Phase::Reporting {
                     outcome: Outcome::NotRun { .. },
@@ -132,7 +118,7 @@
                     ..
                 } => {
                     ask.claimed = Some(*sent);
-                    self.put(key, ask);
+                    self.asks.put(key, ask);
                 }
                 Phase::Reporting { outcome, .. } | Phase::Done(outcome) => {
                     let outcome = outcome.clone();
@@ -148,7 +134,7 @@
 
     fn verdict(&mut self, now: Time, verdict: Verdict, actions: &mut Vec<ClaimantAction>) {
         let key = verdict.key;
-        let Some(ask) = self.asks.get(&key) else {
+        let Some(ask) = self.asks.get(key) else {
             return;
         };
         // Verdicts on replaced claims are void.
@@ -165,7 +151,7 @@
                 }
                 ask.phase = Phase::Permitted { sent: verdict.sent };
                 ask.due = start_by + RUN_LIMIT;
-                self.put(key, ask);
+                self.asks.put(key, ask);
                 actions.push(ClaimantAction::Permit { key, start_by });
             }
             Decision::Finished(outcome) => self.settle(key, outcome, actions),
@@ -194,7 +180,7 @@
         outcome: Outcome,
         actions: &mut Vec<ClaimantAction>,
     ) {
-        let Some(ask) = self.asks.get(&key) else {
+        let Some(ask) = self.asks.get(key) else {
             return;
         };
         let Phase::Permitted { sent } = ask.phase else {
@@ -224,11 +210,11 @@
         ask.shared = false;
         ask.pause = RESEND;
         ask.due = now;
-        self.put(key, ask);
+        self.asks.put(key, ask);
     }
 
     fn completed(&mut self, now: Time, completed: &Completed) {
-        let Some(ask) = self.asks.get(&completed.key) else {
+        let Some(ask) = self.asks.get(completed.key) else {
             return;
         };
         if let Phase::Reporting { sent, outcome, .. } = &ask.phase
@@ -248,29 +234,18 @@
             return;
         }
         self.roster = Some(roster);
-        let moved: Vec<RequestKey> = self
-            .asks
-            .iter()
-            .filter(|(_, ask)| !matches!(ask.phase, Phase::Permitted { .. } | Phase::Done(_)))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in moved {
-            if let Some(mut ask) = self.asks.get(&key).cloned() {
-                if let Phase::Claiming(_) = ask.phase {
-                    ask.phase = Phase::Pausing;
-                }
-                ask.pause = RESEND;
-                ask.due = now;
-                self.put(key, ask);
+        for (key, mut ask) in self.asks.undecided() {
+            if let Phase::Claiming(_) = ask.phase {
+                ask.phase = Phase::Pausing;
             }
+            ask.pause = RESEND;
+            ask.due = now;
+            self.asks.put(key, ask);
         }
     }
 
     fn advance(&mut self, now: Time, actions: &mut Vec<ClaimantAction>) {
-        while let Some((_, key)) = self.due.first().copied().filter(|(due, _)| *due <= now) {
-            let Some(ask) = self.take(key) else {
-                return;
-            };
+        while let Some((key, ask)) = self.asks.take_due(now) {
             match ask.phase.clone() {
                 Phase::Pausing | Phase::Claiming(_) if ask.deadline <= now => {
                     self.give_up(now, key, ask, actions);
@@ -285,7 +260,7 @@
                         let outcome = Outcome::Unknown;
                         actions.push(ClaimantAction::Settled { key, outcome });
                     }
-                    self.put(key, ask);
+                    self.asks.put(key, ask);
                     self.finish(now, key, Outcome::Unknown);
                 }
                 Phase::Reporting {
@@ -294,7 +269,7 @@
                     give_up,
                 } => {
                     if give_up <= now {
-                        self.put(key, ask);
+                        self.asks.put(key, ask);
                         self.finish(now, key, outcome);
                     } else {
                         self.complete(now, key, ask, (sent, outcome), actions);
@@ -341,10 +316,9 @@
             let claim = claim.clone();
             actions.push(ClaimantAction::Claim { to, claim });
         }
-        ask.due = now + ask.pause;
-        ask.pause = (ask.pause * 2).min(RESEND_MAX);
+        ask.back_off(now);
         ask.phase = Phase::Claiming(claim);
-        self.put(key, ask);
+        self.asks.put(key, ask);
     }
 
     fn complete(
@@ -367,9 +341,8 @@
             };
             actions.push(ClaimantAction::Complete { to, complete });
         }
-        ask.due = now + ask.pause;
-        ask.pause = (ask.pause * 2).min(RESEND_MAX);
-        self.put(key, ask);
+        ask.back_off(now);
+        self.asks.put(key, ask);
     }
 
     fn pause(&mut self, now: Time, key: RequestKey, mut ask: Ask, span: Span) {
@@ -377,7 +350,7 @@
         ask.due = (now + span)
             .min(ask.deadline)
             .max(now + Span::from_micros(1));
-        self.put(key, ask);
+        self.asks.put(key, ask);
     }
 
     // The owner may have recorded a grant whose verdict was lost; it is given back.
@@ -387,7 +360,7 @@
         }
         actions.push(ClaimantAction::Denied { key });
         let Some(sent) = ask.claimed else {
-            self.take(key);
+            self.asks.take(key);
             return;
         };
         let outcome = Outcome::NotRun {
@@ -398,12 +371,12 @@
     }
 
     fn settle(&mut self, key: RequestKey, outcome: Outcome, actions: &mut Vec<ClaimantAction>) {
-        self.take(key);
+        self.asks.take(key);
         actions.push(ClaimantAction::Settled { key, outcome });
     }
 
     fn finish(&mut self, now: Time, key: RequestKey, outcome: Outcome) {
-        let Some(mut ask) = self.take(key) else {
+        let Some(mut ask) = self.asks.take(key) else {
             return;
         };
         if matches!(outcome, Outcome::NotRun { .. }) {
@@ -411,7 +384,7 @@
         }
         ask.phase = Phase::Done(outcome);
         ask.due = now + RETENTION;
-        self.put(key, ask);
+        self.asks.put(key, ask);
     }
 
     fn owner(&self, key: RequestKey) -> Option<SocketAddrV4> {
@@ -419,16 +392,4 @@
         let owner = owner_of(roster, key)?;
         roster.members.get(&owner.host).map(|member| member.agent)
     }
-
-    fn put(&mut self, key: RequestKey, ask: Ask) {
-        self.take(key);
-        self.due.insert((ask.due, key));
-        self.asks.insert(key, ask);
-    }
-
-    fn take(&mut self, key: RequestKey) -> Option<Ask> {
-        let ask = self.asks.swap_remove(&key)?;
-        self.due.remove(&(ask.due, key));
-        Some(ask)
-    }
 }
--- a/crates/dedupe/src/lease.rs
+++ b/crates/dedupe/src/lease.rs
@@ -50,6 +50,19 @@
     ///
     /// Counts it only when the peer has adopted this very roster and the heartbeat was sent
     /// after this process adopted it.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use usher_dedupe::{Agent, Lease, Renewal};
+    /// # use usher_types::{BeatAck, Peer, Roster, Time};
+    /// # let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// # let lease = Lease::new(agent, Arc::new(Roster::default()), Time::ZERO);
+    /// # let (roster, revision, sent) = Default::default();
+    /// let ack = BeatAck { from: Peer::Host("b".parse()?), roster, revision, sent };
+    /// let lease = lease.acknowledge(Time::ZERO, &ack);
+    /// assert!(matches!(lease.renew(Time::ZERO), Renewal::Lapsed(_)));
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
     #[must_use]
     pub fn acknowledge(mut self, now: Time, ack: &BeatAck) -> Self {
         let Peer::Host(host) = &ack.from else {
@@ -66,6 +79,16 @@
     }
 
     /// Moves to the state that the acknowledgements received so far justify.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use usher_dedupe::{Agent, Lease, Renewal};
+    /// # use usher_types::{Roster, Span, Time, Version};
+    /// # let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// let lease = Lease::new(agent, Arc::new(Roster::default()), Time::ZERO);
+    /// assert!(matches!(lease.renew(Time::ZERO), Renewal::Lapsed(_)));
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
     pub fn renew(self, now: Time) -> Renewal {
         match self.expiry(now).filter(|until| *until > now) {
             Some(until) => Renewal::Held(self.with(Held { until })),
@@ -74,6 +97,16 @@
     }
 
     /// Roster version that the lease is for.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use usher_dedupe::{Agent, Lease, Renewal};
+    /// # use usher_types::{Roster, Span, Time, Version};
+    /// # let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// let lease = Lease::new(agent, Arc::new(Roster::default()), Time::ZERO);
+    /// assert_eq!(lease.version(), Version::default());
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
     pub fn version(&self) -> Version {
         self.roster.version
     }
@@ -104,6 +137,16 @@
 
 impl Lease<Lapsed> {
     /// A lease that no member has acknowledged yet.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use usher_dedupe::{Agent, Lease, Renewal};
+    /// # use usher_types::{Roster, Span, Time, Version};
+    /// # let agent = Agent { host: "a".parse()?, incarnation: Default::default() };
+    /// let lease = Lease::new(agent, Arc::new(Roster::default()), Time::ZERO);
+    /// assert_eq!(lease.version(), Version::default());
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
     pub fn new(agent: Agent, roster: Arc<Roster>, now: Time) -> Self {
         Self {
             agent,
--- a/crates/dedupe/src/ledger.rs
+++ b/crates/dedupe/src/ledger.rs
@@ -2,16 +2,15 @@
 
 use indexmap::IndexMap;
 use usher_types::{
-    Attempt, Claim, Complete, Completed, Decision, HostId, Outcome, RequestKey, Span, Time,
-    Verdict, Version,
+    Claim, Complete, Completed, Decision, HostId, Outcome, RequestKey, Time, Verdict, Version,
 };
 
 use crate::action::{Counter, LedgerAction};
 use crate::event::{LedgerEvent, Lineage};
+use crate::gate::Gate;
 use crate::handover::Handovers;
-use crate::history::{History, Standing};
+use crate::history::History;
 use crate::lease::{Lease, Renewal};
-use crate::limits::{RETENTION, RETRY, lateness, longer};
 use crate::ownership::{Agent, owner_of};
 use crate::parcel::Parcel;
 use crate::record::State;
@@ -26,13 +25,6 @@
     Joined,
 }
 
-// Whether a key without a current record may be granted.
-enum Gate {
-    Open(Span),
-    Wait(Span),
-    Stale,
-}
-
 /// Decides, as the owner of keys, which holder may dispatch a request.
 ///
 /// ```
@@ -262,7 +254,8 @@
     }
 
     fn grant(&mut self, now: Time, claim: &Claim, holder: Agent) -> (Decision, Counter) {
-        match self.gate(now, claim) {
+        let standing = self.history.standing(now, claim.key);
+        match Gate::of(now, standing, self.lease.as_ref(), claim) {
             Gate::Wait(span) => (Decision::Wait(span), Counter::Deferred),
             Gate::Stale => (Decision::Unknown, Counter::Stale),
             Gate::Open(span) => {
@@ -274,32 +267,6 @@
         }
     }
 
-    fn gate(&self, now: Time, claim: &Claim) -> Gate {
-        let since = match self.history.standing(now, claim.key) {
-            Standing::Unsettled(until) => {
-                return Gate::Wait(until.map_or(RETRY, |until| until - now).max(RETRY));
-            }
-            Standing::Since(since) => since,
-        };
-        let oldest = longer(claim.age) + lateness();
-        if oldest >= RETENTION {
-            return Gate::Stale;
-        }
-        if let Some(since) = since {
-            let known = now - since;
-            if claim.attempt <= Attempt::new(1) && known <= lateness() {
-                return Gate::Wait((lateness() - known).max(RETRY));
-            }
-            if oldest >= known {
-                return Gate::Stale;
-            }
-        }
-        match &self.lease {
-            Some(Renewal::Held(lease)) => Gate::Open(lease.rest(now)),
-            _ => Gate::Wait(RETRY),
-        }
-    }
-
     fn complete(&mut self, now: Time, complete: Complete) -> Vec<LedgerAction> {
         let key = complete.key;
         if !self.owns(key) {
--- a/crates/dedupe/src/lib.rs
+++ b/crates/dedupe/src/lib.rs
@@ -14,7 +14,7 @@
 //!   is this process, has handed over its records, or has stopped. In the last case the first attempt
 //!   must be later than the stop: `age`, which a late caller packet understates by up to 30 s and a
 //!   late claim by up to one lease, plus this margin must be less than the time since the stop.
-//!   Caller packets wait in a paused holder's socket, so a `Claimant` adds its own stalls to `age`.
+//!   Packets wait in a paused holder's socket, so a `Claimant` adds its own stalls to `age`.
 //! - Skipped rosters: an owner of a roster that this process never saw can hold a lease of a quorum it
 //!   does not know. A process therefore grants nothing until it is given all unsettled rosters.
 //! - Duplicates: a repeated claim repeats its verdict. A newer claim of the same process replaces its
@@ -25,9 +25,11 @@
 
 mod action;
 mod ask;
+mod asks;
 mod claimant;
 mod entry;
 mod event;
+mod gate;
 mod handover;
 mod history;
 mod lease;
--- a/crates/dedupe/src/limits.rs
+++ b/crates/dedupe/src/limits.rs
@@ -38,9 +38,12 @@
     span.scale(0.98)
 }
 
-/// Most by which `age` can be understated: a late caller packet, then a late claim.
+/// Silence after which a process counts as having been paused.
+pub(crate) const SILENCE: Span = Span::from_secs(2);
+
+/// Most by which `age` can be understated: a late caller packet, an unnoticed pause, a late claim.
 ///
 /// A claim under way for longer than a lease gets a grant that has already expired.
 pub(crate) fn lateness() -> Span {
-    longer(PACKET_LIFETIME + LEASE)
+    longer(PACKET_LIFETIME + SILENCE + LEASE)
 }
--- a/crates/dedupe/src/stall.rs
+++ b/crates/dedupe/src/stall.rs
@@ -1,8 +1,9 @@
 use usher_types::{Span, Time};
 
-// A process that ticks every second and is silent for twice that time was not running.
+use crate::limits::SILENCE;
+
+// Half of the silence that counts as a pause, so that a late timer does not look like one.
 const TICK: Span = Span::from_secs(1);
-const SILENCE: Span = Span::from_secs(2);
 // Time in which a process that runs again reads what its sockets hold.
 const CATCH_UP: Span = Span::from_secs(5);
 
