--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -3,9 +3,9 @@
 
 use argh::FromArgs;
 
-use crate::commands::{Action, Apply, Check};
+use crate::commands::{Action, Apply, Check, Drain, ShowStatus};
 
-/// Configures marigoldusher through the platform's store.
+/// Configures marigoldusher through the platform's store and shows its processes.
 #[derive(Debug, FromArgs)]
 #[argh(
     example = "{command_name} --store 127.0.0.1:7000 profile set fast hunt=5ms attempts=3",
@@ -38,6 +38,8 @@
     Service(ServiceCommand),
     Apply(Apply),
     Check(Check),
+    Status(ShowStatus),
+    Drain(Drain),
 }
 
 impl Command {
@@ -47,6 +49,8 @@
             Self::Service(service) => service.action.json(),
             Self::Apply(apply) => apply.json,
             Self::Check(check) => check.json,
+            Self::Status(status) => status.json,
+            Self::Drain(drain) => drain.json,
         }
     }
 }
--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -1,12 +1,16 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use usher_types::Span;
 
 use crate::document::Document;
 use crate::error::CliError;
 use crate::output::Output;
+use crate::processes::{await_rollout, newest};
 use crate::session::{Session, change};
 
+const DEFAULT_LIMIT: Span = Span::from_secs(10);
+
 /// Creates or changes all profiles and services of a file.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -14,6 +18,7 @@
     name = "apply",
     example = "{command_name} riga.json",
     note = "The file has the form {{\"profiles\": {{NAME: VALUE}}, \"services\": {{NAME: VALUE}}}}. It is checked as a whole before the first write; a fault anywhere in it writes nothing. Objects that the file does not name are kept.",
+    note = "With --wait, the command ends when every live process has the configuration in force, or with status 4 and the names of those that do not.",
     note = "Objects are written one after the other, profiles first, each on condition of the version that was read. If a later write loses a race, the command stops there with status 3: earlier writes stay in force, the conflicting object and all later ones are not written, and the error names both. Objects already written are skipped when the command is run again."
 )]
 pub(crate) struct Apply {
@@ -21,6 +26,14 @@
     #[argh(positional)]
     file: PathBuf,
 
+    /// wait until it is in force in every process
+    #[argh(switch)]
+    wait: bool,
+
+    /// longest time to wait
+    #[argh(option, default = "DEFAULT_LIMIT")]
+    limit: Span,
+
     /// print JSON
     #[argh(switch)]
     pub(crate) json: bool,
@@ -35,6 +48,11 @@
             change(key, read, Some(value))
         });
         let changes = changes.collect();
-        session.commit(&cache, changes).await
+        let output = session.commit(&cache, changes).await?;
+        if self.wait {
+            let target = newest(session.store()).await?;
+            await_rollout(session.store(), target, self.limit).await?;
+        }
+        Ok(output)
     }
 }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,11 +5,15 @@
 mod check;
 mod delete;
 mod diff;
+mod drain;
 mod edit;
 mod get;
 mod list;
 mod set;
+mod status;
 
 pub(crate) use action::Action;
 pub(crate) use apply::Apply;
 pub(crate) use check::Check;
+pub(crate) use drain::Drain;
+pub(crate) use status::ShowStatus;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,41 +4,42 @@
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
 use serde_json::json;
 use thiserror::Error;
-use usher_config::{ConfigError, ObjectKey};
+use usher_config::{ConfigError, ObjectKey, RolloutState};
 use usher_platform::PlatformError;
+use usher_types::{HostId, Peer, Version};
 
 use crate::ExitStatus;
 
-/// A command that failed (`MU-4xxx`, or the code of the crate that refused it).
+/// A command that failed (`MU-8xxx`, or the code of the crate that refused it).
 #[derive(Debug, Error, Diagnostic)]
 pub(crate) enum CliError {
-    #[error("MU-4001: no store is given")]
+    #[error("MU-8001: no store is given")]
     #[diagnostic(help("give --store ADDRESS, or --settings FILE with `address` under [store]"))]
     NoStore,
 
-    #[error("MU-4002: {path} cannot be read: {cause}")]
+    #[error("MU-8002: {path} cannot be read: {cause}")]
     #[diagnostic(help("check the path and the format of the file"))]
     File { path: PathBuf, cause: String },
 
-    #[error("MU-4003: {0} does not exist")]
+    #[error("MU-8003: {0} does not exist")]
     #[diagnostic(help("`list` shows the names in the store"))]
     Missing(ObjectKey),
 
-    #[error("MU-4004: '{pair}' is not valid: {cause}")]
+    #[error("MU-8004: '{pair}' is not valid: {cause}")]
     #[diagnostic(help(
         "write fields as key=value, for example hunt=5ms or methods.book.long=true"
     ))]
     Pair { pair: String, cause: String },
 
-    #[error("MU-4005: the value of {key} is not valid: {cause}")]
+    #[error("MU-8005: the value of {key} is not valid: {cause}")]
     #[diagnostic(help("`get --json` shows the fields of an object that exists"))]
     Value { key: ObjectKey, cause: String },
 
-    #[error("MU-4006: refused, nothing was written:\n{}", lines(.0))]
+    #[error("MU-8006: refused, nothing was written:\n{}", lines(.0))]
     #[diagnostic(help("correct all faults listed and run the command again"))]
     Refused(Vec<ConfigError>),
 
-    #[error("MU-4007: stopped after {} of {total} writes{}: {cause}{}", written.len(), done(written), diff(cause))]
+    #[error("MU-8007: stopped after {} of {total} writes{}: {cause}{}", written.len(), done(written), diff(cause))]
     #[diagnostic(help("read the objects again, then repeat the command for what is missing"))]
     Write {
         written: Vec<ObjectKey>,
@@ -46,13 +47,13 @@
         cause: Box<PlatformError>,
     },
 
-    #[error("MU-4008: written, but another operator's change does not fit it:\n{}", lines(.0))]
+    #[error("MU-8008: written, but another operator's change does not fit it:\n{}", lines(.0))]
     #[diagnostic(help(
         "change one of the objects named; until then the one accepted first is in force"
     ))]
     Clash(Vec<ConfigError>),
 
-    #[error("MU-4009: {key} is at version {found}, not {expected}; nothing was written\n{diff}")]
+    #[error("MU-8009: {key} is at version {found}, not {expected}; nothing was written\n{diff}")]
     #[diagnostic(help("read the object again and repeat the change on what it holds now"))]
     Moved {
         key: ObjectKey,
@@ -61,11 +62,44 @@
         diff: String,
     },
 
+    #[error(
+        "MU-8010: version {target} is not in force everywhere:{}",
+        waiting(state)
+    )]
+    #[diagnostic(help(
+        "`status` shows all processes; a process that is gone leaves the list after some seconds"
+    ))]
+    NotInForce {
+        target: Version,
+        state: Box<RolloutState>,
+    },
+
+    #[error("MU-8011: no roster lists the host {0}")]
+    #[diagnostic(help("`status` shows the hosts"))]
+    NoHost(HostId),
+
+    #[error("MU-8012: {peer} does not answer: {cause}")]
+    #[diagnostic(help("check whether the process runs; nothing was changed"))]
+    NoAnswer { peer: Peer, cause: String },
+
     #[error(transparent)]
     #[diagnostic(help("check the address of the store and whether it is up"))]
     Platform(#[from] PlatformError),
 }
 
+fn waiting(state: &RolloutState) -> String {
+    let RolloutState::Waiting { lagging, unheard } = state else {
+        return String::new();
+    };
+    let lagging = lagging
+        .iter()
+        .map(|(peer, version)| format!("\n  {peer} is at version {version}"));
+    let unheard = unheard
+        .iter()
+        .map(|peer| format!("\n  {peer} does not answer"));
+    lagging.chain(unheard).collect()
+}
+
 fn lines(faults: &[ConfigError]) -> String {
     let lines: Vec<String> = faults.iter().map(|fault| format!("  {fault}")).collect();
     lines.join("\n")
@@ -91,6 +125,7 @@
     pub(crate) fn exit_status(&self) -> ExitStatus {
         match self {
             Self::NoStore => ExitStatus::Usage,
+            Self::NotInForce { .. } => ExitStatus::TimedOut,
             Self::Clash(_) | Self::Moved { .. } => ExitStatus::Conflict,
             Self::Write { cause, .. } => platform_status(cause),
             Self::Platform(cause) => platform_status(cause),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 mod exit_status;
 mod fields;
 mod output;
+mod processes;
 mod run;
 mod session;
 mod settings;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -54,5 +54,7 @@
         Command::Service(service) => service.action.run(&session()?, Kind::Service).await,
         Command::Apply(apply) => apply.run(&session()?).await,
         Command::Check(check) => check.run(),
+        Command::Status(status) => status.run(&session()?).await,
+        Command::Drain(drain) => drain.run(&session()?).await,
     }
 }
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -33,6 +33,10 @@
     }
 
     /// Profiles and services, with tombstones.
+    pub(crate) fn store(&self) -> &Store {
+        &self.store
+    }
+
     pub(crate) async fn load(&self) -> Result<Cache, CliError> {
         let mut cache = Cache::default();
         for kind in [Kind::Profile, Kind::Service] {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -97,13 +97,13 @@
     let failed = ExitStatus::Failed;
     shell.refused("profile delete fast", failed, "MU-2009");
     shell.refused("profile set fast buckets=64", failed, "MU-2012");
-    shell.refused("profile set fast hunt=fast", failed, "MU-4005");
+    shell.refused("profile set fast hunt=fast", failed, "MU-8005");
     shell.refused(
         "service set map address=192.0.2.1:80 profile=fast",
         failed,
         "MU-2007",
     );
-    shell.refused("service get map", failed, "MU-4003");
+    shell.refused("service get map", failed, "MU-8003");
     assert_eq!(shell.writes(), 2);
     shell.ok("service delete desk");
     shell.ok("service set map address=192.0.2.1:80 profile=fast");
@@ -134,7 +134,7 @@
     shell.refused(
         &format!("{edit} --json"),
         ExitStatus::Conflict,
-        "\"code\":\"MU-4009\"",
+        "\"code\":\"MU-8009\"",
     );
     shell.refused(
         &format!("profile edit slow {file}"),
@@ -213,7 +213,7 @@
     let mut err = Vec::new();
     let status = run(&["profile", "list"], &mut Vec::new(), &mut err);
     assert_eq!(status, ExitStatus::Usage);
-    assert!(String::from_utf8(err).unwrap().contains("MU-4001"));
+    assert!(String::from_utf8(err).unwrap().contains("MU-8001"));
     assert!(shell.ok("apply --help").contains("loses a race"));
     assert!(shell.ok("--help").contains("Examples"));
 }
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::mpsc;
@@ -53,6 +54,17 @@
     Left { since: Time },
 }
 
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Running => "serving",
+            Self::Draining { .. } => "draining",
+            Self::Leaving => "leaving",
+            Self::Left { .. } => "left",
+        })
+    }
+}
+
 impl Control {
     pub(crate) fn new(
         settings: AgentSettings,
@@ -142,7 +154,7 @@
         }
         if self.phase != Phase::Running && now() >= self.next_report {
             self.next_report = now() + WAITING_REPORT;
-            event::WAITING.log(&[("phase", &format!("{:?}", self.phase))]);
+            event::WAITING.log(&[("phase", &self.phase)]);
         }
     }
 
@@ -336,7 +348,7 @@
             "centre": self.settings.common.centre,
             "incarnation": self.incarnation,
             "revision": self.status.revision,
-            "state": format!("{:?}", self.phase).to_lowercase(),
+            "state": self.phase.to_string(),
         });
         let (sender, receiver) = channel::bounded(1);
         if self.worker.send(WorkerEvent::Status(sender)).is_err() {
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -373,7 +373,6 @@
             }
             Report::NotStarted { run } => ended(run).map(|id| admission::Event::Refused { id }),
             Report::Lost { run } => ended(run).map(|id| admission::Event::Lost { id }),
-            Report::Connected(_) => None,
         };
         if let Some(event) = event {
             self.scheduler(event);
@@ -677,6 +676,7 @@
             "weight": parts.scheduler.weight(),
             "records": parts.ledger.len(),
             "awaiting": parts.ledger.awaiting(),
+            "counters": self.counts.totals(),
             "drained": { "flows": self.drained.flows, "requests": self.drained.requests, "records": self.drained.records },
         })
     }
--- a/crates/runtime/src/backend.rs
+++ b/crates/runtime/src/backend.rs
@@ -43,8 +43,6 @@
     NotStarted { run: u64 },
     /// The run may have started; its outcome is lost.
     Lost { run: u64 },
-    /// The backend server is connected or not.
-    Connected(bool),
 }
 
 /// Serves commands until their channel closes, reconnecting as needed.
@@ -57,9 +55,7 @@
             return;
         };
         event::BACKEND_UP.log(&[("backend", &address)]);
-        report(Report::Connected(true));
         let open = forward(&client, &commands, &report).await;
-        report(Report::Connected(false));
         event::BACKEND_DOWN.log(&[("backend", &address)]);
         if !open {
             return;
--- a/crates/standins/src/caller/driver.rs
+++ b/crates/standins/src/caller/driver.rs
@@ -74,7 +74,7 @@
             let now = clock::now();
             if time <= now {
                 self.due.pop();
-                self.act(now, due);
+                self.act(now, time, due);
             } else {
                 self.receive(&mut buffer, Duration::from_micros((time - now).as_micros()))?;
             }
@@ -124,14 +124,14 @@
         now > self.end() && self.outstanding == 0
     }
 
-    fn act(&mut self, now: Time, due: Due) {
+    fn act(&mut self, now: Time, planned: Time, due: Due) {
         match due {
             Due::Open(flow) => {
                 let packet = self.flows[flow].open(now);
                 self.send(&packet);
                 self.arm(flow);
             }
-            Due::Request(load) => self.request(now, load),
+            Due::Request(load) => self.request(now, planned, load),
             Due::Timer(flow) => self.timer(now, flow),
             Due::Answer(flow, message) => self.expire(flow, message),
             Due::Progress => {
@@ -159,14 +159,15 @@
         }
     }
 
-    fn request(&mut self, now: Time, load: usize) {
+    // The next request is planned from the planned time of this one, so that delays do not add up.
+    fn request(&mut self, now: Time, planned: Time, load: usize) {
         if now >= self.end() {
             return;
         }
         let rate = self.args.load[load].rate.get();
         let gap = -self.rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate;
         self.due.push(Reverse((
-            now + Span::from_secs_f64(gap),
+            planned + Span::from_secs_f64(gap),
             Due::Request(load),
         )));
         if let Some(flow) = self.pick(load) {
@@ -226,12 +227,15 @@
 
     fn expire(&mut self, flow: usize, message: u32) {
         let message = usher_types::MessageId::new(message);
-        if self.flows[flow].waiting.remove(&message).is_some() {
+        if let Some(waiting) = self.flows[flow].waiting.remove(&message) {
             self.outstanding -= 1;
             self.tally.broken_flows += 1;
-            eprintln!(
-                "caller: no answer on {} to message {message}",
-                self.flow(flow)
+            let method = self.args.load[waiting.load].method.clone();
+            self.trace(
+                waiting.sent,
+                flow,
+                &method,
+                &format!("message {message} not answered"),
             );
         }
     }
--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -5,13 +5,18 @@
 use std::thread;
 
 use argh::FromArgs;
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
+use usher_types::{Span, Time};
 use usher_wire::decode_packet;
 
+use crate::clock;
+
 const MAX_DATAGRAM: usize = 65_536;
 
+const CLOSED_PORT: Span = Span::from_secs(1);
+
 type Callers = Arc<Mutex<HashMap<Ipv4Addr, SocketAddr>>>;
 
 /// fabric that hands each packet to a random balancer
@@ -38,6 +43,12 @@
     seed: u64,
 }
 
+// A connected socket reports a closed port at the next send.
+struct Path {
+    socket: UdpSocket,
+    retry: Time,
+}
+
 impl FabricArgs {
     /// Forwards packets in both directions until the process ends.
     ///
@@ -53,12 +64,13 @@
             Arc::clone(&callers),
         );
         thread::spawn(move || deliver(&back.0, &back.1, &back.2));
-        self.spray(&outside, &inside, &callers)
+        self.spray(&outside, &callers)
     }
 
-    // Packets from callers go to any balancer.
-    fn spray(&self, outside: &UdpSocket, inside: &UdpSocket, callers: &Callers) -> io::Result<()> {
+    // Packets from callers go to any balancer whose port is open.
+    fn spray(&self, outside: &UdpSocket, callers: &Callers) -> io::Result<()> {
         let mut rng = Pcg64::seed_from_u64(self.seed);
+        let mut paths = self.paths()?;
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
             let (length, from) = outside.recv_from(&mut buffer)?;
@@ -66,14 +78,23 @@
                 remember(callers, *packet.flow.caller.ip(), from);
             }
             for _ in 0..self.copies(&mut rng) {
-                if let Some(balancer) = self.balancer.choose(&mut rng) {
-                    // A dead balancer refuses the datagram; the caller sends again.
-                    let _ = inside.send_to(&buffer[..length], balancer);
-                }
+                send_to_any(&mut paths, &mut rng, &buffer[..length]);
             }
         }
     }
 
+    fn paths(&self) -> io::Result<Vec<Path>> {
+        let connect = |balancer: &SocketAddrV4| {
+            let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+            socket.connect(balancer)?;
+            Ok(Path {
+                socket,
+                retry: Time::ZERO,
+            })
+        };
+        self.balancer.iter().map(connect).collect()
+    }
+
     fn copies(&self, rng: &mut Pcg64) -> usize {
         if rng.random_bool(self.loss) {
             0
@@ -85,6 +106,18 @@
     }
 }
 
+// Tries balancers in random order; a closed port is left out for a while.
+fn send_to_any(paths: &mut [Path], rng: &mut Pcg64, bytes: &[u8]) {
+    let now = clock::now();
+    paths.shuffle(rng);
+    for path in paths.iter_mut().filter(|path| path.retry <= now) {
+        match path.socket.send(bytes) {
+            Ok(_) => return,
+            Err(_) => path.retry = now + CLOSED_PORT,
+        }
+    }
+}
+
 // Answers go to the caller whose address the packet names.
 fn deliver(inside: &UdpSocket, outside: &UdpSocket, callers: &Callers) {
     let mut buffer = vec![0; MAX_DATAGRAM];
