standins: the store reads a whole body before it refuses it

The answer 413 was sent before the body had been read, and on a connection that is kept alive the rest of the body stood before the next request. Change: put reads the body and then compares its length.

--- a/crates/standins/src/store/api.rs
+++ b/crates/standins/src/store/api.rs
@@ -70,9 +70,7 @@
 }
 
 async fn put(mut request: Request<Shared>) -> tide::Result {
-    if request.len().is_some_and(|len| len > MAX_VALUE_BYTES) {
-        return Ok(Response::new(StatusCode::PayloadTooLarge));
-    }
+    // An answer before the end of the body leaves the rest in the connection's next request.
     let bytes = request.body_bytes().await?;
     if bytes.len() > MAX_VALUE_BYTES {
         return Ok(Response::new(StatusCode::PayloadTooLarge));
