platform: separate repetition of requests from the calls

Change: transport.rs repeats requests and resolves lost answers, store.rs holds the public calls. In config, Pending::read no longer compares write ids before the condition: a write that took effect always breaks its own condition, and removing the comparison left all outcomes as they were.

--- a/crates/config/src/pending.rs
+++ b/crates/config/src/pending.rs
@@ -113,10 +113,7 @@
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
     pub fn read(self, current: Option<Object>) -> Step {
-        let own = current
-            .as_ref()
-            .is_some_and(|object| object.write_id == self.write.id);
-        if own || !self.write.change.condition.may_hold(current.as_ref()) {
+        if !self.write.change.condition.may_hold(current.as_ref()) {
             return self.settle(current);
         }
         Step::Retry(Pending {
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -11,6 +11,10 @@
 use crate::batch::{parse_object, parse_write_id};
 use crate::{PlatformError, encode};
 
+pub(crate) const OK: u16 = 200;
+pub(crate) const CREATED: u16 = 201;
+pub(crate) const NOT_FOUND: u16 = 404;
+pub(crate) const PRECONDITION_FAILED: u16 = 412;
 const WRITE_ID: &str = "x-write-id";
 
 /// Sends single requests, without repeating any.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod limits;
 mod store;
+mod transport;
 
 pub use batch::Batch;
 pub use codec::{decode, encode};
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,22 +1,11 @@
 use std::net::SocketAddrV4;
-use std::sync::{Arc, Mutex, PoisonError};
 
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64;
-use surf::Request;
-use usher_config::{
-    Answer, Change, Condition, Kind, Lost, Object, ObjectKey, Pending, Step, Value, Write, WriteId,
-};
-use usher_types::{ByteCount, Span, Version};
+use usher_config::{Change, Condition, Kind, Object, ObjectKey, Value, Write, WriteId};
+use usher_types::{Span, Version};
 
-use crate::backoff::{Backoff, fraction};
-use crate::exchange::{Exchange, Failure, Reply};
-use crate::{Batch, Limits, PlatformError, encode};
-
-const OK: u16 = 200;
-const CREATED: u16 = 201;
-const NOT_FOUND: u16 = 404;
-const PRECONDITION_FAILED: u16 = 412;
+use crate::exchange::{Exchange, NOT_FOUND, OK};
+use crate::transport::Transport;
+use crate::{Batch, Limits, PlatformError};
 
 /// Client of the object API.
 ///
@@ -33,10 +22,7 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct Store {
-    address: SocketAddrV4,
-    limits: Limits,
-    exchange: Exchange,
-    random: Arc<Mutex<Pcg64>>,
+    transport: Transport,
 }
 
 impl Store {
@@ -47,12 +33,8 @@
     /// let store = Store::new("127.0.0.1:7000".parse().unwrap(), Limits::default());
     /// ```
     pub fn new(address: SocketAddrV4, limits: Limits) -> Self {
-        Self {
-            address,
-            limits,
-            exchange: Exchange::new(address),
-            random: Arc::new(Mutex::new(Pcg64::from_os_rng())),
-        }
+        let transport = Transport::new(address, limits);
+        Self { transport }
     }
 
     /// A random id for a write.
@@ -63,8 +45,7 @@
     /// assert_ne!(store.write_id(), store.write_id());
     /// ```
     pub fn write_id(&self) -> WriteId {
-        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
-        WriteId::new(random.random())
+        self.transport.write_id()
     }
 
     /// Reads one object, which may be a tombstone; `None` when it never existed.
@@ -80,7 +61,8 @@
     /// # }).unwrap();
     /// ```
     pub async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, PlatformError> {
-        let reply = self.read(Span::ZERO, || self.exchange.get(key)).await?;
+        let request = |exchange: &Exchange| exchange.get(key);
+        let reply = self.transport.read(Span::ZERO, request).await?;
         match reply.status {
             OK | NOT_FOUND => reply.object(key),
             status => Err(PlatformError::Status(status)),
@@ -122,8 +104,9 @@
         since: Version,
         wait: Span,
     ) -> Result<Batch, PlatformError> {
-        let request = || self.exchange.list(kind.map(Kind::as_str), since, wait);
-        let reply = self.read(wait, request).await?;
+        let kind = kind.map(Kind::as_str);
+        let request = |exchange: &Exchange| exchange.list(kind, since, wait);
+        let reply = self.transport.read(wait, request).await?;
         match reply.status {
             OK => Batch::parse(since, &reply.bytes),
             status => Err(PlatformError::Status(status)),
@@ -221,127 +204,6 @@
     /// # }).unwrap();
     /// ```
     pub async fn write_as(&self, write: Write) -> Result<Version, PlatformError> {
-        self.check_size(&write.change)?;
-        let mut backoff = Backoff::new(&self.limits, Span::ZERO);
-        let mut pending = Pending::new(write);
-        let mut lost = false;
-        loop {
-            let answer = match self.transmit(pending.write()).await? {
-                Ok(answer) => answer,
-                Err(Failure::NotSent(cause)) => {
-                    if backoff.pause(self.jitter()).await {
-                        continue;
-                    }
-                    return Err(self.gave_up(pending.write(), lost, cause));
-                }
-                Err(Failure::NoAnswer(_)) => Answer::Lost,
-            };
-            let step = match pending.answered(answer) {
-                Step::ReadBack(unanswered) => {
-                    lost = true;
-                    self.read_back(unanswered, &mut backoff).await?
-                }
-                step => step,
-            };
-            pending = match step {
-                Step::Done(version) => return Ok(version),
-                Step::Conflict(conflict) => {
-                    return Err(PlatformError::Conflict(Box::new(conflict)));
-                }
-                Step::Retry(pending) => pending,
-                Step::ReadBack(_) => unreachable!("a read-back settles a lost answer"),
-            };
-        }
-    }
-
-    async fn transmit(&self, write: &Write) -> Result<Result<Answer, Failure>, PlatformError> {
-        let request = self.exchange.write(write)?;
-        let reply = match self.exchange.send(request, self.limits.attempt).await {
-            Ok(reply) => reply,
-            Err(failure) => return Ok(Err(failure)),
-        };
-        match (reply.status, reply.version) {
-            (OK | CREATED, Some(version)) => Ok(Ok(Answer::Written(version))),
-            (PRECONDITION_FAILED, _) => {
-                let current = reply.object(&write.change.key)?;
-                Ok(Ok(Answer::Refused(current)))
-            }
-            (status, _) => Err(PlatformError::Status(status)),
-        }
-    }
-
-    async fn read_back(
-        &self,
-        pending: Pending<Lost>,
-        backoff: &mut Backoff,
-    ) -> Result<Step, PlatformError> {
-        let key = pending.write().change.key.clone();
-        let mut cause = "no answer".to_owned();
-        while backoff.pause(self.jitter()).await {
-            let request = self.exchange.get(&key);
-            match self.exchange.send(request, self.limits.attempt).await {
-                Ok(reply) if matches!(reply.status, OK | NOT_FOUND) => {
-                    return Ok(pending.read(reply.object(&key)?));
-                }
-                Ok(reply) => cause = format!("status {}", reply.status),
-                Err(failure) => cause = failure.cause(),
-            }
-        }
-        Err(self.gave_up(pending.write(), true, cause))
-    }
-
-    fn gave_up(&self, write: &Write, lost: bool, cause: String) -> PlatformError {
-        if lost {
-            return PlatformError::Unknown {
-                key: write.change.key.clone(),
-                id: write.id,
-                cause,
-            };
-        }
-        self.unreachable(cause)
-    }
-
-    fn unreachable(&self, cause: String) -> PlatformError {
-        let address = self.address.to_string();
-        PlatformError::Unreachable { address, cause }
-    }
-
-    async fn read(
-        &self,
-        wait: Span,
-        request: impl Fn() -> Request,
-    ) -> Result<Reply, PlatformError> {
-        let mut backoff = Backoff::new(&self.limits, wait);
-        loop {
-            match self
-                .exchange
-                .send(request(), self.limits.attempt + wait)
-                .await
-            {
-                Ok(reply) => return Ok(reply),
-                Err(failure) => {
-                    if !backoff.pause(self.jitter()).await {
-                        return Err(self.unreachable(failure.cause()));
-                    }
-                }
-            }
-        }
-    }
-
-    fn check_size(&self, change: &Change) -> Result<(), PlatformError> {
-        let encoded = change.value.as_ref().and_then(|value| encode(value).ok());
-        let size = ByteCount::new(encoded.map_or(0, |bytes| bytes.len() as u64));
-        if size > self.limits.value {
-            return Err(PlatformError::TooLarge {
-                key: change.key.clone(),
-                size,
-                limit: self.limits.value,
-            });
-        }
-        Ok(())
-    }
-
-    fn jitter(&self) -> f64 {
-        fraction(&mut *self.random.lock().unwrap_or_else(PoisonError::into_inner))
+        self.transport.write(write).await
     }
 }
