config: fault tables and a property test for versions, writes and changes

Cause: stale replicas, tombstones, lost answers and racing operators come in combinations that examples do not cover.

--- /dev/null
+++ b/crates/config/tests/cache.rs
@@ -0,0 +1,114 @@
+//! Adoption of versions from several sources.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::{Strategy, any, prop_assert, prop_assert_eq, proptest};
+use serde_json::{Value as Json, json};
+use support::{key, object};
+use usher_config::{Adoption, Cache, Object};
+use usher_types::Version;
+
+fn profile(version: u64, hunt: &Json) -> Object {
+    let value = match hunt.as_str() {
+        Some(text) => json!({ "hunt": format!("{}ms", text.as_bytes()[0]) }),
+        None => Json::Null,
+    };
+    object("profile/fast", version, 1, &value)
+}
+
+#[test]
+fn versions_only_rise() {
+    let rows: Vec<Json> = serde_json::from_str(include_str!("cache.json")).unwrap();
+    for row in rows {
+        let guards = &row["guards"];
+        let mut cache = Cache::default();
+        let offers = row["offers"].as_array().unwrap();
+        for (offer, adopted) in offers.iter().zip(row["adopted"].as_array().unwrap()) {
+            let adoption = cache.adopt(profile(offer[0].as_u64().unwrap(), &offer[1]));
+            assert_eq!(json!(adoption == Adoption::Adopted), *adopted, "{guards}");
+        }
+        let ends = profile(row["ends"][0].as_u64().unwrap(), &row["ends"][1]);
+        assert_eq!(cache.get(&ends.key()), Some(&ends), "{guards}");
+        assert_eq!(cache.since(Version::default()).count(), 1, "{guards}");
+        assert_eq!(
+            cache.list(ends.kind).count(),
+            usize::from(ends.value.is_some()),
+            "{guards}"
+        );
+    }
+}
+
+// Guards against a watch that resumes above objects that never arrived.
+#[test]
+fn completeness_has_no_gaps() {
+    let mut cache = Cache::default();
+    cache.adopt(profile(9, &Json::Null));
+    assert_eq!(
+        (cache.revision(), cache.complete()),
+        (Version::new(9), Version::new(0))
+    );
+    cache.adopt_since(Version::new(3), Version::new(12), Vec::new());
+    assert_eq!(cache.complete(), Version::new(0), "1 to 3 were not seen");
+    cache.adopt_since(Version::new(0), Version::new(5), Vec::new());
+    cache.adopt_since(Version::new(3), Version::new(12), Vec::new());
+    assert_eq!(cache.complete(), Version::new(12));
+    cache.adopt_since(Version::new(0), Version::new(5), Vec::new());
+    assert_eq!(cache.complete(), Version::new(12));
+}
+
+// Guards against a roster that keeps the version of an older object.
+#[test]
+fn rosters_carry_the_version_of_their_object() {
+    let mut cache = Cache::default();
+    cache.adopt(object("roster/desk", 8, 1, &json!({ "members": {} })));
+    let adopted = cache.get(&key("roster/desk")).unwrap();
+    match adopted.value.as_ref().unwrap() {
+        usher_config::Value::Roster(roster) => assert_eq!(roster.version, Version::new(8)),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Writes to three objects, in version order; `false` deletes.
+fn history() -> impl Strategy<Value = Vec<Object>> {
+    proptest::collection::vec((0_u8..3, any::<bool>()), 1..30).prop_map(|writes| {
+        let versions = 1_u64..;
+        let object = |((name, live), version): ((u8, bool), u64)| {
+            let value = json!({ "hunt": format!("{version}ms") });
+            let value = if live { value } else { Json::Null };
+            object(&format!("profile/p{name}"), version, version.into(), &value)
+        };
+        writes.into_iter().zip(versions).map(object).collect()
+    })
+}
+
+proptest! {
+    // Guards against a state that depends on which source answers when: a cache that hears parts
+    // of the history from several sources, stale or repeated, must never go back and must end alike.
+    #[test]
+    fn no_interleaving_reverts(
+        history in history(),
+        picks in proptest::collection::vec(any::<proptest::sample::Index>(), 0..120),
+    ) {
+        let mut cache = Cache::default();
+        let mut newest: BTreeMap<_, Object> = BTreeMap::new();
+        for pick in picks {
+            let offered = pick.get(&history);
+            let held = cache.get(&offered.key()).map(|object| object.version);
+            let adopted = cache.adopt(offered.clone()) == Adoption::Adopted;
+            prop_assert_eq!(adopted, held.is_none_or(|held| held < offered.version));
+            let entry = newest.entry(offered.key()).or_insert_with(|| offered.clone());
+            if entry.version < offered.version {
+                *entry = offered.clone();
+            }
+            for (key, object) in &newest {
+                prop_assert_eq!(cache.get(key), Some(object));
+            }
+        }
+        let since: Vec<Version> = cache.since(Version::default()).map(|held| held.version).collect();
+        prop_assert!(since.is_sorted());
+        prop_assert_eq!(since.len(), newest.len());
+        prop_assert_eq!(cache.revision(), since.last().copied().unwrap_or_default());
+    }
+}
--- /dev/null
+++ b/crates/config/tests/lease.rs
@@ -0,0 +1,118 @@
+//! Leases in the store with paused holders, and the spread of a version.
+
+mod support;
+
+use serde_json::json;
+use support::object;
+use usher_config::{Condition, Lapsed, Report, Rollout, RolloutState, StoreLease, WriteId};
+use usher_types::{Incarnation, Peer, Span, Time, Version};
+
+const ID: WriteId = WriteId::new(1);
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Span::from_millis(millis)
+}
+
+fn peer(name: &str) -> Peer {
+    Peer::Instance(name.parse().unwrap())
+}
+
+fn lease(name: &str) -> StoreLease<Lapsed> {
+    StoreLease::new("watcher".parse().unwrap(), peer(name), Span::from_secs(3))
+}
+
+// Guards against a lease that is taken while its holder may still act, drift included.
+#[test]
+fn lease_is_taken_only_after_its_term() {
+    let record = json!({ "holder": { "Instance": "one" }, "term": "3s" });
+    let held = object("lease/watcher", 5, 1, &record);
+    let mut bidder = lease("two");
+    assert!(bidder.bid(at(9_000), ID).is_none(), "nothing was read yet");
+    bidder.observe(at(0), Some(&held));
+    bidder.observe(at(2_000), Some(&held));
+    assert!(bidder.bid(at(3_059), ID).is_none());
+    let bid = bidder.bid(at(3_060), ID).unwrap();
+    assert_eq!(bid.change.condition, Condition::Version(Version::new(5)));
+    let renewed = object("lease/watcher", 6, 1, &record);
+    bidder.observe(at(3_060), Some(&renewed));
+    assert!(
+        bidder.bid(at(6_000), ID).is_none(),
+        "a renewal starts the term again"
+    );
+    bidder.observe(at(6_000), Some(&held));
+    assert!(bidder.bid(at(6_120), ID).is_some(), "a stale read does not");
+    bidder.observe(
+        at(6_200),
+        Some(&object("lease/watcher", 7, 1, &json!(null))),
+    );
+    assert_eq!(
+        bidder.bid(at(6_200), ID).unwrap().change.condition,
+        Condition::Absent
+    );
+}
+
+// Guards against a holder that acts or writes after a pause longer than its term.
+#[test]
+fn paused_holder_is_fenced() {
+    let held = lease("one").granted(at(100), Version::new(5));
+    assert_eq!(held.check(at(3_099)).unwrap(), Version::new(5));
+    let renewal = held.renewal(at(3_099), ID).unwrap();
+    assert_eq!(
+        renewal.change.condition,
+        Condition::Version(Version::new(5))
+    );
+    assert_eq!(held.check(at(3_100)).unwrap_err().code(), "MU-2015");
+    assert!(held.renewal(at(3_100), ID).is_err());
+    assert!(held.release(at(3_100), ID).is_err());
+    assert!(
+        held.lapse().bid(at(9_000), ID).is_none(),
+        "the lease has to be read again first"
+    );
+}
+
+// Guards against a version reported as in force while a process lags, restarted or was not heard.
+#[test]
+fn rollout_names_who_holds_it_back() {
+    let mut rollout = Rollout::new(Version::new(9));
+    rollout.expect(peer("one"));
+    rollout.expect(peer("two"));
+    let mut report = |name: &str, incarnation: u64, revision: u64| {
+        rollout.report(Report {
+            peer: peer(name),
+            incarnation: Incarnation::new(incarnation),
+            revision: Version::new(revision),
+        });
+        rollout.state()
+    };
+    let waiting = |lagging: &[(&str, u64)], unheard: &[&str]| RolloutState::Waiting {
+        lagging: lagging
+            .iter()
+            .map(|it| (peer(it.0), Version::new(it.1)))
+            .collect(),
+        unheard: unheard.iter().map(|name| peer(name)).collect(),
+    };
+    assert_eq!(report("one", 1, 8), waiting(&[("one", 8)], &["two"]));
+    assert_eq!(report("one", 1, 9), waiting(&[], &["two"]));
+    assert_eq!(
+        report("one", 1, 8),
+        waiting(&[], &["two"]),
+        "reports arrive out of order"
+    );
+    assert_eq!(report("two", 1, 10), RolloutState::InForce);
+    assert_eq!(
+        report("three", 1, 4),
+        waiting(&[("three", 4)], &[]),
+        "it joined meanwhile"
+    );
+    assert_eq!(report("three", 1, 9), RolloutState::InForce);
+    assert_eq!(
+        report("two", 2, 0),
+        waiting(&[("two", 0)], &[]),
+        "it restarted"
+    );
+    assert_eq!(
+        report("two", 1, 10),
+        waiting(&[("two", 0)], &[]),
+        "an old report is late"
+    );
+}
