--- a/crates/daemon/src/section.rs
+++ b/crates/daemon/src/section.rs
@@ -63,7 +63,7 @@
             .map(str::trim)
             .filter(|part| !part.is_empty());
         let parsed: Result<Vec<T>, _> = parts.map(T::from_str).collect();
-        parsed.map_err(|_| self.invalid(key, value, allowed))
+        parsed.map_err(|_fault| self.invalid(key, value, allowed))
     }
 
     /// Refuses keys that nothing has read.
--- a/crates/dedupe/tests/dedupe/fixture.rs
+++ b/crates/dedupe/tests/dedupe/fixture.rs
@@ -50,6 +50,7 @@
 pub fn roster(version: u64, agents: &[String]) -> Arc<Roster> {
     let agents = agents.iter().map(|text| agent(text));
     Arc::new(Roster {
+        earlier: Vec::new(),
         version: Version::new(version),
         members: agents
             .map(|agent| (agent.host.clone(), member(&agent)))
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -30,6 +30,7 @@
 
 pub fn roster(version: u64, members: impl IntoIterator<Item = usize>) -> Roster {
     Roster {
+        earlier: Vec::new(),
         version: Version::new(version),
         members: members.into_iter().map(|i| (host(i), member(i))).collect(),
     }
--- a/crates/routing/tests/properties.rs
+++ b/crates/routing/tests/properties.rs
@@ -148,7 +148,7 @@
             (host(index), listed)
         };
         let members = weights.iter().enumerate().map(weighted).collect();
-        let weighted = Roster { version: Version::new(1), members };
+        let weighted = Roster { version: Version::new(1), members, earlier: Vec::new() };
         let table = table_of_one(BUCKETS, &weighted);
         let mut counts: HashMap<SocketAddrV4, f64> = HashMap::new();
         for flow in (0..SAMPLES).map(|caller| flow(ADDRESS, caller)) {
--- a/crates/runtime/src/agent/mod.rs
+++ b/crates/runtime/src/agent/mod.rs
@@ -63,7 +63,7 @@
         .name("control".to_owned())
         .spawn(move || task::block_on(control.run(receiver, stop)))
         .map_err(RuntimeError::Thread)?;
-    let result = thread.join().map_err(|_| RuntimeError::Control)?;
+    let result = thread.join().map_err(|_panic| RuntimeError::Control)?;
     event::STOPPED.log(&[]);
     result
 }
--- a/crates/runtime/src/backend.rs
+++ b/crates/runtime/src/backend.rs
@@ -76,7 +76,7 @@
         let builder = WsClientBuilder::default()
             .connection_timeout(CONNECT_TIMEOUT)
             .max_response_size(MAX_ANSWER_BYTES)
-            .request_timeout(Duration::from_secs(24 * 3600));
+            .request_timeout(Duration::from_hours(24));
         if let Ok(client) = builder.build(format!("ws://{address}")).await {
             return Some(Arc::new(client));
         }
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -143,8 +143,9 @@
             match action {
                 Action::Beat { to, beat } => {
                     let datagram = Datagram::Beat(beat);
-                    to.into_iter()
-                        .for_each(|to| socket::send(&self.socket, to, &datagram));
+                    for to in to {
+                        socket::send(&self.socket, to, &datagram);
+                    }
                 }
                 Action::Ack { to, ack } => {
                     socket::send(&self.socket, to, &Datagram::BeatAck(ack));
--- a/crates/runtime/src/balancer/mod.rs
+++ b/crates/runtime/src/balancer/mod.rs
@@ -40,7 +40,7 @@
         .name("control".to_owned())
         .spawn(move || task::block_on(state.run(receiver, stop)))
         .map_err(RuntimeError::Thread)?;
-    let result = thread.join().map_err(|_| RuntimeError::Control)?;
+    let result = thread.join().map_err(|_panic| RuntimeError::Control)?;
     event::STOPPED.log(&[]);
     result
 }
--- a/crates/runtime/src/balancer/traffic.rs
+++ b/crates/runtime/src/balancer/traffic.rs
@@ -56,12 +56,12 @@
         for number in 0..threads {
             let (traffic, socket) = (self.clone(), clone(packets)?);
             spawn(format!("packets-{number}"), move || {
-                traffic.forward_packets(&socket)
+                traffic.forward_packets(&socket);
             })?;
         }
         let (traffic, socket, events) = (self.clone(), clone(control)?, events.clone());
         spawn("heartbeats".to_owned(), move || {
-            traffic.read_control(&socket, &events)
+            traffic.read_control(&socket, &events);
         })
     }
 
@@ -75,7 +75,7 @@
             };
             match self.forward(socket, &buffer[..length]) {
                 Ok(()) => counts.forwarded += 1,
-                Err(reason) => counts.drop(reason),
+                Err(reason) => counts.drop(&reason),
             }
             if counts.total() >= BATCH {
                 counts.flush(&self.metrics);
@@ -84,7 +84,7 @@
     }
 
     fn forward(&self, socket: &UdpSocket, bytes: &[u8]) -> Result<(), Dropped> {
-        let packet = decode_packet(bytes).map_err(|_| Dropped::Malformed)?;
+        let packet = decode_packet(bytes).map_err(|_fault| Dropped::Malformed)?;
         let router = self.router.load();
         let mut hints = self
             .shard(&packet.flow)
@@ -158,7 +158,7 @@
 }
 
 impl Counts {
-    fn drop(&mut self, reason: Dropped) {
+    fn drop(&mut self, reason: &Dropped) {
         match reason {
             Dropped::Malformed => self.malformed += 1,
             Dropped::Decided(DropReason::UnknownService) => self.unknown_service += 1,
--- a/crates/runtime/src/control/call.rs
+++ b/crates/runtime/src/control/call.rs
@@ -98,12 +98,12 @@
     call: impl FnOnce(Sender<T>) -> Call,
 ) -> Result<T, ErrorObjectOwned> {
     let (reply, answer): (Sender<T>, Receiver<T>) = channel::bounded(1);
-    let gone = |_| error(GONE, "MU-6004: the control thread ended");
+    let gone = || error(GONE, "MU-6004: the control thread ended");
     events
         .send(ControlEvent::Call(call(reply)))
         .await
-        .map_err(|_| gone(()))?;
-    answer.recv().await.map_err(|_| gone(()))
+        .map_err(|_closed| gone())?;
+    answer.recv().await.map_err(|_closed| gone())
 }
 
 fn error(code: i32, text: &str) -> ErrorObjectOwned {
--- a/crates/standins/src/caller/driver.rs
+++ b/crates/standins/src/caller/driver.rs
@@ -241,10 +241,7 @@
     }
 
     fn flow(&self, index: usize) -> FlowId {
-        self.flows
-            .get_index(index)
-            .map(|(flow, _)| *flow)
-            .unwrap_or_else(|| unreachable!())
+        self.flows.keys()[index]
     }
 
     fn receive(&mut self, buffer: &mut [u8], wait: Duration) -> io::Result<()> {
--- a/crates/standins/src/caller/load.rs
+++ b/crates/standins/src/caller/load.rs
@@ -1,3 +1,4 @@
+use std::fmt::Display;
 use std::net::SocketAddrV4;
 use std::str::FromStr;
 
@@ -36,15 +37,21 @@
         let &[service, address, method, rate, flows, deadline] = fields else {
             return Err(RULE.to_owned());
         };
-        let wrong = |what: &str| format!("{RULE}: wrong {what}");
+
         Ok(Self {
-            service: service.parse().map_err(|_| wrong("SERVICE"))?,
-            address: address.parse().map_err(|_| wrong("ADDRESS"))?,
+            service: service.parse().map_err(|error| wrong("SERVICE", &error))?,
+            address: address.parse().map_err(|error| wrong("ADDRESS", &error))?,
             method: method.to_owned(),
-            rate: rate.parse().map_err(|_| wrong("RATE"))?,
-            flows: flows.parse().map_err(|_| wrong("FLOWS"))?,
-            deadline: deadline.parse().map_err(|_| wrong("DEADLINE"))?,
+            rate: rate.parse().map_err(|error| wrong("RATE", &error))?,
+            flows: flows.parse().map_err(|error| wrong("FLOWS", &error))?,
+            deadline: deadline
+                .parse()
+                .map_err(|error| wrong("DEADLINE", &error))?,
             once,
         })
     }
 }
+
+fn wrong(part: &str, error: &dyn Display) -> String {
+    format!("{RULE}: wrong {part}: {error}")
+}
