Crate agent: the agent of one host without I/O

Cause: the joint of flows, scheduler, ledger and claimant stood in the traffic thread (698 lines), where scenarios in virtual time could not reach it. Change: AgentState in its own decision crate; the traffic thread carries out its actions; the types of messages moved from wire to types. Conclusion: scenarios and measurements can drive the code that runs.

--- /dev/null
+++ b/crates/agent/src/action.rs
@@ -0,0 +1,81 @@
+use std::net::SocketAddrV4;
+
+use usher_types::{
+    FlowId, HostId, Message, Outcome, Packet, Payload, RequestId, RequestKey, Time, Version,
+};
+
+/// Output of an agent.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Sends a message to another process.
+    Send {
+        /// Address of the receiver.
+        to: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// Sends a packet to its caller through the fabric.
+    Packet(Packet),
+    /// A whole message from a caller; answered by `Event::Request` or `Event::Reply`.
+    Deliver {
+        /// Where the message came in.
+        id: RequestId,
+        /// The whole message.
+        bytes: Vec<u8>,
+    },
+    /// Tells the caller the outcome; answered by `Event::Reply`.
+    Answer {
+        /// The request.
+        id: RequestId,
+        /// Its outcome.
+        outcome: Outcome,
+    },
+    /// Runs a request; answered by `Event::Finished`, `Event::Refused` or `Event::Lost`.
+    Run {
+        /// The request.
+        id: RequestId,
+        /// Its key.
+        key: RequestKey,
+        /// Method name.
+        method: String,
+        /// Parameters.
+        body: Payload,
+        /// The backend server does not start the run after this time.
+        start_by: Time,
+        /// When the caller stops waiting.
+        deadline: Time,
+    },
+    /// Cancels a run; its result is still reported.
+    CancelRun(RequestId),
+    /// Hands flows over; answered by `Event::FlowsTaken`.
+    HandOverFlows {
+        /// The receiver.
+        to: HostId,
+        /// The flows.
+        parcel: usher_flows::Parcel,
+    },
+    /// Hands dedupe records over; answered by `Event::RecordsTaken` or repeated.
+    HandOverRecords {
+        /// The receiver.
+        to: HostId,
+        /// The records.
+        parcel: usher_dedupe::Parcel,
+    },
+    /// Flows that were taken over from another agent.
+    TookFlows(Vec<FlowId>),
+    /// Records of a roster version were taken over from another agent.
+    TookRecords(Version),
+    /// A view is in force.
+    InForce(Version),
+    /// Flows are handed over and requests are finished.
+    Drained,
+    /// Dedupe records are kept by others.
+    RecordsDrained,
+    /// Raises a counter by one.
+    Count {
+        /// Part of the agent that counts.
+        part: &'static str,
+        /// Name of the counter.
+        name: String,
+    },
+}
--- /dev/null
+++ b/crates/agent/src/event.rs
@@ -0,0 +1,65 @@
+use std::net::SocketAddrV4;
+
+use usher_types::{FlowId, HostId, Message, Outcome, Request, RequestId, Version};
+
+use crate::View;
+
+/// Input of an agent.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A message from another process.
+    Message {
+        /// Address of the sender.
+        from: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// New control state.
+    View(View),
+    /// A delivered message was read as a request.
+    Request(Request),
+    /// The text of an answer to a delivered message is ready to be sent.
+    Reply {
+        /// Where the message came in.
+        id: RequestId,
+        /// The whole answer.
+        bytes: Vec<u8>,
+    },
+    /// The backend server answered a run, `Answered` or `Failed`.
+    Finished {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        outcome: Outcome,
+    },
+    /// The backend server definitely did not start a run.
+    Refused(RequestId),
+    /// A run may have taken place, but its answer is lost.
+    Lost(RequestId),
+    /// The caller no longer waits.
+    Cancel(RequestId),
+    /// Another agent hands over flows; answered by `Action::TookFlows`.
+    TakeFlows(usher_flows::Parcel),
+    /// Another agent hands over dedupe records; answered by `Action::TookRecords`.
+    TakeRecords(usher_dedupe::Parcel),
+    /// A host has taken over flows; `None` when it did not answer.
+    FlowsTaken {
+        /// The host.
+        to: HostId,
+        /// Flows that it holds now.
+        flows: Option<Vec<FlowId>>,
+    },
+    /// A host has taken over the records of a roster version.
+    RecordsTaken {
+        /// The host.
+        from: HostId,
+        /// Roster version of the records.
+        roster: Version,
+    },
+    /// A drain begins: no new work, flows move to other hosts.
+    Drain,
+    /// The process is about to leave the roster.
+    Leave,
+    /// The time of `next_timer` has come.
+    Tick,
+}
--- /dev/null
+++ b/crates/agent/src/key_actions.rs
@@ -0,0 +1,67 @@
+use usher_admission::Event as RequestEvent;
+use usher_dedupe::{ClaimantAction, ClaimantEvent, LedgerAction, LedgerEvent};
+use usher_types::{AgentMessage, RequestId, RequestKey};
+
+use crate::{Action, AgentState};
+
+impl AgentState {
+    pub(crate) fn claimant(&mut self, event: ClaimantEvent) {
+        let Some(machines) = &mut self.machines else {
+            return;
+        };
+        for action in machines.claimant.handle(self.now, event) {
+            self.on_claimant_action(action);
+        }
+    }
+
+    fn on_claimant_action(&mut self, action: ClaimantAction) {
+        match action {
+            ClaimantAction::Claim { to, claim } => self.send(to, AgentMessage::Claim(claim)),
+            ClaimantAction::Complete { to, complete } => {
+                self.send(to, AgentMessage::Complete(complete));
+            }
+            ClaimantAction::Permit { key, start_by } => {
+                self.settle(key, |id| RequestEvent::Permit { id, start_by });
+            }
+            ClaimantAction::Settled { key, outcome } => {
+                self.settle(key, |id| RequestEvent::Settled { id, outcome });
+            }
+            ClaimantAction::Denied { key } => self.settle(key, |id| RequestEvent::Denied { id }),
+            ClaimantAction::Running { .. } => {}
+        }
+    }
+
+    // The claim's answer goes to the request that asked last under this key.
+    fn settle(&mut self, key: RequestKey, event: impl FnOnce(RequestId) -> RequestEvent) {
+        let claims = self.machines.as_mut().map(|machines| &mut machines.claims);
+        if let Some(id) = claims.and_then(|claims| claims.remove(&key)) {
+            self.scheduler(event(id));
+        }
+    }
+
+    pub(crate) fn ledger(&mut self, event: LedgerEvent) {
+        let Some(machines) = &mut self.machines else {
+            return;
+        };
+        for action in machines.ledger.handle(self.now, event) {
+            self.on_ledger_action(action);
+        }
+    }
+
+    fn on_ledger_action(&mut self, action: LedgerAction) {
+        match action {
+            LedgerAction::Verdict { to, verdict } => self.send(to, AgentMessage::Verdict(verdict)),
+            LedgerAction::Completed { to, completed } => {
+                self.send(to, AgentMessage::Completed(completed));
+            }
+            LedgerAction::Handover { to, parcel } => {
+                self.out.push(Action::HandOverRecords { to, parcel });
+            }
+            LedgerAction::Acknowledge { roster, .. } => {
+                self.out.push(Action::TookRecords(roster));
+            }
+            LedgerAction::Drained => self.out.push(Action::RecordsDrained),
+            LedgerAction::Count(counter) => self.count("dedupe", &counter),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,22 @@
+//! The agent of one host without I/O: joins flows, scheduler, ledger and claimant.
+//!
+//! The runtime feeds typed events in and carries the actions out; scenarios do the same in virtual
+//! time.
+
+mod action;
+mod agent_state;
+mod event;
+mod flow_actions;
+mod key_actions;
+mod peers;
+mod request_actions;
+mod settings;
+mod summary;
+mod view;
+
+pub use action::Action;
+pub use agent_state::AgentState;
+pub use event::Event;
+pub use settings::Settings;
+pub use summary::Summary;
+pub use view::View;
--- /dev/null
+++ b/crates/agent/src/request_actions.rs
@@ -0,0 +1,76 @@
+use usher_admission::{Action as RequestAction, Event as RequestEvent};
+use usher_dedupe::ClaimantEvent;
+use usher_types::{AgentMessage, Span};
+
+use crate::{Action, AgentState};
+
+// A claim that outlives this has no caller that waits for it.
+const CLAIM_LIMIT: Span = Span::from_secs(60);
+
+impl AgentState {
+    pub(crate) fn scheduler(&mut self, event: RequestEvent) {
+        let Some(machines) = &mut self.machines else {
+            return;
+        };
+        for action in machines.scheduler.handle(self.now, event) {
+            self.on_request_action(action);
+        }
+    }
+
+    fn on_request_action(&mut self, action: RequestAction) {
+        match action {
+            RequestAction::Claim {
+                id,
+                key,
+                attempt,
+                age,
+            } => {
+                if let Some(machines) = &mut self.machines {
+                    machines.claims.insert(key, id);
+                }
+                let deadline = self.now + CLAIM_LIMIT;
+                self.claimant(ClaimantEvent::Ask {
+                    key,
+                    attempt,
+                    age,
+                    deadline,
+                });
+            }
+            RequestAction::Dispatch {
+                id,
+                key,
+                method,
+                body,
+                start_by,
+                deadline,
+            } => {
+                self.out.push(Action::Run {
+                    id,
+                    key,
+                    method,
+                    body,
+                    start_by,
+                    deadline,
+                });
+            }
+            RequestAction::CancelRun { id } => self.out.push(Action::CancelRun(id)),
+            RequestAction::Reply { id, outcome } => self.out.push(Action::Answer { id, outcome }),
+            RequestAction::Complete { key, outcome } => {
+                self.claimant(ClaimantEvent::Report { key, outcome });
+            }
+            RequestAction::Offer { to, offer } => self.send(to, AgentMessage::Offer(offer)),
+            RequestAction::OfferReply { to, reply } => {
+                self.send(to, AgentMessage::OfferReply(reply));
+            }
+            RequestAction::OfferOutcome { to, outcome } => {
+                self.send(to, AgentMessage::OfferOutcome(outcome));
+            }
+            RequestAction::OfferDone { to, done } => self.send(to, AgentMessage::OfferDone(done)),
+            RequestAction::Drained => {
+                self.requests_drained = true;
+                self.check_drained();
+            }
+            RequestAction::Count(counter) => self.count("requests", &counter),
+        }
+    }
+}
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -9,14 +9,14 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
+use usher_agent::View;
 use usher_members::{Action, Event, HostLife, Identity, Membership, Proposal, Status};
 use usher_platform::{Limits, Store};
 use usher_types::{
-    HostState, Incarnation, Member, PastRoster, Roster, Span, Time, Version, Weight,
+    HostState, Incarnation, Member, Message, PastRoster, Roster, Span, Time, Version, Weight,
 };
-use usher_wire::Datagram;
 
-use super::view::{View, WorkerEvent};
+use super::worker_event::WorkerEvent;
 use crate::clock::now;
 use crate::control::{Call, ControlEvent, State, edit_roster, fetch_from_peers, follow, serve};
 use crate::{AgentSettings, RuntimeError, event, socket};
@@ -205,13 +205,13 @@
         for action in self.membership.handle(now(), event) {
             match action {
                 Action::Beat { to, beat } => {
-                    let datagram = Datagram::Beat(beat);
+                    let message = Message::Beat(beat);
                     for to in to {
-                        socket::send(&self.socket, to, &datagram);
+                        socket::send(&self.socket, to, &message);
                     }
                 }
                 Action::Ack { to, ack } => {
-                    socket::send(&self.socket, to, &Datagram::BeatAck(ack));
+                    socket::send(&self.socket, to, &Message::BeatAck(ack));
                 }
                 Action::Suspected { service, hosts } => {
                     let hosts = format!("{hosts:?}");
--- a/crates/runtime/src/agent/counts.rs
+++ b/crates/runtime/src/agent/counts.rs
@@ -1,5 +1,3 @@
-use std::fmt::Debug;
-
 use indexmap::IndexMap;
 
 use crate::metrics::Metrics;
@@ -12,11 +10,8 @@
 }
 
 impl Counts {
-    pub(crate) fn add(&mut self, group: &str, counter: &impl Debug) {
-        *self
-            .totals
-            .entry(format!("{group}.{counter:?}"))
-            .or_default() += 1;
+    pub(crate) fn add(&mut self, part: &str, name: &str) {
+        *self.totals.entry(format!("{part}.{name}")).or_default() += 1;
     }
 
     /// Counts since the process started.
--- /dev/null
+++ b/crates/runtime/src/agent/handover.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddrV4;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use async_std::task;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use serde::de::DeserializeOwned;
+use usher_types::HostId;
+
+use super::worker_event::WorkerEvent;
+use crate::control::Parcels;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const RETRY: Duration = Duration::from_millis(300);
+const MAX_BODY_BYTES: u32 = 64 << 20;
+
+/// Hands flows over to a host and reports which ones it holds now.
+pub(crate) fn send_flows(
+    host: HostId,
+    admin: SocketAddrV4,
+    parcels: Parcels,
+    reports: mpsc::Sender<WorkerEvent>,
+) {
+    task::spawn(async move {
+        let flows = call(admin, &parcels).await.ok();
+        if flows.is_none() {
+            task::sleep(RETRY).await;
+        }
+        // The process is ending when nobody receives.
+        let _ = reports.send(WorkerEvent::FlowsTaken { to: host, flows });
+    });
+}
+
+/// Hands dedupe records over to a host; the ledger repeats what is not acknowledged.
+pub(crate) fn send_records(
+    host: HostId,
+    admin: SocketAddrV4,
+    parcels: Parcels,
+    reports: mpsc::Sender<WorkerEvent>,
+) {
+    task::spawn(async move {
+        if let Ok(roster) = call(admin, &parcels).await {
+            let _ = reports.send(WorkerEvent::RecordsTaken { from: host, roster });
+        }
+    });
+}
+
+async fn call<T: DeserializeOwned>(
+    admin: SocketAddrV4,
+    parcels: &Parcels,
+) -> Result<T, ClientError> {
+    let client = HttpClientBuilder::default()
+        .request_timeout(TIMEOUT)
+        .max_request_size(MAX_BODY_BYTES)
+        .build(format!("http://{admin}"))?;
+    client.request("handover", rpc_params![parcels]).await
+}
--- a/crates/runtime/src/agent/mod.rs
+++ b/crates/runtime/src/agent/mod.rs
@@ -1,23 +1,25 @@
 //! The agent: owns the flows and requests of one backend server.
 
-mod calls;
 mod control;
 mod counts;
 mod deliver;
+mod handover;
 mod reader;
-mod view;
+mod runs;
 mod worker;
+mod worker_event;
 
 use std::sync::mpsc;
 use std::thread;
 
 use async_std::channel::{self, Receiver};
 use async_std::task;
-use usher_dedupe::Agent;
+use usher_admission::Policy;
+use usher_agent::{AgentState, Settings};
 
 use self::control::Control;
-use self::view::WorkerEvent;
 use self::worker::Worker;
+use self::worker_event::WorkerEvent;
 use crate::control::ControlEvent;
 use crate::metrics::Metrics;
 use crate::{AgentSettings, RuntimeError, backend, event, socket};
@@ -32,10 +34,14 @@
     let metrics = Metrics::new(METRICS_PREFIX, settings.common.statsd)?;
     let socket = socket::bind(settings.listen)?;
     let incarnation = crate::balancer::incarnation();
-    let agent = Agent {
+    let agent = AgentState::new(Settings {
         host: settings.host.clone(),
         incarnation,
-    };
+        service: settings.service.clone(),
+        address: settings.listen,
+        slots: settings.slots,
+        policy: Policy::default(),
+    });
     let (events, receiver) = channel::unbounded::<ControlEvent>();
     let (to_worker, worker_events) = mpsc::channel::<WorkerEvent>();
     let (commands, runs) = channel::unbounded();
--- a/crates/runtime/src/agent/reader.rs
+++ b/crates/runtime/src/agent/reader.rs
@@ -3,14 +3,15 @@
 use std::thread;
 
 use async_std::channel::Sender;
-use usher_wire::Datagram;
+use usher_types::Message;
+use usher_wire::decode_message;
 
-use super::view::WorkerEvent;
+use super::worker_event::WorkerEvent;
 use crate::control::ControlEvent;
 use crate::socket::MAX_DATAGRAM;
 use crate::{RuntimeError, event};
 
-/// Starts the thread that reads the agent's datagrams.
+/// Starts the thread that reads the agent's messages.
 pub(crate) fn start(
     socket: &UdpSocket,
     worker: mpsc::Sender<WorkerEvent>,
@@ -32,28 +33,31 @@
         let SocketAddr::V4(source) = source else {
             continue;
         };
-        let datagram = match Datagram::decode(&buffer[..length]) {
-            Ok(datagram) => datagram,
+        let message = match decode_message(&buffer[..length]) {
+            Ok(message) => message,
             Err(fault) => {
                 event::MALFORMED.log(&[("source", &source), ("fault", &fault)]);
                 continue;
             }
         };
         // Heartbeats concern membership and, as lease renewals, the traffic thread.
-        match &datagram {
-            Datagram::Beat(beat) => {
+        match &message {
+            Message::Beat(beat) => {
                 let _ = control.try_send(ControlEvent::Beat {
                     source,
                     beat: beat.clone(),
                 });
             }
-            Datagram::BeatAck(ack) => {
+            Message::BeatAck(ack) => {
                 let _ = control.try_send(ControlEvent::BeatAck(ack.clone()));
             }
             _ => {}
         }
         if worker
-            .send(WorkerEvent::Datagram { source, datagram })
+            .send(WorkerEvent::Message {
+                from: source,
+                message,
+            })
             .is_err()
         {
             return;
--- a/crates/runtime/src/agent/view.rs
+++ b/crates/runtime/src/agent/worker_event.rs
@@ -1,36 +1,20 @@
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 
 use async_std::channel::Sender;
 use serde_json::Value;
-use usher_types::{FlowId, Generation, HostId, Profile, Roster, Version};
-use usher_wire::Datagram;
+use usher_agent::View;
+use usher_types::{FlowId, HostId, Message, Version};
 
 use crate::backend::Report;
 use crate::control::Content;
 
-/// Control state that the traffic thread needs; immutable.
-#[derive(Debug, Clone)]
-pub(crate) struct View {
-    /// Generation of the service's address.
-    pub(crate) generation: Generation,
-    /// Profile of the service.
-    pub(crate) profile: Arc<Profile>,
-    /// Roster of the service.
-    pub(crate) roster: Arc<Roster>,
-    /// Configuration version that the view stands for.
-    pub(crate) revision: Version,
-    /// This process wrote the service's first roster.
-    pub(crate) created: bool,
-}
-
 /// Input of the traffic thread.
 #[derive(Debug)]
 pub(crate) enum WorkerEvent {
-    /// A datagram from another process.
-    Datagram {
-        source: SocketAddrV4,
-        datagram: Datagram,
+    /// A message from another process.
+    Message {
+        from: SocketAddrV4,
+        message: Message,
     },
     /// New control state.
     View(View),
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -15,8 +15,9 @@
 use usher_members::{Action, Event, Identity, Membership, Status};
 use usher_platform::{Limits, Store};
 use usher_routing::{Router, Table};
-use usher_types::{Balancer, Fleet, HostId, Incarnation, PastRoster, Roster, ServiceName, Version};
-use usher_wire::Datagram;
+use usher_types::{
+    Balancer, Fleet, HostId, Incarnation, Message, PastRoster, Roster, ServiceName, Version,
+};
 
 use crate::clock::now;
 use crate::control::{Call, ControlEvent, State, edit_fleet, fetch_from_peers, follow, serve};
@@ -142,13 +143,13 @@
         for action in self.membership.handle(now(), event) {
             match action {
                 Action::Beat { to, beat } => {
-                    let datagram = Datagram::Beat(beat);
+                    let message = Message::Beat(beat);
                     for to in to {
-                        socket::send(&self.socket, to, &datagram);
+                        socket::send(&self.socket, to, &message);
                     }
                 }
                 Action::Ack { to, ack } => {
-                    socket::send(&self.socket, to, &Datagram::BeatAck(ack));
+                    socket::send(&self.socket, to, &Message::BeatAck(ack));
                 }
                 Action::Suspected { service, hosts } => self.suspect(service, hosts),
                 // Agents write rosters; balancers only watch them.
--- a/crates/runtime/src/balancer/traffic.rs
+++ b/crates/runtime/src/balancer/traffic.rs
@@ -5,8 +5,8 @@
 use arc_swap::ArcSwap;
 use async_std::channel::Sender;
 use usher_routing::{DropReason, Forward, HintTable, Router};
-use usher_types::{FlowId, Hint};
-use usher_wire::{Datagram, decode_packet};
+use usher_types::{FlowId, Hint, Message};
+use usher_wire::{decode_message, decode_packet};
 
 use crate::control::ControlEvent;
 use crate::metrics::Metrics;
@@ -94,7 +94,7 @@
         drop(hints);
         match forward {
             Forward::Send { to, relay } => {
-                socket::send(socket, to, &Datagram::Relay(relay));
+                socket::send(socket, to, &Message::Relay(relay));
                 Ok(())
             }
             Forward::Drop(reason) => Err(Dropped::Decided(reason)),
@@ -110,14 +110,14 @@
             let SocketAddr::V4(source) = source else {
                 continue;
             };
-            let event = match Datagram::decode(&buffer[..length]) {
-                Ok(Datagram::Hint(hint)) => {
+            let event = match decode_message(&buffer[..length]) {
+                Ok(Message::Hint(hint)) => {
                     self.learn(&hint);
                     continue;
                 }
-                Ok(Datagram::Beat(beat)) => ControlEvent::Beat { source, beat },
-                Ok(Datagram::BeatAck(ack)) => ControlEvent::BeatAck(ack),
-                Ok(Datagram::Relay(_) | Datagram::Agent { .. }) => continue,
+                Ok(Message::Beat(beat)) => ControlEvent::Beat { source, beat },
+                Ok(Message::BeatAck(ack)) => ControlEvent::BeatAck(ack),
+                Ok(Message::Relay(_) | Message::Agent { .. }) => continue,
                 Err(fault) => {
                     event::MALFORMED.log(&[("source", &source), ("fault", &fault)]);
                     self.metrics.count("malformed", 1);
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -1,7 +1,8 @@
 use std::net::{SocketAddrV4, UdpSocket};
 
 use socket2::SockRef;
-use usher_wire::{AgentMessage, Datagram};
+use usher_types::{AgentMessage, Message};
+use usher_wire::encode_message;
 
 use crate::{RuntimeError, event};
 
@@ -22,24 +23,24 @@
     open().map_err(|source| RuntimeError::Listen { address, source })
 }
 
-/// Sends a datagram; losses are left to the timers of the protocol.
-pub(crate) fn send(socket: &UdpSocket, to: SocketAddrV4, datagram: &Datagram) {
-    let sent = datagram.encode().map(|bytes| socket.send_to(&bytes, to));
+/// Sends a message; losses are left to the timers of the protocol.
+pub(crate) fn send(socket: &UdpSocket, to: SocketAddrV4, message: &Message) {
+    let sent = encode_message(message).map(|bytes| socket.send_to(&bytes, to));
     if !matches!(sent, Ok(Ok(_))) {
-        event::SEND_FAILED.log(&[("to", &to), ("kind", &kind(datagram))]);
+        event::SEND_FAILED.log(&[("to", &to), ("kind", &kind(message))]);
     }
 }
 
-fn kind(datagram: &Datagram) -> &'static str {
-    match datagram {
-        Datagram::Relay(_) => "relay",
-        Datagram::Hint(_) => "hint",
-        Datagram::Beat(_) => "beat",
-        Datagram::BeatAck(_) => "beat-ack",
-        Datagram::Agent {
+fn kind(message: &Message) -> &'static str {
+    match message {
+        Message::Relay(_) => "relay",
+        Message::Hint(_) => "hint",
+        Message::Beat(_) => "beat",
+        Message::BeatAck(_) => "beat-ack",
+        Message::Agent {
             message: AgentMessage::Offer(_),
             ..
         } => "offer",
-        Datagram::Agent { .. } => "agent",
+        Message::Agent { .. } => "agent",
     }
 }
--- a/crates/wire/src/agent_message.rs
+++ b/crates/types/src/agent_message.rs
@@ -1,8 +1,8 @@
-use serde::{Deserialize, Serialize};
-use usher_types::{
+use crate::{
     Claim, Complete, Completed, Offer, OfferDone, OfferOutcome, OfferReply, Register, Registered,
     Verdict,
 };
+use serde::{Deserialize, Serialize};
 
 /// A message between two agents of one service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! Nothing here performs I/O or reads a clock.
 
+mod agent_message;
 mod beat;
 mod claim;
 mod error;
 mod fleet;
 mod flow_id;
+mod message;
 mod name;
 mod number;
 mod offer;
@@ -24,11 +26,13 @@
 mod span;
 mod time;
 
+pub use agent_message::AgentMessage;
 pub use beat::{Beat, BeatAck, Peer};
 pub use claim::{Claim, Complete, Completed, Decision, Verdict};
 pub use error::ParseError;
 pub use fleet::{Balancer, Fleet};
 pub use flow_id::FlowId;
+pub use message::Message;
 pub use name::{DataCentre, HostId, InstanceId, ProfileName, ServiceName};
 pub use number::{
     Attempt, Bucket, Buckets, Budget, ByteCount, Generation, Incarnation, MessageId, Priority,
--- a/crates/wire/tests/malformed.rs
+++ b/crates/wire/tests/malformed.rs
@@ -2,13 +2,13 @@
 
 use assert_matches::assert_matches;
 use proptest::prelude::{any, proptest};
-use usher_wire::{Datagram, RequestMessage, ResponseMessage, WireError, decode_packet};
+use usher_wire::{RequestMessage, ResponseMessage, WireError, decode_message, decode_packet};
 
 proptest! {
     // Guards against a decoder that panics on bytes from the network.
     #[test]
     fn decoders_survive_arbitrary_bytes(bytes in any::<Vec<u8>>()) {
-        let _ = Datagram::decode(&bytes);
+        let _ = decode_message(&bytes);
         let _ = decode_packet(&bytes);
         let _ = RequestMessage::decode(&bytes);
         let _ = ResponseMessage::decode(&bytes);
@@ -18,7 +18,7 @@
 // Guards against reading a newer protocol version as the current one.
 #[test]
 fn other_protocol_version_is_refused() {
-    assert_matches!(Datagram::decode(&[9, 0, 0]), Err(WireError::Version(9)));
+    assert_matches!(decode_message(&[9, 0, 0]), Err(WireError::Version(9)));
 }
 
 // Guards against requests whose metadata has a misspelt member.
