--- a/crates/flows/src/flow.rs
+++ b/crates/flows/src/flow.rs
@@ -23,7 +23,6 @@
         reason = "an idle flow pays 8 bytes instead of 24"
     )]
     pending: Option<Box<Vec<MessageId>>>,
-    source: Option<SocketAddrV4>,
 }
 
 /// The flow is frozen until its receiver acknowledges the handover.
@@ -154,13 +153,4 @@
         }
         true
     }
-
-    /// Agent that handed the flow over to this one.
-    pub(crate) fn source(&self) -> Option<SocketAddrV4> {
-        self.source
-    }
-
-    pub(crate) fn set_source(&mut self, source: SocketAddrV4) {
-        self.source = Some(source);
-    }
 }
--- a/crates/flows/src/parcel.rs
+++ b/crates/flows/src/parcel.rs
@@ -34,8 +34,12 @@
 pub struct Parcel {
     /// Address of the sending agent.
     pub from: SocketAddrV4,
+    /// Number of the parcel; a repeated one has the same number.
+    pub number: u64,
     /// Flows; the receiver holds them from now on.
     pub flows: Vec<FlowState>,
     /// Flows that are held elsewhere.
     pub directory: Vec<Located>,
+    /// Flows that were closed within the packet lifetime; a late `Open` may not open them.
+    pub closed: Vec<FlowId>,
 }
--- a/crates/flows/src/table.rs
+++ b/crates/flows/src/table.rs
@@ -3,6 +3,7 @@
 mod receive;
 mod registry;
 mod serve;
+mod takeover;
 
 use std::mem;
 use std::net::SocketAddrV4;
@@ -11,8 +12,9 @@
 use usher_types::{Body, FlowId, HostId, Packet, Sequence, Span, Time};
 
 use self::membership::Membership;
+use self::registry::Rival;
 use crate::directory::Directory;
-use crate::flow::{Flow, Held, Open};
+use crate::flow::{Closing, Flow, Held, Open};
 use crate::timers::Timers;
 use crate::transit::Transit;
 use crate::{Action, Counter, Event, Located, PACKET_LIFETIME, Settings};
@@ -54,10 +56,15 @@
     registrations: IndexMap<FlowId, SocketAddrV4>,
     register: Timers,
     pace: Time,
+    rivals: IndexMap<FlowId, Rival>,
     yields: IndexMap<FlowId, SocketAddrV4>,
     leaving: IndexSet<FlowId>,
+    deferred: Timers,
     located: Vec<Located>,
+    closed: Vec<FlowId>,
     transits: IndexMap<HostId, Transit>,
+    parcels: u64,
+    taken: IndexMap<SocketAddrV4, (u64, Vec<FlowId>)>,
     draining: bool,
     drained: bool,
     actions: Vec<Action>,
@@ -91,10 +98,15 @@
             registrations: IndexMap::new(),
             register: Timers::default(),
             pace: Time::ZERO,
+            rivals: IndexMap::new(),
             yields: IndexMap::new(),
             leaving: IndexSet::new(),
+            deferred: Timers::default(),
             located: Vec::new(),
+            closed: Vec::new(),
             transits: IndexMap::new(),
+            parcels: 0,
+            taken: IndexMap::new(),
             draining: false,
             drained: false,
             actions: Vec::new(),
@@ -125,14 +137,14 @@
             Event::Wait(wait) => self.wait = wait,
             Event::Reply { id, bytes } => self.reply(now, id, bytes),
             Event::Register { from, register } => self.registration(now, from, &register),
-            Event::Registered { from, registered } => self.registered(from, &registered),
+            Event::Registered { from, registered } => self.registered(now, from, &registered),
             Event::Handover(parcel) => self.take_over(now, parcel),
             Event::HandedOver { to, flows } => self.handed_over(now, &to, &flows),
             Event::HandoverFailed { to } => self.handover_failed(now, &to),
             Event::Drain => self.drain(now),
             Event::Tick => self.tick(now),
         }
-        self.dispatch();
+        self.dispatch(now);
         self.report_drained();
         mem::take(&mut self.actions)
     }
@@ -161,6 +173,7 @@
         let timers = [
             self.resend.next(),
             self.tombstones.next(),
+            self.deferred.next(),
             register,
             retry,
             sweep,
@@ -193,6 +206,9 @@
         while let Some(flow) = self.resend.pop(now) {
             self.retransmit(now, flow);
         }
+        while let Some(flow) = self.deferred.pop(now) {
+            self.queue_if_leaving(flow);
+        }
         self.register_due(now);
         self.retry_transits(now);
         if self.sweep <= now {
@@ -224,13 +240,22 @@
         let Some(Held::Open(open)) = self.held.swap_remove(&flow) else {
             return;
         };
-        self.held.insert(flow, Held::Closing(open.close()));
+        self.bury(now, flow, open.close());
         self.retire_at_owner(flow);
-        self.tombstones.set(flow, now + PACKET_LIFETIME);
         self.resend.clear(&flow);
         self.unregister(&flow);
         self.yields.swap_remove(&flow);
         self.leaving.swap_remove(&flow);
+        self.deferred.clear(&flow);
+    }
+
+    /// Keeps a tombstone, here and, while draining, at the next owner of the bucket.
+    fn bury(&mut self, now: Time, flow: FlowId, closing: Flow<Closing>) {
+        self.held.insert(flow, Held::Closing(closing));
+        self.tombstones.set(flow, now + PACKET_LIFETIME);
+        if self.draining {
+            self.closed.push(flow);
+        }
     }
 
     fn open_flow(&mut self, flow: &FlowId) -> Option<&mut Flow<Open>> {
--- a/crates/flows/src/table/handover.rs
+++ b/crates/flows/src/table/handover.rs
@@ -5,11 +5,11 @@
 use indexmap::{IndexMap, IndexSet};
 use usher_types::{FlowId, HostId, Roster, Span, Time};
 
-use super::{FlowTable, SWEEPS_PER_IDLE};
+use super::FlowTable;
 use crate::directory::Basis;
-use crate::flow::{Flow, Held};
+use crate::flow::Held;
 use crate::transit::Transit;
-use crate::{Action, Counter, FlowState, Located, Parcel};
+use crate::{Action, Counter, Parcel};
 
 const RETRY: Span = Span::from_millis(500);
 // Keeps a parcel of idle flows near 64 KB.
@@ -48,6 +48,9 @@
         self.draining = true;
         self.leaving.extend(self.held.keys());
         self.located = self.directory.located(now);
+        let tombstones = self.held.iter();
+        let tombstones = tombstones.filter(|(_, held)| matches!(held, Held::Closing(_)));
+        self.closed = tombstones.map(|(flow, _)| *flow).collect();
     }
 
     /// Queues a flow for handover when it has to leave and no reply is pending.
@@ -58,8 +61,8 @@
     }
 
     /// Sends what is queued to hosts that have no parcel under way.
-    pub(super) fn dispatch(&mut self) {
-        if self.leaving.is_empty() && self.located.is_empty() {
+    pub(super) fn dispatch(&mut self, now: Time) {
+        if self.leaving.is_empty() && self.located.is_empty() && self.closed.is_empty() {
             return;
         }
         let mut transits: IndexMap<HostId, Transit> = IndexMap::new();
@@ -82,7 +85,19 @@
                 None => {}
             }
         }
-        for (host, transit) in transits {
+        for flow in mem::take(&mut self.closed) {
+            match self.successor(&flow) {
+                Some((host, _)) if !self.transits.contains_key(&host) => {
+                    transits.entry(host).or_default().closed.push(flow);
+                }
+                Some(_) => self.closed.push(flow),
+                None => {}
+            }
+        }
+        for (host, mut transit) in transits {
+            // Grows across restarts of the process too.
+            self.parcels = now.as_micros().max(self.parcels + 1);
+            transit.number = self.parcels;
             self.start_transit(host, transit);
         }
     }
@@ -140,8 +155,10 @@
         };
         let parcel = Parcel {
             from: self.settings.agent,
+            number: transit.number,
             flows: transit.flows.iter().filter_map(state).collect(),
             directory: transit.directory.clone(),
+            closed: transit.closed.clone(),
         };
         self.actions.push(Action::Handover { host, parcel });
     }
@@ -149,6 +166,7 @@
     pub(super) fn handover_failed(&mut self, now: Time, to: &HostId) {
         if let Some(transit) = self.transits.get_mut(to) {
             transit.retry = Some(now + RETRY);
+            transit.is_uncertain = true;
         }
     }
 
@@ -176,14 +194,20 @@
             return;
         };
         let taken: IndexSet<FlowId> = flows.iter().copied().collect();
-        let (done, left) = transit
+        let (done, left): (Vec<_>, Vec<_>) = transit
             .flows
             .into_iter()
             .partition(|flow| taken.contains(flow));
         self.discard(now, done);
-        if !Vec::is_empty(&left) {
+        if !transit.is_uncertain {
+            for flow in left {
+                self.thaw(flow);
+                self.deferred.set(flow, now + RETRY);
+            }
+        } else if !left.is_empty() {
             transit.flows = left;
             transit.directory.clear();
+            transit.closed.clear();
             transit.retry = Some(now + RETRY);
             self.transits.insert(to.clone(), transit);
         }
@@ -217,9 +241,10 @@
             self.queue_if_leaving(flow);
         }
         self.located.extend(transit.directory);
+        self.closed.extend(transit.closed);
     }
 
-    fn thaw(&mut self, flow: FlowId) {
+    pub(super) fn thaw(&mut self, flow: FlowId) {
         match self.held.swap_remove(&flow) {
             Some(Held::Moving(moving)) => {
                 self.held.insert(flow, Held::Open(moving.thaw()));
@@ -232,107 +257,10 @@
         }
     }
 
-    /// Takes over the flows of another agent and lists those that it may discard.
-    pub(super) fn take_over(&mut self, now: Time, parcel: Parcel) {
-        let from = parcel.from;
-        let mut flows = Vec::with_capacity(parcel.flows.len());
-        for state in parcel.flows {
-            let flow = state.flow;
-            if self.take_flow(now, from, state) {
-                flows.push(flow);
-            }
-        }
-        for located in parcel.directory {
-            self.take_located(now, located);
-        }
-        self.actions.push(Action::TookOver { flows });
-    }
-
-    fn take_flow(&mut self, now: Time, from: SocketAddrV4, state: FlowState) -> bool {
-        let flow = state.flow;
-        match self.held.get(&flow) {
-            Some(Held::Closing(_)) => return true,
-            Some(Held::Moving(moving)) if moving.to() == from && self.settings.agent < from => {
-                // Both agents hand the flow to each other; the lower address keeps it.
-                self.leave_transits(&flow);
-                self.thaw(flow);
-            }
-            Some(Held::Moving(_)) => return false,
-            Some(Held::Open(_)) if self.yields.get(&flow) == Some(&from) => {
-                self.yields.swap_remove(&flow);
-            }
-            Some(Held::Open(_)) => {}
-            None => self.adopt_flow(now, from, flow),
-        }
-        self.merge(now, state);
-        self.queue_if_leaving(flow);
-        true
-    }
-
-    fn adopt_flow(&mut self, now: Time, from: SocketAddrV4, flow: FlowId) {
-        // A repeated parcel may come after this agent has passed the flow on.
-        if let Some(entry) = self.directory.find(now, &flow)
-            && entry.basis == Basis::Confirmed
-            && entry.holder != from
-            && self.membership.host_at(entry.holder).is_some()
-        {
-            self.yields.insert(flow, entry.holder);
-        }
-        self.directory.remove(&flow);
-        let mut open = Flow::new(now);
-        open.state().set_source(from);
-        self.held.insert(flow, Held::Open(open));
-        self.start_sweep(now);
-        self.count(Counter::TakenOver);
-        self.register_own(now, flow);
-    }
-
-    fn merge(&mut self, now: Time, state: FlowState) {
-        let flow = state.flow;
-        let Some(open) = self.open_flow(&flow) else {
-            return;
-        };
-        open.raise_sequence(state.sequence);
-        open.state().inbox.merge_done(&state.done);
-        let mut resent = Vec::new();
-        for output in state.output {
-            resent.extend(open.state().outbox.restore(now, output));
-        }
-        self.send_segments(flow, resent);
-        self.schedule_resend(flow);
-        for segment in state.segments {
-            self.accept_segment(flow, segment);
-        }
-    }
-
-    fn leave_transits(&mut self, flow: &FlowId) {
-        for transit in self.transits.values_mut() {
-            transit.flows.retain(|moving| moving != flow);
-        }
-    }
-
-    fn take_located(&mut self, now: Time, located: Located) {
-        let Located { flow, holder } = located;
-        let is_known = self.held.contains_key(&flow) || self.directory.find(now, &flow).is_some();
-        if holder != self.settings.agent && !is_known {
-            let until = now + self.settings.idle;
-            let roster = self.membership.version();
-            self.directory
-                .set(flow, holder, Basis::Confirmed, roster, until);
-            self.start_sweep(now);
-        }
-    }
-
-    /// Starts the periodic sweep with the first flow or directory entry.
-    pub(super) fn start_sweep(&mut self, now: Time) {
-        if self.sweep <= now {
-            self.sweep = now + self.settings.idle.scale(1.0 / SWEEPS_PER_IDLE as f64);
-        }
-    }
-
     /// Reports once that nothing is left that another agent could take over or finish.
     pub(super) fn report_drained(&mut self) {
-        if !self.draining || self.drained || !self.transits.is_empty() || !self.located.is_empty() {
+        let is_queued = !self.located.is_empty() || !self.closed.is_empty();
+        if !self.draining || self.drained || is_queued || !self.transits.is_empty() {
             return;
         }
         let is_left = |(flow, held): (&FlowId, &Held)| match held {
--- a/crates/flows/src/table/membership.rs
+++ b/crates/flows/src/table/membership.rs
@@ -1,13 +1,21 @@
+use std::collections::VecDeque;
+use std::mem;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use usher_placement::{bucket_of, first, rank};
-use usher_types::{Buckets, FlowId, HostId, HostState, Member, Roster, Span, Time, Version};
+use usher_types::{
+    Buckets, FlowId, HostId, HostState, Member, Roster, Span, Time, Version, Weight,
+};
+
+// As many earlier rosters as a balancer routes by.
+const EARLIER: usize = 2;
 
 /// The roster in force and how long all members have had it.
 #[derive(Debug, Default)]
 pub(super) struct Membership {
     roster: Arc<Roster>,
+    earlier: VecDeque<Arc<Roster>>,
     confirmed: Option<Time>,
 }
 
@@ -22,7 +30,10 @@
             return None;
         }
         self.confirmed = None;
-        Some(std::mem::replace(&mut self.roster, Arc::clone(roster)))
+        let before = mem::replace(&mut self.roster, Arc::clone(roster));
+        self.earlier.push_front(Arc::clone(&before));
+        self.earlier.truncate(EARLIER);
+        Some(before)
     }
 
     /// Notes that every member has adopted the roster in force.
@@ -43,6 +54,15 @@
         Some(member.agent)
     }
 
+    /// Agents that owned a flow's bucket under earlier rosters.
+    pub(super) fn earlier_owners(&self, flow: &FlowId, buckets: Buckets) -> Vec<SocketAddrV4> {
+        let owner = |roster: &Arc<Roster>| {
+            let host = first(key(flow, buckets), serving(roster))?;
+            Some(roster.members.get(host)?.agent)
+        };
+        self.earlier.iter().filter_map(owner).collect()
+    }
+
     /// Member that owns a flow's bucket once a host has left.
     pub(super) fn successor(
         &self,
@@ -60,7 +80,7 @@
         buckets: Buckets,
         count: usize,
     ) -> Vec<SocketAddrV4> {
-        let order = rank(key(flow, buckets), self.serving());
+        let order = rank(key(flow, buckets), serving(&self.roster));
         let agent = |host: &HostId| self.roster.members.get(host).map(|member| member.agent);
         order.into_iter().filter_map(agent).take(count).collect()
     }
@@ -92,17 +112,18 @@
         buckets: Buckets,
         admit: impl Fn(&HostId) -> bool,
     ) -> Option<(&HostId, &Member)> {
-        let members = self.serving().filter(|(host, _)| admit(host));
+        let members = serving(&self.roster).filter(|(host, _)| admit(host));
         let host = first(key(flow, buckets), members)?;
         self.roster.members.get_key_value(host)
     }
+}
 
-    fn serving(&self) -> impl Iterator<Item = (&HostId, usher_types::Weight)> {
-        let members = self.roster.members.iter();
-        members
-            .filter(|(_, member)| member.state == HostState::Serving)
-            .map(|(host, member)| (host, member.weight))
-    }
+fn serving(roster: &Roster) -> impl Iterator<Item = (&HostId, Weight)> {
+    roster
+        .members
+        .iter()
+        .filter(|(_, member)| member.state == HostState::Serving)
+        .map(|(host, member)| (host, member.weight))
 }
 
 fn key(flow: &FlowId, buckets: Buckets) -> u64 {
--- a/crates/flows/src/table/receive.rs
+++ b/crates/flows/src/table/receive.rs
@@ -38,12 +38,19 @@
         }
     }
 
-    fn locate(&mut self, now: Time, relay: Relay) {
+    fn locate(&mut self, now: Time, mut relay: Relay) {
         let flow = relay.packet.flow;
+        let is_decided = matches!(relay.mode, RelayMode::Hunt | RelayMode::Probed);
         match self.directory.find(now, &flow) {
-            Some(entry) if self.applies(&entry, &relay) => self.follow(now, entry, relay),
-            _ => self.decide(now, relay),
+            Some(entry) if self.applies(&entry, &relay) => return self.follow(now, entry, relay),
+            _ => {}
         }
+        // A decision under an older roster is made again by the owner under this one.
+        let is_owner = self.owner_of(&flow) == Some(self.settings.agent);
+        if is_decided && !is_owner && relay.roster < self.membership.version() {
+            relay.mode = RelayMode::Owner;
+        }
+        self.decide(now, relay);
     }
 
     /// Whether a directory entry overrides the mode of a relay.
@@ -127,10 +134,23 @@
     fn probe(&mut self, now: Time, mut relay: Relay) {
         // The earlier owners return the packet to the first agent of the route.
         let own = self.settings.agent;
+        relay.roster = relay.roster.max(self.membership.version());
         if relay.route.first() != Some(&own) {
             relay.route.retain(|agent| *agent != own);
             relay.route.insert(0, own);
         }
+        // A balancer with a much older roster does not name all earlier owners.
+        if !self.membership.is_settled(now, self.settings.settle) {
+            let flow = relay.packet.flow;
+            let earlier = self.membership.earlier_owners(&flow, self.settings.buckets);
+            let from = usize::from(relay.current).max(1);
+            for agent in earlier {
+                let is_own = agent == self.settings.agent;
+                if !is_own && !relay.route[from.min(relay.route.len())..].contains(&agent) {
+                    relay.route.push(agent);
+                }
+            }
+        }
         match self.next_earlier(&relay, usize::from(relay.current).max(1)) {
             Some(hop) => self.forward_hop(hop, RelayMode::Probe, relay),
             None => self.decide_alone(now, relay),
@@ -258,6 +278,7 @@
         }
         relay.hop = hop as u8;
         relay.mode = RelayMode::Hunt;
+        relay.roster = relay.roster.max(self.membership.version());
         self.forward(to, relay);
     }
 
--- a/crates/flows/src/table/registry.rs
+++ b/crates/flows/src/table/registry.rs
@@ -12,6 +12,16 @@
 const ROUND: Span = Span::from_millis(100);
 const PER_ROUND: usize = 16;
 
+// Agents asked in a row; handovers chain no longer while one registration is retried.
+const MAX_ASKED: u8 = 4;
+
+/// Another agent that may hold a flow that is open here.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Rival {
+    agent: SocketAddrV4,
+    asked: u8,
+}
+
 impl FlowTable {
     /// Registers a flow that is open here, unless its bucket is this agent's.
     pub(super) fn register_own(&mut self, now: Time, flow: FlowId) {
@@ -49,6 +59,7 @@
     pub(super) fn unregister(&mut self, flow: &FlowId) {
         self.registrations.swap_remove(flow);
         self.register.clear(flow);
+        self.rivals.swap_remove(flow);
     }
 
     pub(super) fn register_due(&mut self, now: Time) {
@@ -108,7 +119,9 @@
             roster,
         } = *register;
         let owner = self.owner_of(&flow);
-        if owner != Some(self.settings.agent) && self.membership.version() > roster {
+        let is_known = self.held.contains_key(&flow) || self.directory.find(now, &flow).is_some();
+        let is_older = self.membership.version() > roster;
+        if owner != Some(self.settings.agent) && is_older && !is_known {
             // The sender will learn the newer roster and register with the owner.
             return;
         }
@@ -152,28 +165,57 @@
         holder
     }
 
-    /// Handles the owner's answer to a registration.
-    pub(super) fn registered(&mut self, from: SocketAddrV4, registered: &Registered) {
+    /// Handles the answer to a registration.
+    ///
+    /// The owner may not have heard yet that the agent it names handed the flow over. That agent
+    /// is asked before this one gives its state away, or the flow would circulate between them.
+    pub(super) fn registered(&mut self, now: Time, from: SocketAddrV4, registered: &Registered) {
         let Registered { flow, holder } = *registered;
+        let own = self.settings.agent;
+        let is_owner = self.owner_of(&flow) == Some(from);
+        let asked = self.rivals.get(&flow).copied();
+        let is_asked = asked.is_some_and(|rival| rival.agent == from);
         let Some(wanted) = self.registrations.get(&flow).copied() else {
             return;
         };
-        if self.owner_of(&flow) != Some(from) {
-            return;
-        }
-        if wanted != self.settings.agent || holder == wanted {
-            return self.unregister(&flow);
+        if wanted != own || (holder == own && is_owner) {
+            if is_owner {
+                self.unregister(&flow);
+            }
+        } else if holder == own {
+            self.rivals.swap_remove(&flow);
+        } else if holder == from && (is_owner || is_asked) {
+            self.yield_to(flow, holder);
+        } else if is_owner {
+            self.ask(now, flow, holder, 0);
+        } else if let Some(rival) = asked
+            && is_asked
+        {
+            self.ask(now, flow, holder, rival.asked);
         }
-        let Some(open) = self.open_flow(&flow) else {
-            return self.unregister(&flow);
-        };
-        // The owner has not heard yet that the named agent handed the flow to this one.
-        if open.view().source() == Some(holder) {
+    }
+
+    fn ask(&mut self, now: Time, flow: FlowId, agent: SocketAddrV4, asked: u8) {
+        if asked >= MAX_ASKED || self.open_flow(&flow).is_none() {
+            self.rivals.swap_remove(&flow);
             return;
         }
+        let rival = Rival {
+            agent,
+            asked: asked + 1,
+        };
+        self.rivals.insert(flow, rival);
+        self.push_register(agent, flow, self.settings.agent);
+        // Asks the owner again later whatever the answer is.
+        self.register.set(flow, now + RETRY);
+    }
+
+    fn yield_to(&mut self, flow: FlowId, holder: SocketAddrV4) {
         self.unregister(&flow);
-        self.count(Counter::Conflict);
-        self.yields.insert(flow, holder);
-        self.queue_if_leaving(flow);
+        if self.open_flow(&flow).is_some() {
+            self.count(Counter::Conflict);
+            self.yields.insert(flow, holder);
+            self.queue_if_leaving(flow);
+        }
     }
 }
