--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -91,7 +91,7 @@
             WorkerEvent::FlowsTaken { to, flows } => {
                 match &flows {
                     Some(flows) => {
-                        event::HANDED_OVER.log(&[("host", &to), ("flows", &flows.len())])
+                        event::HANDED_OVER.log(&[("host", &to), ("flows", &flows.len())]);
                     }
                     None => event::HANDOVER_FAILED.log(&[("host", &to)]),
                 }
