--- a/crates/flows/tests/net/mod.rs
+++ b/crates/flows/tests/net/mod.rs
@@ -125,7 +125,11 @@
         };
         let version = Version::new(self.rosters.len() as u64 + 1);
         let members = members.iter().map(member).collect();
-        self.rosters.push(Arc::new(Roster { version, members }));
+        self.rosters.push(Arc::new(Roster {
+            version,
+            members,
+            earlier: Vec::new(),
+        }));
     }
 
     /// Hosts of a flow's bucket in order under a roster, given by its version.
