--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use usher_admission::{self as admission, Scheduler};
-use usher_dedupe::{Agent, Claimant, ClaimantEvent, Ledger, LedgerEvent, Lineage, Origin};
+use usher_dedupe::{
+    Agent, Claimant, ClaimantEvent, Ledger, LedgerEvent, Lineage, Origin, PACKET_LIFETIME,
+};
 use usher_flows::{self as flows, FlowTable};
 use usher_types::{
-    AgentMessage, Body, Message, PastRoster, Relay, RequestId, RequestKey, Roster, Time,
+    AgentMessage, Body, Message, Offer, PastRoster, Relay, RequestId, RequestKey, Roster, Time,
 };
 
 use crate::peers::Peers;
@@ -258,7 +260,7 @@
             AgentMessage::Verdict(verdict) => self.claimant(ClaimantEvent::Verdict(verdict)),
             AgentMessage::Complete(complete) => self.ledger(LedgerEvent::Complete(complete)),
             AgentMessage::Completed(done) => self.claimant(ClaimantEvent::Completed(done)),
-            AgentMessage::Offer(offer) => self.scheduler(admission::Event::Offered(offer)),
+            AgentMessage::Offer(offer) => self.on_offer(offer),
             AgentMessage::OfferReply(reply) => {
                 self.scheduler(admission::Event::OfferReply { from, reply });
             }
@@ -269,6 +271,12 @@
         }
     }
 
+    // An offer may arrive as late as any packet, and the age of a claim must not be understated.
+    fn on_offer(&mut self, mut offer: Offer) {
+        offer.age = offer.age + PACKET_LIFETIME;
+        self.scheduler(admission::Event::Offered(offer));
+    }
+
     pub(crate) fn send(&mut self, to: SocketAddrV4, message: AgentMessage) {
         if to == self.settings.address {
             self.local.push_back(message);
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -142,16 +142,16 @@
             .first_serving(bucket, |index| !self.is_suspected(index))
     }
 
-    /// Live candidates, live agents that may hold the flow, then suspected ones.
+    /// Live candidates, then live agents that may hold the flow.
+    ///
+    /// Suspected hosts are left out: an agent asks the earlier owners in a route before it opens a
+    /// flow, and a dead one would never answer.
     fn ordered(&self, picks: &Picks) -> Route {
         let mut route = Route::default();
-        for suspected in [false, true] {
-            for (place, index) in picks.iter().enumerate() {
-                let Some(index) = *index else { continue };
-                if self.is_suspected(index) == suspected {
-                    let candidate = place < CANDIDATES && !suspected;
-                    route.push(self.pool.agent(index), candidate);
-                }
+        for (place, index) in picks.iter().enumerate() {
+            let live = index.filter(|index| !self.is_suspected(*index));
+            if let Some(index) = live {
+                route.push(self.pool.agent(index), place < CANDIDATES);
             }
         }
         route
