--- a/crates/dedupe/src/ledger.rs
+++ b/crates/dedupe/src/ledger.rs
@@ -2,7 +2,8 @@
 
 use indexmap::IndexMap;
 use usher_types::{
-    Claim, Complete, Completed, Decision, HostId, Outcome, RequestKey, Time, Verdict, Version,
+    Claim, Complete, Completed, Decision, HostId, Outcome, Refusal, RequestKey, Span, Time,
+    Verdict, Version,
 };
 
 use crate::action::{Counter, LedgerAction};
@@ -231,7 +232,9 @@
         };
         let decision = match self.table.get(claim.key) {
             None => return Some(self.grant(now, claim, claimer)),
-            Some(State::Granted { holder, sent, span }) if *holder == claimer => {
+            Some(State::Granted {
+                holder, sent, span, ..
+            }) if *holder == claimer => {
                 if claim.sent > *sent {
                     return Some(self.grant(now, claim, claimer));
                 }
@@ -240,11 +243,23 @@
                 }
                 Decision::Granted(*span)
             }
-            Some(State::Released { holder, sent }) => {
+            Some(State::Released {
+                holder,
+                sent,
+                attempt,
+            }) => {
                 if *holder == claimer && claim.sent <= *sent {
                     return None;
                 }
-                return Some(self.grant(now, claim, claimer));
+                if claim.attempt > *attempt {
+                    return Some(self.grant(now, claim, claimer));
+                }
+                // Another copy of a transmission whose caller was told "not run" must not run.
+                let refusal = Refusal::Cancelled;
+                Decision::Finished(Outcome::NotRun {
+                    refusal,
+                    retry: Span::ZERO,
+                })
             }
             Some(State::Granted { .. }) => Decision::Running,
             Some(State::Finished(outcome)) => Decision::Finished(outcome.clone()),
@@ -259,8 +274,13 @@
             Gate::Wait(span) => (Decision::Wait(span), Counter::Deferred),
             Gate::Stale => (Decision::Unknown, Counter::Stale),
             Gate::Open(span) => {
-                let sent = claim.sent;
-                let state = State::Granted { holder, sent, span };
+                let (sent, attempt) = (claim.sent, claim.attempt);
+                let state = State::Granted {
+                    holder,
+                    sent,
+                    span,
+                    attempt,
+                };
                 self.table.put(now, claim.key, state);
                 (Decision::Granted(span), Counter::Granted)
             }
@@ -297,13 +317,21 @@
             host: complete.holder,
             incarnation: complete.incarnation,
         };
-        let Some(State::Granted { holder, sent, .. }) = self.table.get(complete.key) else {
+        let granted = self.table.get(complete.key);
+        let Some(State::Granted {
+            holder,
+            sent,
+            attempt,
+            ..
+        }) = granted
+        else {
             return;
         };
         if *holder == releaser && complete.sent >= *sent {
             let state = State::Released {
                 holder: releaser,
                 sent: complete.sent,
+                attempt: *attempt,
             };
             self.table.put(now, complete.key, state);
         }
--- a/crates/dedupe/src/record.rs
+++ b/crates/dedupe/src/record.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use usher_types::{Outcome, Span, Time};
+use usher_types::{Attempt, Outcome, Span, Time};
 
 use crate::Agent;
 use crate::limits::ANSWER_LIMIT;
@@ -15,6 +15,8 @@
         sent: Time,
         /// Time from `sent` within which it may start.
         span: Span,
+        /// Transmission of the request that it was granted to.
+        attempt: Attempt,
     },
     /// A holder gave the grant back without having started it.
     Released {
@@ -22,6 +24,8 @@
         holder: Agent,
         /// Its claims up to this time are void.
         sent: Time,
+        /// The caller of this and earlier transmissions was told "not run".
+        attempt: Attempt,
     },
     /// It has run.
     Finished(Outcome),
@@ -59,7 +63,18 @@
             (Self::Unknown, _) | (_, Self::Unknown) => Self::Unknown,
             (a @ Self::Granted { .. }, b @ Self::Granted { .. }) => Self::latest_grant(a, b),
             (grant @ Self::Granted { .. }, _) | (_, grant @ Self::Granted { .. }) => grant,
-            (release, Self::Released { .. }) => release,
+            (
+                Self::Released {
+                    holder,
+                    sent,
+                    attempt,
+                },
+                Self::Released { attempt: other, .. },
+            ) => Self::Released {
+                holder,
+                sent,
+                attempt: attempt.max(other),
+            },
         }
     }
 
