Shorter waits for claims, peers as a source of configuration, life cycle as typestate

Cause: a claim waited as long as its owner foresaw, although records handed over end the wait within milliseconds, so one booking expired at each planned stop. Ruled out: a lost verdict (the claim was answered 'wait'). Processes that see a newer revision in a heartbeat fetch it from that peer; routers use the catalogue that settles clashing services; a rise of the generation reaches the flow table; an agent drains when its backend server says that it leaves; the life cycle of the agent's process is a typestate.

--- a/crates/admission/src/action.rs
+++ b/crates/admission/src/action.rs
@@ -20,6 +20,8 @@
         attempt: Attempt,
         /// Time since the caller's first attempt.
         age: Span,
+        /// When the caller stops waiting.
+        deadline: Time,
     },
     /// Run the request; answered by `Finished`, `Lost` or `Refused`.
     Dispatch {
--- a/crates/admission/src/claiming.rs
+++ b/crates/admission/src/claiming.rs
@@ -65,6 +65,7 @@
             key: request.key,
             attempt: request.attempt,
             age: request.age + now.since(job.task.arrived),
+            deadline: request.deadline,
         });
     }
 
--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -178,6 +178,7 @@
         let revision = view.revision;
         self.scheduler(admission::Event::Profile(Arc::clone(&view.profile)));
         self.peers.retain(&roster);
+        self.flows(flows::Event::Generation(view.generation));
         self.view = Some(view);
         self.flows(flows::Event::Roster(Arc::clone(&roster)));
         self.claimant(ClaimantEvent::Roster(Arc::clone(&roster)));
--- a/crates/agent/src/request_actions.rs
+++ b/crates/agent/src/request_actions.rs
@@ -1,12 +1,9 @@
 use usher_admission::{Action as RequestAction, Event as RequestEvent};
 use usher_dedupe::ClaimantEvent;
-use usher_types::{AgentMessage, Span};
+use usher_types::AgentMessage;
 
 use crate::{Action, AgentState};
 
-// A claim that outlives this has no caller that waits for it.
-const CLAIM_LIMIT: Span = Span::from_secs(60);
-
 impl AgentState {
     pub(crate) fn scheduler(&mut self, event: RequestEvent) {
         let Some(machines) = &mut self.machines else {
@@ -24,11 +21,11 @@
                 key,
                 attempt,
                 age,
+                deadline,
             } => {
                 if let Some(machines) = &mut self.machines {
                     machines.claims.insert(key, id);
                 }
-                let deadline = self.now + CLAIM_LIMIT;
                 self.claimant(ClaimantEvent::Ask {
                     key,
                     attempt,
--- a/crates/dedupe/src/claimant.rs
+++ b/crates/dedupe/src/claimant.rs
@@ -165,10 +165,11 @@
                 ask.pause = (pause * 2).min(RESEND_MAX);
                 self.pause(now, key, ask, pause);
             }
-            Decision::Wait(span) if now + span >= ask.deadline => {
+            Decision::Wait(_) if now + RETRY >= ask.deadline => {
                 self.give_up(now, key, ask, actions);
             }
-            Decision::Wait(span) => self.pause(now, key, ask, span),
+            // Records handed over can end the wait much earlier than the owner foresees.
+            Decision::Wait(span) => self.pause(now, key, ask, span.min(RETRY)),
             Decision::NotOwner(_) => self.pause(now, key, ask, RETRY),
         }
     }
--- a/crates/dedupe/src/limits.rs
+++ b/crates/dedupe/src/limits.rs
@@ -19,7 +19,7 @@
 pub(crate) const FOLD_AFTER: Span = Span::from_secs(60);
 
 /// Pause that an owner without a lease or with unsettled predecessors asks for.
-pub(crate) const RETRY: Span = Span::from_millis(500);
+pub(crate) const RETRY: Span = Span::from_millis(100);
 
 /// First and longest pause between transmissions.
 pub(crate) const RESEND: Span = Span::from_millis(100);
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use usher_types::{FlowId, HostId, Register, Registered, Relay, RequestId, Roster, Span, Version};
+use usher_types::{
+    FlowId, Generation, HostId, Register, Registered, Relay, RequestId, Roster, Span, Version,
+};
 
 use crate::Parcel;
 
@@ -14,6 +16,8 @@
     Roster(Arc<Roster>),
     /// Every member has adopted this roster version; starts the settle time.
     Adopted(Version),
+    /// Oldest generation of the service's address that is served; never goes back.
+    Generation(Generation),
     /// Own estimated queue wait.
     Wait(Span),
     /// Message to the caller in answer to a delivered one.
--- a/crates/flows/src/table.rs
+++ b/crates/flows/src/table.rs
@@ -135,6 +135,9 @@
             Event::Roster(roster) => self.adopt_roster(now, &roster),
             Event::Adopted(version) => self.membership.confirm(now, version),
             Event::Wait(wait) => self.wait = wait,
+            Event::Generation(generation) => {
+                self.settings.generation = self.settings.generation.max(generation);
+            }
             Event::Reply { id, bytes } => self.reply(now, id, bytes),
             Event::Register { from, register } => self.registration(now, from, &register),
             Event::Registered { from, registered } => self.registered(now, from, &registered),
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -1,4 +1,4 @@
-use std::fmt;
+use std::mem;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::mpsc;
@@ -10,15 +10,16 @@
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use usher_agent::View;
-use usher_members::{Action, Event, HostLife, Identity, Membership, Proposal, Status};
+use usher_members::{Action, Event, Identity, Membership, Proposal, Status};
 use usher_platform::{Limits, Store};
 use usher_types::{
-    HostState, Incarnation, Member, Message, PastRoster, Roster, Span, Time, Version, Weight,
+    HostState, Incarnation, Member, Message, PastRoster, Peer, Roster, Span, Time, Version, Weight,
 };
 
+use super::phase::Phase;
 use super::worker_event::WorkerEvent;
 use crate::clock::now;
-use crate::control::{Call, ControlEvent, State, edit_roster, fetch_from_peers, follow, serve};
+use crate::control::{Call, CatchUp, ControlEvent, State, edit_roster, follow, serve};
 use crate::{AgentSettings, RuntimeError, event, socket};
 
 const IDLE: Duration = Duration::from_secs(1);
@@ -35,6 +36,7 @@
     events: Sender<ControlEvent>,
     store: Store,
     state: State,
+    catch_up: CatchUp,
     membership: Membership,
     status: Status,
     unsettled: Option<Vec<Version>>,
@@ -45,26 +47,6 @@
     next_report: Time,
 }
 
-// Where a planned stop stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Running,
-    Draining { stop: bool },
-    Leaving,
-    Left { since: Time },
-}
-
-impl fmt::Display for Phase {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Running => "serving",
-            Self::Draining { .. } => "draining",
-            Self::Leaving => "leaving",
-            Self::Left { .. } => "left",
-        })
-    }
-}
-
 impl Control {
     pub(crate) fn new(
         settings: AgentSettings,
@@ -88,12 +70,13 @@
             worker,
             events,
             state: State::default(),
+            catch_up: CatchUp::default(),
             status: Status::default(),
             unsettled: None,
             created: false,
             was_member: false,
             records_drained: false,
-            phase: Phase::Running,
+            phase: Phase::default(),
             next_report: Time::ZERO,
         }
     }
@@ -106,11 +89,7 @@
         let _server = serve(self.settings.common.admin, self.events.clone()).await?;
         task::spawn(follow(self.store.clone(), self.events.clone()));
         let peers = self.settings.common.peers.clone();
-        task::spawn(fetch_from_peers(
-            peers,
-            Version::default(),
-            self.events.clone(),
-        ));
+        CatchUp::at_start(peers, &self.events);
         task::spawn(pass_stop(stop, self.events.clone()));
         self.advance(Event::Join(self.member()));
         while !self.is_finished() {
@@ -145,14 +124,16 @@
     }
 
     fn is_finished(&self) -> bool {
-        matches!(self.phase, Phase::Left { since } if now() - since >= LINGER)
+        self.phase
+            .left_at()
+            .is_some_and(|left| now() - left >= LINGER)
     }
 
     fn tick(&mut self) {
         if self.membership.next_timer().is_some_and(|due| due <= now()) {
             self.advance(Event::Tick);
         }
-        if self.phase != Phase::Running && now() >= self.next_report {
+        if !self.phase.is_running() && now() >= self.next_report {
             self.next_report = now() + WAITING_REPORT;
             event::WAITING.log(&[("phase", &self.phase)]);
         }
@@ -165,14 +146,23 @@
                 through,
                 objects,
             } => {
-                if !self.state.adopt(after, through, objects).is_empty() {
+                let before = self.state.complete();
+                let changed = self.state.adopt(after, through, objects);
+                if !changed.is_empty() || self.state.complete() > before {
+                    self.catch_up.advanced();
                     self.apply();
                 }
             }
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
-            ControlEvent::Beat { source, beat } => self.advance(Event::Beat { source, beat }),
-            ControlEvent::BeatAck(ack) => self.advance(Event::BeatAck(ack)),
+            ControlEvent::Beat { source, beat } => {
+                self.compare(&beat.from, beat.revision);
+                self.advance(Event::Beat { source, beat });
+            }
+            ControlEvent::BeatAck(ack) => {
+                self.compare(&ack.from, ack.revision);
+                self.advance(Event::BeatAck(ack));
+            }
             ControlEvent::Load {
                 wait,
                 weight,
@@ -195,12 +185,20 @@
                 self.records_drained = true;
                 self.check_left();
             }
+            ControlEvent::Leaving => self.begin_drain(false),
             ControlEvent::Written(roster) => self.on_written(roster),
             ControlEvent::Call(call) => self.answer(call),
             ControlEvent::Stop => self.begin_drain(true),
         }
     }
 
+    // Peers may hold newer configuration while the store is down or serves old answers.
+    fn compare(&mut self, peer: &Peer, revision: Version) {
+        let peer = (peer, Some(&self.settings.service));
+        self.catch_up
+            .note(now(), &self.state, peer, revision, &self.events);
+    }
+
     fn advance(&mut self, event: Event) {
         for action in self.membership.handle(now(), event) {
             match action {
@@ -241,12 +239,11 @@
     // A process that has left still needs the roster that replaced it, to hand its records over.
     fn view(&mut self, roster: &Arc<Roster>) -> Option<View> {
         let entry = self.state.service(&self.settings.service)?;
-        let profile = self.state.profile(&entry.profile)?;
         let own = roster.members.get(&self.settings.host);
         self.was_member |= own.is_some_and(|member| member.incarnation == self.incarnation);
         self.was_member.then(|| View {
-            generation: entry.generation,
-            profile: Arc::new(profile.clone()),
+            generation: entry.service.generation,
+            profile: Arc::new(entry.profile.clone()),
             roster: Arc::clone(roster),
             revision: self.state.complete(),
             created: self.created,
@@ -293,27 +290,38 @@
             .unwrap_or_default();
         let own = roster.members.get(&self.settings.host);
         let is_listed = own.is_some_and(|member| member.incarnation == self.incarnation);
-        if self.phase == Phase::Leaving && !is_listed && self.records_drained {
-            self.phase = Phase::Left { since: now() };
+        if !is_listed && self.records_drained {
+            self.phase = mem::take(&mut self.phase).left(now());
         }
     }
 
     fn begin_drain(&mut self, stop: bool) {
-        event::STOPPING.log(&[]);
-        if self.phase == Phase::Running && matches!(self.membership.life(), HostLife::Unknown) {
-            self.phase = Phase::Left { since: now() };
-            return;
+        event::STOPPING.log(&[("stop", &stop)]);
+        let was_running = self.phase.is_running();
+        self.phase = mem::take(&mut self.phase).drain(stop);
+        if was_running {
+            self.advance(Event::Drain);
+            let _ = self.worker.send(WorkerEvent::Drain);
         }
-        self.phase = Phase::Draining { stop };
-        self.advance(Event::Drain);
-        let _ = self.worker.send(WorkerEvent::Drain);
+        if !self.was_member {
+            // A process that never served holds neither flows nor records.
+            self.records_drained = true;
+            self.phase = mem::take(&mut self.phase).finish();
+        }
+        self.go_on();
     }
 
     fn on_drained(&mut self) {
-        if self.phase == (Phase::Draining { stop: true }) {
-            self.phase = Phase::Leaving;
+        self.phase = mem::take(&mut self.phase).finish();
+        self.go_on();
+    }
+
+    fn go_on(&mut self) {
+        if self.phase.may_leave() {
+            self.phase = mem::take(&mut self.phase).leave();
             let _ = self.worker.send(WorkerEvent::Leave);
             self.advance(Event::Leave);
+            self.check_left();
         }
     }
 
@@ -329,7 +337,8 @@
             }
             Call::Parcel(parcels, reply) => {
                 let own = self.state.service(&self.settings.service);
-                let is_current = own.is_some_and(|entry| parcels.generation >= entry.generation);
+                let is_current =
+                    own.is_some_and(|entry| parcels.generation >= entry.service.generation);
                 if parcels.service == self.settings.service && is_current {
                     let content = parcels.content;
                     let _ = self.worker.send(WorkerEvent::Handover { content, reply });
--- a/crates/runtime/src/agent/mod.rs
+++ b/crates/runtime/src/agent/mod.rs
@@ -4,6 +4,8 @@
 mod counts;
 mod deliver;
 mod handover;
+mod phase;
+mod process;
 mod reader;
 mod runs;
 mod worker;
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -194,16 +194,20 @@
     }
 
     fn on_run(&mut self, report: Report) {
-        let (Report::Finished { run, .. } | Report::NotStarted { run } | Report::Lost { run }) =
-            &report;
-        let Some(id) = self.runs.end(*run) else {
-            return;
-        };
-        self.feed(match report {
-            Report::Finished { outcome, .. } => Event::Finished { id, outcome },
-            Report::NotStarted { .. } => Event::Refused(id),
-            Report::Lost { .. } => Event::Lost(id),
-        });
+        match report {
+            Report::Finished { run, outcome } => {
+                self.end_run(run, |id| Event::Finished { id, outcome });
+            }
+            Report::NotStarted { run } => self.end_run(run, Event::Refused),
+            Report::Lost { run } => self.end_run(run, Event::Lost),
+            Report::Leaving => self.tell(ControlEvent::Leaving),
+        }
+    }
+
+    fn end_run(&mut self, run: u64, event: impl FnOnce(RequestId) -> Event) {
+        if let Some(id) = self.runs.end(run) {
+            self.feed(event(id));
+        }
     }
 
     fn take_over(&mut self, content: Content) -> Option<Value> {
--- a/crates/runtime/src/backend.rs
+++ b/crates/runtime/src/backend.rs
@@ -12,6 +12,7 @@
 use jsonrpsee::core::traits::ToRpcParams;
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use serde::Deserialize;
 use serde_json::value::RawValue;
 use usher_types::{Outcome, Payload, Span};
 use usher_wire::{RUN_NOT_STARTED, RunRequest};
@@ -23,8 +24,17 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 // A run may outlive its caller's deadline; its outcome is still worth knowing for this long.
 const OVERTIME: Span = Span::from_secs(30);
+// A leaving backend server gets no new work within a few seconds.
+const HEALTH: Duration = Duration::from_secs(1);
 const MAX_ANSWER_BYTES: u32 = 64 << 20;
 
+// Load figures of the endpoint lag or mislead, so only the intention to leave is read.
+#[derive(Debug, Deserialize)]
+struct Health {
+    #[serde(default)]
+    leaving: bool,
+}
+
 /// What the agent asks of its backend server.
 #[derive(Debug)]
 pub(crate) enum Command {
@@ -43,6 +53,8 @@
     NotStarted { run: u64 },
     /// The run may have started; its outcome is lost.
     Lost { run: u64 },
+    /// The backend server says that it is leaving.
+    Leaving,
 }
 
 /// Serves commands until their channel closes, reconnecting as needed.
@@ -55,7 +67,11 @@
             return;
         };
         event::BACKEND_UP.log(&[("backend", &address)]);
-        let open = forward(&client, &commands, &report).await;
+        let open = {
+            let health = watch_health(Arc::clone(&client), report.clone());
+            let commands = forward(&client, &commands, &report);
+            commands.race(health).await
+        };
         event::BACKEND_DOWN.log(&[("backend", &address)]);
         if !open {
             return;
@@ -104,6 +120,20 @@
     }
 }
 
+// Reports once when the backend server begins to leave; never ends by itself.
+async fn watch_health<F: Fn(Report)>(client: Arc<WsClient>, report: F) -> bool {
+    let mut leaving = false;
+    loop {
+        task::sleep(HEALTH).await;
+        let health = client.request::<Health, _>("health", rpc_params![]).await;
+        let leaves = health.is_ok_and(|health| health.leaving);
+        if leaves && !leaving {
+            report(Report::Leaving);
+        }
+        leaving = leaves;
+    }
+}
+
 // Runs commands until the connection breaks (true) or the channel closes (false).
 async fn forward<F>(client: &Arc<WsClient>, commands: &Receiver<Command>, report: &F) -> bool
 where
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -11,16 +11,16 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
-use usher_config::{Kind, ObjectKey};
+use usher_config::{Entry, Kind, ObjectKey};
 use usher_members::{Action, Event, Identity, Membership, Status};
 use usher_platform::{Limits, Store};
 use usher_routing::{Router, Table};
 use usher_types::{
-    Balancer, Fleet, HostId, Incarnation, Message, PastRoster, Roster, ServiceName, Version,
+    Balancer, Fleet, HostId, Incarnation, Message, PastRoster, Peer, Roster, ServiceName, Version,
 };
 
 use crate::clock::now;
-use crate::control::{Call, ControlEvent, State, edit_fleet, fetch_from_peers, follow, serve};
+use crate::control::{Call, CatchUp, ControlEvent, State, edit_fleet, follow, serve};
 use crate::metrics::Metrics;
 use crate::{BalancerSettings, RuntimeError, event, socket};
 
@@ -37,6 +37,7 @@
     events: Sender<ControlEvent>,
     store: Store,
     state: State,
+    catch_up: CatchUp,
     membership: Membership,
     tables: IndexMap<ServiceName, Arc<Table>>,
     suspected: IndexMap<ServiceName, Vec<HostId>>,
@@ -66,6 +67,7 @@
             metrics,
             events,
             state: State::default(),
+            catch_up: CatchUp::default(),
             tables: IndexMap::new(),
             suspected: IndexMap::new(),
         }
@@ -79,11 +81,7 @@
         let _server = serve(self.settings.common.admin, self.events.clone()).await?;
         task::spawn(follow(self.store.clone(), self.events.clone()));
         let peers = self.settings.common.peers.clone();
-        task::spawn(fetch_from_peers(
-            peers,
-            Version::default(),
-            self.events.clone(),
-        ));
+        CatchUp::at_start(peers, &self.events);
         task::spawn(join(
             self.store.clone(),
             self.settings.clone(),
@@ -123,22 +121,37 @@
                 objects,
             } => {
                 let changed = self.state.adopt(after, through, objects);
+                self.catch_up.advanced();
                 self.apply(&changed);
+                self.report_revision();
             }
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
-            ControlEvent::Beat { source, beat } => self.advance(Event::Beat { source, beat }),
-            ControlEvent::BeatAck(ack) => self.advance(Event::BeatAck(ack)),
+            ControlEvent::Beat { source, beat } => {
+                self.compare(&beat.from, beat.revision);
+                self.advance(Event::Beat { source, beat });
+            }
+            ControlEvent::BeatAck(ack) => {
+                self.compare(&ack.from, ack.revision);
+                self.advance(Event::BeatAck(ack));
+            }
             ControlEvent::Call(call) => self.answer(call),
             ControlEvent::Load { .. }
             | ControlEvent::InForce(_)
             | ControlEvent::Drained
+            | ControlEvent::Leaving
             | ControlEvent::RecordsDrained
             | ControlEvent::Written(_)
             | ControlEvent::Stop => {}
         }
     }
 
+    // Peers may hold newer configuration while the store is down or serves old answers.
+    fn compare(&mut self, peer: &Peer, revision: Version) {
+        self.catch_up
+            .note(now(), &self.state, (peer, None), revision, &self.events);
+    }
+
     fn advance(&mut self, event: Event) {
         for action in self.membership.handle(now(), event) {
             match action {
@@ -178,49 +191,56 @@
         if changed.is_empty() {
             return;
         }
-        let services: Vec<ServiceName> = self.state.services().map(|(name, _)| name).collect();
-        self.tables.retain(|name, _| services.contains(name));
-        for service in services {
-            if self.touches(changed, &service) {
-                self.rebuild(&service);
-            }
+        self.forget_deleted();
+        let touched: Vec<Entry> = self.touched(changed).cloned().collect();
+        for entry in touched {
+            self.rebuild(&entry);
         }
         self.watch_fleet(changed);
         self.publish();
+    }
+
+    fn report_revision(&mut self) {
         let revision = self.state.complete();
-        self.advance(Event::Status(Status {
+        let status = Status {
             revision,
             ..Status::default()
-        }));
+        };
+        self.advance(Event::Status(status));
         self.metrics.gauge("revision", revision.get());
     }
 
-    fn touches(&self, changed: &BTreeSet<ObjectKey>, service: &ServiceName) -> bool {
-        let profile = self
-            .state
-            .service(service)
-            .map(|entry| entry.profile.as_str());
-        changed.iter().any(|key| match key.kind {
-            Kind::Service | Kind::Roster => key.name.as_str() == service.as_str(),
-            Kind::Profile => Some(key.name.as_str()) == profile,
-            Kind::Fleet | Kind::Lease => false,
+    fn forget_deleted(&mut self) {
+        let is_deleted = |service: &&ServiceName| self.state.service(service).is_none();
+        let deleted: Vec<_> = self.tables.keys().filter(is_deleted).cloned().collect();
+        for service in deleted {
+            self.tables.shift_remove(&service);
+            self.suspected.shift_remove(&service);
+            self.advance(Event::Forget(service));
+        }
+    }
+
+    fn touched(&self, changed: &BTreeSet<ObjectKey>) -> impl Iterator<Item = &Entry> {
+        self.state.services().filter(move |entry| {
+            changed.iter().any(|key| match key.kind {
+                // A change of one service can give or take the address of another.
+                Kind::Service => true,
+                Kind::Roster => key.name.as_str() == entry.name.as_str(),
+                Kind::Profile => key.name.as_str() == entry.service.profile.as_str(),
+                Kind::Fleet | Kind::Lease => false,
+            })
         })
     }
 
-    fn rebuild(&mut self, service: &ServiceName) {
-        let Some(entry) = self.state.service(service) else {
-            return;
-        };
-        let buckets = self
-            .state
-            .profile(&entry.profile)
-            .map(|profile| profile.buckets);
-        let (Some(buckets), Some(roster)) = (buckets, self.state.roster(service)) else {
+    fn rebuild(&mut self, entry: &Entry) {
+        let service = &entry.name;
+        let Some(roster) = self.state.roster(service) else {
             return;
         };
         let earlier: Vec<Roster> = roster.earlier.iter().map(PastRoster::to_roster).collect();
         let rosters = std::iter::once(&*roster).chain(&earlier);
-        let table = Table::new(service.clone(), entry.generation, buckets, rosters);
+        let generation = entry.service.generation;
+        let table = Table::new(service.clone(), generation, entry.profile.buckets, rosters);
         let suspected = self.suspected.get(service).map_or(&[][..], Vec::as_slice);
         let table = Arc::new(table.with_suspected(suspected));
         self.tables.insert(service.clone(), table);
@@ -229,10 +249,8 @@
             ("version", &roster.version),
             ("members", &roster.members.len()),
         ]);
-        self.advance(Event::Roster {
-            service: service.clone(),
-            roster,
-        });
+        let service = service.clone();
+        self.advance(Event::Roster { service, roster });
     }
 
     fn watch_fleet(&mut self, changed: &BTreeSet<ObjectKey>) {
@@ -249,10 +267,12 @@
     }
 
     fn publish(&self) {
-        let tables = self
-            .state
-            .services()
-            .filter_map(|(name, entry)| Some((entry.address, Arc::clone(self.tables.get(&name)?))));
+        let tables = self.state.services().filter_map(|entry| {
+            Some((
+                entry.service.address,
+                Arc::clone(self.tables.get(&entry.name)?),
+            ))
+        });
         self.router.store(Arc::new(Router::new(tables)));
     }
 
--- a/crates/runtime/src/control/call.rs
+++ b/crates/runtime/src/control/call.rs
@@ -23,13 +23,22 @@
     /// State of the process as a JSON object.
     Status(Sender<Value>),
     /// Objects above a version.
-    Since(Version, Sender<Vec<Object>>),
+    Since(Version, Sender<Page>),
     /// Begins a drain; the process goes on running.
     Drain(Sender<bool>),
     /// State of another agent, to be taken over by this one.
     Parcel(Parcels, Sender<Option<Value>>),
 }
 
+/// Objects that a process holds above a version.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Page {
+    /// Version up to which the process misses nothing.
+    pub(crate) through: Version,
+    /// The objects, tombstones included.
+    pub(crate) objects: Vec<Object>,
+}
+
 /// What one agent hands to another over the administration RPC.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Parcels {
@@ -79,8 +88,8 @@
     })?;
     module.register_async_method("config.since", |params, events, _| async move {
         let version: Version = params.one()?;
-        let objects = ask(&events, |reply| Call::Since(version, reply)).await?;
-        Ok::<Value, ErrorObjectOwned>(json!(objects))
+        let page = ask(&events, |reply| Call::Since(version, reply)).await?;
+        Ok::<Value, ErrorObjectOwned>(json!(page))
     })?;
     module.register_async_method("drain", |_, events, _| async move {
         ask(&events, Call::Drain).await
--- a/crates/runtime/src/control/event.rs
+++ b/crates/runtime/src/control/event.rs
@@ -33,6 +33,8 @@
     Drained,
     /// The traffic thread has handed over its dedupe records.
     RecordsDrained,
+    /// The backend server says that it is leaving.
+    Leaving,
     /// A conditional write of the roster ended.
     Written(Option<Arc<Roster>>),
     /// A call of the administration RPC.
--- a/crates/runtime/src/control/feed.rs
+++ b/crates/runtime/src/control/feed.rs
@@ -6,11 +6,10 @@
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
-use usher_config::Object;
 use usher_platform::{Batch, Store};
 use usher_types::{Span, Version};
 
-use super::ControlEvent;
+use super::{ControlEvent, Page};
 use crate::event;
 
 // The platform counts a waiting watch as one call.
@@ -91,14 +90,13 @@
     events: Sender<ControlEvent>,
 ) {
     for peer in peers {
-        let Ok(objects) = since(peer, after).await else {
+        let Ok(Page { through, objects }) = since(peer, after).await else {
             continue;
         };
         event::CONFIG_PEER.log(&[("peer", &peer), ("objects", &objects.len())]);
-        // A peer may miss objects between its own, so its answer proves no version complete.
         let fetched = ControlEvent::Objects {
             after,
-            through: after,
+            through,
             objects,
         };
         if events.send(fetched).await.is_err() {
@@ -107,10 +105,7 @@
     }
 }
 
-async fn since(
-    peer: SocketAddrV4,
-    after: Version,
-) -> Result<Vec<Object>, jsonrpsee::core::ClientError> {
+async fn since(peer: SocketAddrV4, after: Version) -> Result<Page, jsonrpsee::core::ClientError> {
     let client = HttpClientBuilder::default()
         .request_timeout(PEER_TIMEOUT)
         .build(format!("http://{peer}"))?;
--- a/crates/runtime/src/control/mod.rs
+++ b/crates/runtime/src/control/mod.rs
@@ -1,12 +1,14 @@
 //! Control state: configuration, rosters and membership, owned by one thread.
 
 mod call;
+mod catch_up;
 mod event;
 mod feed;
 mod state;
 mod writer;
 
-pub(crate) use call::{Call, Content, Parcels, serve};
+pub(crate) use call::{Call, Content, Page, Parcels, serve};
+pub(crate) use catch_up::CatchUp;
 pub(crate) use event::ControlEvent;
 pub(crate) use feed::{fetch_from_peers, follow};
 pub(crate) use state::State;
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -1,15 +1,19 @@
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use usher_config::{Cache, Kind, Object, ObjectKey, Value};
-use usher_types::{Fleet, Profile, ProfileName, Roster, Service, ServiceName, Version};
+use indexmap::IndexMap;
+use usher_config::{Cache, Catalog, Entry, Kind, Object, ObjectKey, Value};
+use usher_types::{Fleet, Peer, Roster, ServiceName, Version};
 
+use super::Page;
 use crate::event;
 
 /// Configuration and rosters that this process knows.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     cache: Cache,
+    entries: IndexMap<ServiceName, Entry>,
 }
 
 impl State {
@@ -26,6 +30,12 @@
             .map(Object::key)
             .collect();
         self.cache.adopt_since(after, through, objects);
+        if changed
+            .iter()
+            .any(|key| matches!(key.kind, Kind::Service | Kind::Profile))
+        {
+            self.rebuild_catalog();
+        }
         for key in &changed {
             let version = self
                 .cache
@@ -48,34 +58,47 @@
     }
 
     /// Objects above a version, for a peer that asks.
-    pub(crate) fn since(&self, version: Version) -> Vec<Object> {
-        self.cache.since(version).cloned().collect()
+    pub(crate) fn since(&self, version: Version) -> Page {
+        let objects = self.cache.since(version).cloned().collect();
+        Page {
+            through: self.complete(),
+            objects,
+        }
     }
 
-    /// All services by name.
-    pub(crate) fn services(&self) -> impl Iterator<Item = (ServiceName, &Service)> {
-        self.cache
-            .list(Kind::Service)
-            .filter_map(|object| match &object.value {
-                Some(Value::Service(service)) => {
-                    Some((object.name.as_str().parse().ok()?, service))
-                }
-                _ => None,
-            })
+    /// Administration RPC of a process that a roster or a fleet lists.
+    pub(crate) fn admin_of(
+        &self,
+        peer: &Peer,
+        service: Option<&ServiceName>,
+    ) -> Option<SocketAddrV4> {
+        match peer {
+            Peer::Host(host) => {
+                let rosters = self.cache.list(Kind::Roster).filter(|object| {
+                    service.is_none_or(|service| object.name.as_str() == service.as_str())
+                });
+                rosters
+                    .filter_map(roster_of)
+                    .find_map(|roster| roster.members.get(host).map(|member| member.admin))
+            }
+            Peer::Instance(instance) => {
+                let fleets = self.cache.list(Kind::Fleet).filter_map(fleet_of);
+                fleets
+                    .filter_map(|fleet| fleet.balancers.get(instance))
+                    .map(|entry| entry.admin)
+                    .next()
+            }
+        }
     }
 
-    pub(crate) fn service(&self, name: &ServiceName) -> Option<&Service> {
-        match self.value(Kind::Service, name.as_str())? {
-            Value::Service(service) => Some(service),
-            _ => None,
-        }
+    /// All services in force, with their profiles.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
     }
 
-    pub(crate) fn profile(&self, name: &ProfileName) -> Option<&Profile> {
-        match self.value(Kind::Profile, name.as_str())? {
-            Value::Profile(profile) => Some(profile),
-            _ => None,
-        }
+    /// A service in force, with its profile.
+    pub(crate) fn service(&self, name: &ServiceName) -> Option<&Entry> {
+        self.entries.get(name)
     }
 
     pub(crate) fn roster(&self, service: &ServiceName) -> Option<Arc<Roster>> {
@@ -92,8 +115,32 @@
         }
     }
 
+    // Two racing operators can leave services that clash; the catalogue settles this everywhere alike.
+    fn rebuild_catalog(&mut self) {
+        let catalog = Catalog::new(&self.cache);
+        self.entries = catalog
+            .entries
+            .into_iter()
+            .map(|entry| (entry.name.clone(), entry))
+            .collect();
+    }
+
     fn value(&self, kind: Kind, name: &str) -> Option<&Value> {
         let key = ObjectKey::new(kind, name.parse().ok()?);
         self.cache.get(&key)?.value.as_ref()
     }
 }
+
+fn roster_of(object: &Object) -> Option<&Roster> {
+    match &object.value {
+        Some(Value::Roster(roster)) => Some(roster),
+        _ => None,
+    }
+}
+
+fn fleet_of(object: &Object) -> Option<&Fleet> {
+    match &object.value {
+        Some(Value::Fleet(fleet)) => Some(fleet),
+        _ => None,
+    }
+}
--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -36,6 +36,7 @@
     rng: Pcg64,
     busy: usize,
     runs: u64,
+    leaving: bool,
     cancelled: IndexMap<u64, ()>,
 }
 
@@ -52,6 +53,7 @@
             rng,
             busy: 0,
             runs: 0,
+            leaving: false,
             cancelled: IndexMap::new(),
         };
         let backend = Self {
@@ -69,6 +71,7 @@
             backend.run(&params).await
         })?;
         module.register_method("health", |_, backend, _| backend.health())?;
+        module.register_method("leave", |_, backend, _| backend.leave())?;
         module.register_method("cancel", |params, backend, _| backend.cancel(&params))?;
         Ok(module)
     }
@@ -146,9 +149,14 @@
         Ok(true)
     }
 
+    fn leave(&self) -> bool {
+        self.lock().leaving = true;
+        true
+    }
+
     fn health(&self) -> Value {
         let state = self.lock();
-        json!({ "busy": state.busy, "slots": self.args.slots, "runs": state.runs })
+        json!({ "busy": state.busy, "slots": self.args.slots, "runs": state.runs, "leaving": state.leaving })
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
