members: balancers of a data centre watch each other and remove a silent one

Cause: a balancer that died stayed in the fleet object of its data centre for ever.

Change: each balancer sends heartbeats to 16 others of its data centre in rendezvous order, and to all that hear a balancer which has fallen silent. A silent one is suspected by two reporters (by one in a fleet of two) and is removed 10 s later by a conditional write of the first live one of those that hear it; each next one waits 5 s longer, in case the first cannot reach the store. Nothing is proposed while the store is down or while more than half of the fleet looks dead. A balancer that finds itself removed joins again (MU-E1108). `Beat::suspects` now names peers, so a host and an instance of the same name stay apart.

Limits: a data centre with a single balancer has nobody to remove it. Two balancers that cannot hear each other remove each other and join again about every 13 s.

--- a/crates/members/src/action.rs
+++ b/crates/members/src/action.rs
@@ -2,7 +2,7 @@
 
 use usher_types::{Beat, BeatAck, HostId, ServiceName};
 
-use crate::Proposal;
+use crate::{FleetProposal, Proposal};
 
 /// What the caller of [`crate::Membership`] is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,4 +37,6 @@
     },
     /// Write a roster change to the store, on condition of its base version.
     Propose(Proposal),
+    /// Write a fleet without its silent balancers to the store, on condition of its base version.
+    ProposeFleet(FleetProposal),
 }
--- a/crates/members/src/balancers.rs
+++ b/crates/members/src/balancers.rs
@@ -60,22 +60,24 @@
         chosen.iter().any(|name| name.as_str() == instance.as_str())
     }
 
-    /// Addresses of the balancers that a balancer sends heartbeats to.
-    pub(crate) fn of_balancer(&self, instance: &InstanceId) -> Vec<SocketAddrV4> {
-        let others = self
-            .ranked
-            .iter()
-            .flat_map(|(centre, names)| names.iter().map(move |name| (name, centre)))
-            .filter(|(name, _)| name.as_str() != instance.as_str());
-        let centres: IndexMap<_, _> = others.collect();
-        let all = centres.keys().map(|name| (*name, Weight::NOMINAL));
-        rank(key_of(instance.as_str()), all)
+    /// The balancers of its data centre that a balancer sends heartbeats to, in rendezvous order.
+    pub(crate) fn hearers(&self, centre: &DataCentre, instance: &InstanceId) -> Vec<InstanceId> {
+        let names = self.chosen(centre, instance.as_str(), PER_BALANCER + 1);
+        let others = names
             .into_iter()
+            .filter(|name| name.as_str() != instance.as_str());
+        others
             .take(PER_BALANCER)
-            .filter_map(|name| self.address(centres.get(name)?, name))
+            .filter_map(|name| name.as_str().parse().ok())
             .collect()
     }
 
+    /// Control address of a balancer.
+    pub(crate) fn control(&self, centre: &DataCentre, name: &InstanceId) -> Option<SocketAddrV4> {
+        let fleet = self.fleets.get(centre)?;
+        fleet.balancers.get(name).map(|known| known.control)
+    }
+
     fn chosen(&self, centre: &DataCentre, key: &str, count: usize) -> Vec<&HostId> {
         let names = self.ranked.get(centre).map_or(&[][..], Vec::as_slice);
         let members = names.iter().map(|name| (name, Weight::NOMINAL));
@@ -85,8 +87,7 @@
     }
 
     fn address(&self, centre: &DataCentre, name: &HostId) -> Option<SocketAddrV4> {
-        let fleet = self.fleets.get(centre)?;
         let instance: InstanceId = name.as_str().parse().ok()?;
-        fleet.balancers.get(&instance).map(|known| known.control)
+        self.control(centre, &instance)
     }
 }
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -2,13 +2,15 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
+use indexmap::IndexSet;
 use rand::RngCore;
 use usher_types::{
-    Beat, BeatAck, DataCentre, Fleet, HostId, HostState, Peer, Roster, ServiceName, Span, Time,
-    Version,
+    Beat, BeatAck, DataCentre, Fleet, HostId, HostState, InstanceId, Peer, Roster, ServiceName,
+    Span, Time, Version,
 };
 
 use crate::balancers::Balancers;
+use crate::fleet_watch::{FleetWatch, balancer};
 use crate::own_host::OwnHost;
 use crate::services::Services;
 use crate::sighting::SILENCE;
@@ -47,6 +49,7 @@
     store_up: bool,
     balancers: Balancers,
     services: Services,
+    fleet: FleetWatch,
     ticked: Option<Time>,
     next_beat: Time,
     // Members that are known to have the current roster of the own service.
@@ -66,6 +69,7 @@
             store_up: true,
             balancers: Balancers::default(),
             services: Services::default(),
+            fleet: FleetWatch::default(),
             ticked: None,
             next_beat: Time::ZERO,
             aligned: HashSet::new(),
@@ -93,7 +97,7 @@
             Event::Forget(service) => self.services.forget(&service),
             Event::Fleet { centre, fleet } => self.on_fleet(now, &centre, fleet),
             Event::Beat { source, beat } => return self.on_beat(now, source, &beat),
-            Event::BeatAck(ack) => self.services.on_ack(now, &ack),
+            Event::BeatAck(ack) => self.on_ack(now, &ack),
             Event::Status(status) => self.status = status,
             Event::StoreDown => self.store_up = false,
             Event::StoreUp => self.store_up = true,
@@ -158,14 +162,28 @@
     }
 
     fn on_fleet(&mut self, now: Time, centre: &DataCentre, fleet: Arc<Fleet>) {
-        if self.balancers.adopt(centre, fleet) && centre == self.identity.centre() {
-            self.services.refresh(now, &self.identity, &self.balancers);
+        if !self.balancers.adopt(centre, Arc::clone(&fleet)) || centre != self.identity.centre() {
+            return;
+        }
+        self.services.refresh(now, &self.identity, &self.balancers);
+        if let Some((own, _)) = balancer(&self.identity) {
+            self.fleet.adopt(now, fleet, own, (centre, &self.balancers));
+        }
+    }
+
+    fn on_ack(&mut self, now: Time, ack: &BeatAck) {
+        match &ack.from {
+            Peer::Host(_) => self.services.on_ack(now, ack),
+            Peer::Instance(instance) => self.fleet.alive_at(instance, ack.sent.min(now)),
         }
     }
 
     fn on_beat(&mut self, now: Time, source: SocketAddrV4, beat: &Beat) -> Vec<Action> {
         let service = match &beat.from {
-            Peer::Instance(_) => None,
+            Peer::Instance(instance) => {
+                self.fleet.on_beat(now, instance, beat);
+                None
+            }
             Peer::Host(host) => match self.services.on_beat(now, host, beat) {
                 Some(service) => Some(service),
                 None => return Vec::new(),
@@ -190,7 +208,7 @@
         if beat.roster != watch.roster().version || self.aligned.contains(host) {
             return None;
         }
-        let repeated = self.beat(now, vec![source], watch.silent(now));
+        let repeated = self.beat(now, vec![source], hosts(watch.silent(now)));
         self.aligned.insert(host.clone());
         repeated
     }
@@ -223,12 +241,15 @@
             self.services
                 .iter_mut()
                 .for_each(|(_, watch)| watch.excuse(now));
+            self.fleet.excuse(now);
         }
         for (service, watch) in self.services.iter_mut() {
             actions.extend(evaluate(now, service, watch));
         }
+        self.fleet.update(now);
         actions.extend(self.beats(now));
         actions.extend(self.removal(now));
+        actions.extend(self.fleet_removal(now));
         actions
     }
 
@@ -252,6 +273,12 @@
         self.propose(base, change)
     }
 
+    fn fleet_removal(&mut self, now: Time) -> Option<Action> {
+        let own = balancer(&self.identity).filter(|_| self.store_up)?;
+        let proposal = self.fleet.removal(now, own, &self.balancers)?;
+        Some(Action::ProposeFleet(proposal))
+    }
+
     fn propose(&self, base: Version, change: Change) -> Option<Action> {
         let service = self.identity.service()?.clone();
         Some(Action::Propose(Proposal {
@@ -271,11 +298,17 @@
                 let others = others.filter(|(other, _)| *other != host);
                 let mut to = self.balancers.of_host(centre, host);
                 to.extend(others.map(|(_, member)| member.agent));
-                self.beat(now, to, watch.silent(now)).into_iter().collect()
+                self.beat(now, to, hosts(watch.silent(now)))
+                    .into_iter()
+                    .collect()
             }
-            Identity::Balancer { instance, .. } => {
+            Identity::Balancer {
+                instance, centre, ..
+            } => {
+                let balancers = self.fleet.silent(now).cloned().map(Peer::Instance);
                 let silent = self.services.iter().flat_map(|watch| watch.silent(now));
-                let to = self.balancers.of_balancer(instance);
+                let silent = balancers.chain(hosts(silent));
+                let to = self.fleet_targets(now, instance, centre);
                 let told = self
                     .services
                     .iter()
@@ -285,6 +318,20 @@
         }
     }
 
+    /// Balancers of the own data centre that hear this one, or hear one that has fallen silent.
+    ///
+    /// The latter gives a silent balancer a second reporter where not all hear all.
+    fn fleet_targets(&self, now: Time, own: &InstanceId, centre: &DataCentre) -> Vec<SocketAddrV4> {
+        let silent = self.fleet.silent(now);
+        let witnesses = silent.flat_map(|name| self.balancers.hearers(centre, name));
+        let names = self.balancers.hearers(centre, own).into_iter();
+        let names: IndexSet<InstanceId> = names.chain(witnesses).collect();
+        let others = names.iter().filter(|name| *name != own);
+        others
+            .filter_map(|name| self.balancers.control(centre, name))
+            .collect()
+    }
+
     /// A balancer's report to live members, which in small services lack a second reporter.
     fn tell(&self, now: Time, watch: &Watch) -> Option<Action> {
         watch.silent(now).next()?;
@@ -293,15 +340,15 @@
         self.beat(
             now,
             told.map(|member| member.agent).collect(),
-            watch.silent(now),
+            hosts(watch.silent(now)),
         )
     }
 
-    fn beat<'a>(
+    fn beat(
         &self,
         now: Time,
         to: Vec<SocketAddrV4>,
-        silent: impl Iterator<Item = &'a HostId>,
+        silent: impl Iterator<Item = Peer>,
     ) -> Option<Action> {
         let roster = self.own_watch().map(|watch| watch.roster().version);
         let beat = Beat {
@@ -313,12 +360,16 @@
             wait: self.status.wait,
             weight: self.status.weight,
             sent: now,
-            suspects: silent.take(MAX_SUSPECTS).cloned().collect(),
+            suspects: silent.take(MAX_SUSPECTS).collect(),
         };
         (!to.is_empty()).then_some(Action::Beat { to, beat })
     }
 }
 
+fn hosts<'a>(silent: impl Iterator<Item = &'a HostId>) -> impl Iterator<Item = Peer> {
+    silent.cloned().map(Peer::Host)
+}
+
 /// Re-evaluates a service and names what changed.
 fn evaluate(now: Time, service: &ServiceName, watch: &mut Watch) -> Vec<Action> {
     let (suspicion, trust) = watch.update(now);
--- a/crates/members/src/services.rs
+++ b/crates/members/src/services.rs
@@ -85,6 +85,9 @@
     /// Counts the hosts that a sender no longer hears; an agent speaks of its own service only.
     pub(crate) fn on_reports(&mut self, now: Time, beat: &Beat, sender: Option<&ServiceName>) {
         for suspect in &beat.suspects {
+            let Peer::Host(suspect) = suspect else {
+                continue;
+            };
             let Some(service) = self.owners.get(suspect) else {
                 continue;
             };
--- a/crates/members/src/sighting.rs
+++ b/crates/members/src/sighting.rs
@@ -3,7 +3,7 @@
 /// Silence after which a member looks dead: three lost heartbeats.
 pub(crate) const SILENCE: Span = Span::from_secs(3);
 /// Processes that must agree before a member is suspected.
-const REPORTERS: usize = 2;
+pub(crate) const REPORTERS: usize = 2;
 /// Shortest and longest time that a returning member must stay alive.
 const HOLD_MIN: Span = Span::from_secs(1);
 const HOLD_MAX: Span = Span::from_secs(60);
@@ -106,10 +106,12 @@
     }
 
     /// Re-evaluates the member; a distrusted view adds no suspicion.
-    pub(crate) fn update(&mut self, now: Time, trusted: bool) {
+    ///
+    /// `reporters` processes, this one included, must agree before it is suspected.
+    pub(crate) fn update(&mut self, now: Time, trusted: bool, reporters: usize) {
         self.reports.retain(|(_, time)| now.since(*time) < SILENCE);
         let dead = self.looks_dead(now);
-        let agreed = usize::from(self.is_silent(now)) + self.reports.len() >= REPORTERS;
+        let agreed = usize::from(self.is_silent(now)) + self.reports.len() >= reporters;
         self.standing = match self.standing {
             Standing::Live if dead && agreed && trusted => Standing::Suspected { since: now },
             Standing::Returning { .. } if dead => Standing::Suspected { since: now },
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -5,13 +5,13 @@
 use usher_types::{Beat, HostId, Incarnation, Peer, Roster, Span, Time, Weight};
 
 use crate::balancers::Balancers;
-use crate::sighting::Sighting;
+use crate::sighting::{REPORTERS, Sighting};
 use crate::{Change, Identity};
 
 /// Suspicion after which a member is removed from the roster.
-const REMOVAL: Span = Span::from_secs(10);
+pub(crate) const REMOVAL: Span = Span::from_secs(10);
 /// Time between two proposals of the same removal.
-const REMOVAL_RETRY: Span = Span::from_secs(5);
+pub(crate) const REMOVAL_RETRY: Span = Span::from_secs(5);
 
 /// One service's members as this process sees them.
 #[derive(Debug)]
@@ -107,7 +107,7 @@
         let mut suspicion_changed = false;
         for sighting in self.sightings.values_mut() {
             let before = sighting.is_suspected();
-            sighting.update(now, !distrusted);
+            sighting.update(now, !distrusted, REPORTERS);
             suspicion_changed |= sighting.is_suspected() != before;
         }
         (suspicion_changed, trust_changed)
--- a/crates/members/tests/common/mod.rs
+++ b/crates/members/tests/common/mod.rs
@@ -70,7 +70,7 @@
         wait: Span::ZERO,
         weight: Weight::NOMINAL,
         sent: now,
-        suspects,
+        suspects: suspects.into_iter().map(Peer::Host).collect(),
     };
     let source = "127.0.0.1:8999".parse().unwrap();
     Event::Beat { source, beat }
--- a/crates/members/tests/faults.rs
+++ b/crates/members/tests/faults.rs
@@ -95,6 +95,7 @@
                     self.removal.get_or_insert(second);
                 }
                 Action::Beat { .. } | Action::Ack { .. } => {}
+                Action::ProposeFleet(_) => panic!("an agent removes no balancer"),
             }
         }
     }
--- a/crates/members/tests/targets.rs
+++ b/crates/members/tests/targets.rs
@@ -8,7 +8,7 @@
 use common::{SEED, adopt, agent, at, beat, host, member, roster};
 use rand_pcg::Pcg64;
 use usher_members::{Action, Event, Identity, Membership};
-use usher_types::{Balancer, Fleet, HostId, Incarnation, Peer, Version};
+use usher_types::{Balancer, Fleet, Incarnation, Peer, Version};
 
 const FLEET: usize = 8;
 const HOSTS: usize = 12;
@@ -54,7 +54,7 @@
     sent.flatten().collect()
 }
 
-fn reported(actions: &[Action]) -> Vec<HostId> {
+fn reported(actions: &[Action]) -> Vec<Peer> {
     let sent = actions.iter().find_map(|action| match action {
         Action::Beat { beat, .. } => Some(beat.suspects.clone()),
         _ => None,
@@ -102,7 +102,7 @@
             let told = targets(&beats);
             let other = member((silent + 1) % HOSTS).agent;
             if hearing.contains(&index) {
-                assert_eq!(reported(&beats), [host(silent)]);
+                assert_eq!(reported(&beats), [Peer::Host(host(silent))]);
                 assert!(told.contains(&other) && !told.contains(&control(index)));
             } else {
                 assert!(reported(&beats).is_empty());
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -217,7 +217,8 @@
                     let hosts = format!("{hosts:?}");
                     event::SUSPECTED.log(&[("service", &service), ("hosts", &hosts)]);
                 }
-                Action::Distrusted { .. } => {}
+                // Balancers write their fleet.
+                Action::Distrusted { .. } | Action::ProposeFleet(_) => {}
                 Action::Propose(proposal) => self.propose(proposal),
             }
         }
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use usher_config::{Kind, ObjectKey};
-use usher_members::{Action, Event, Identity, Membership, Status};
+use usher_members::{Action, Event, FleetProposal, Identity, Membership, Status};
 use usher_platform::{Limits, Store};
 use usher_routing::{Router, Table};
 use usher_types::{
@@ -40,6 +40,7 @@
     membership: Membership,
     tables: IndexMap<ServiceName, Arc<Table>>,
     suspected: IndexMap<ServiceName, Vec<HostId>>,
+    was_listed: bool,
 }
 
 impl Control {
@@ -68,6 +69,7 @@
             state: State::default(),
             tables: IndexMap::new(),
             suspected: IndexMap::new(),
+            was_listed: false,
         }
     }
 
@@ -84,11 +86,7 @@
             Version::default(),
             self.events.clone(),
         ));
-        task::spawn(join(
-            self.store.clone(),
-            self.settings.clone(),
-            self.incarnation,
-        ));
+        self.join();
         let stop = async {
             // A closed channel means that nobody can ask for a stop.
             if stop.recv().await.is_err() {
@@ -101,6 +99,11 @@
         Ok(())
     }
 
+    fn join(&self) {
+        let settings = self.settings.clone();
+        task::spawn(join(self.store.clone(), settings, self.incarnation));
+    }
+
     async fn work(&mut self, receiver: Receiver<ControlEvent>) {
         loop {
             let due = self
@@ -154,6 +157,9 @@
                 Action::Suspected { service, hosts } => self.suspect(service, hosts),
                 // Agents write rosters; balancers only watch them.
                 Action::Distrusted { .. } | Action::Propose(_) => {}
+                Action::ProposeFleet(proposal) => {
+                    task::spawn(remove(self.store.clone(), proposal));
+                }
             }
         }
     }
@@ -244,7 +250,14 @@
             return;
         }
         if let Some(fleet) = self.state.fleet(centre.as_str()) {
+            let is_listed = fleet.balancers.contains_key(&self.settings.instance);
             self.advance(Event::Fleet { centre, fleet });
+            // Others removed this balancer while they did not hear it.
+            if self.was_listed && !is_listed {
+                event::UNLISTED.log(&[("centre", &self.settings.common.centre)]);
+                self.join();
+            }
+            self.was_listed = is_listed;
         }
     }
 
@@ -294,7 +307,7 @@
             is_own && fleet.balancers.shift_remove(own).is_some()
         };
         match edit_fleet(&self.store, &self.settings.common.centre, edit).await {
-            Ok(()) => event::LEFT.log(&[]),
+            Ok(_) => event::LEFT.log(&[]),
             Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
         }
     }
@@ -308,6 +321,26 @@
     Incarnation::new(since.as_millis() as u64)
 }
 
+// A write that loses a race is not repeated: the next heartbeat decides on the newer fleet.
+async fn remove(store: Store, proposal: FleetProposal) {
+    let edit = |fleet: &mut Fleet| match proposal.apply(fleet) {
+        Some(changed) => {
+            *fleet = changed;
+            true
+        }
+        None => false,
+    };
+    match edit_fleet(&store, &proposal.centre, edit).await {
+        Ok(true) => {
+            for (balancer, _) in &proposal.balancers {
+                event::REMOVED.log(&[("centre", &proposal.centre), ("balancer", balancer)]);
+            }
+        }
+        Ok(false) => {}
+        Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
+    }
+}
+
 // Writes the own entry until the store has it.
 async fn join(store: Store, settings: BalancerSettings, incarnation: Incarnation) {
     let entry = Balancer {
@@ -324,7 +357,7 @@
                 != Some(&entry)
         };
         match edit_fleet(&store, &settings.common.centre, edit).await {
-            Ok(()) => return event::JOINED.log(&[("centre", &settings.common.centre)]),
+            Ok(_) => return event::JOINED.log(&[("centre", &settings.common.centre)]),
             Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
         }
         task::sleep(JOIN_RETRY).await;
--- a/crates/runtime/src/control/writer.rs
+++ b/crates/runtime/src/control/writer.rs
@@ -35,25 +35,30 @@
 
 /// Changes a data centre's list of balancers on condition of the version that was read.
 ///
+/// Returns whether it was written; `edit` tells whether anything changes.
+///
 /// # Errors
 /// Fails when the store cannot be reached or another process wrote first.
 pub(crate) async fn edit_fleet(
     store: &Store,
     centre: &DataCentre,
     edit: impl FnOnce(&mut Fleet) -> bool,
-) -> Result<(), PlatformError> {
+) -> Result<bool, PlatformError> {
     let key = key(Kind::Fleet, centre.as_str())?;
     let current = store.get(&key).await?;
     let mut fleet = match current.as_ref().and_then(|object| object.value.as_ref()) {
         Some(Value::Fleet(fleet)) => fleet.clone(),
         _ => Fleet::default(),
     };
-    if edit(&mut fleet) {
-        store
-            .put(key, condition(current.as_ref()), Value::Fleet(fleet))
-            .await?;
+    fleet.version = current
+        .as_ref()
+        .map_or_else(Version::default, |object| object.version);
+    if !edit(&mut fleet) {
+        return Ok(false);
     }
-    Ok(())
+    let value = Value::Fleet(fleet);
+    store.put(key, condition(current.as_ref()), value).await?;
+    Ok(true)
 }
 
 fn key(kind: Kind, name: &str) -> Result<ObjectKey, PlatformError> {
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -34,6 +34,7 @@
     RESTORED = 1105, Info, "member heard again";
     REMOVED = 1106, Warn, "member removed from the roster";
     ROSTER_WRITE = 1107, Warn, "roster write failed";
+    UNLISTED = 1108, Warn, "removed from the fleet by others; joining again";
     CONFIG = 1201, Info, "configuration adopted";
     CONFIG_PEER = 1202, Info, "configuration fetched from a peer";
     CONFIG_INVALID = 1203, Error, "object not understood";
--- a/crates/types/src/beat.rs
+++ b/crates/types/src/beat.rs
@@ -41,8 +41,8 @@
     pub weight: Weight,
     /// The sender's clock, echoed in the acknowledgement.
     pub sent: Time,
-    /// Members that the sender no longer hears.
-    pub suspects: Vec<HostId>,
+    /// Hosts and balancers that the sender no longer hears.
+    pub suspects: Vec<Peer>,
 }
 
 /// Acknowledges a heartbeat.
