Burn report: agents count outcomes by objective, marigoldusher sums them

Cause: nothing told an operator how fast a service spends its error budget.

Change: crate burn counts in time, late, refused, unknown and failed in rings of 30, 60 and 720 buckets (5 min, 1 h, 30 days). The agent counts where an outcome goes to its caller and returns the sums in `status`; `marigoldusher report burn [--service NAME] [--json]` adds up the hosts of each service and names those that do not answer. Requests that the caller cancelled or sent malformed are not counted.

The new tests go red when unheard processes are not expected, when apply does not wait, when hosts of other services are added and when silent hosts are left out.

Conclusion: counts live as long as their agent; the report says for how long the hosts have counted.

--- /dev/null
+++ b/crates/burn/src/burn.rs
@@ -0,0 +1,53 @@
+use usher_types::{Outcome, Time};
+
+use crate::ring::Ring;
+use crate::{WINDOWS, Window};
+
+/// Outcomes of one service on one host, in windows of 5 min, 1 h and 30 days.
+///
+/// Memory is bounded by 810 buckets. The counts live as long as the process: nothing is handed on.
+///
+/// ```
+/// use usher_burn::Burn;
+/// use usher_types::{Outcome, Time};
+/// let mut burn = Burn::new(Time::ZERO);
+/// burn.count(Time::ZERO, Time::ZERO, &Outcome::Unknown);
+/// assert!(burn.windows(Time::ZERO).iter().all(|window| window.tally.unknown == 1));
+/// ```
+#[derive(Debug)]
+pub struct Burn {
+    started: Time,
+    rings: [Ring; WINDOWS.len()],
+}
+
+impl Burn {
+    /// Starts to count.
+    pub fn new(now: Time) -> Self {
+        Self {
+            started: now,
+            rings: WINDOWS.map(|(width, count)| Ring::new(width, count)),
+        }
+    }
+
+    /// Counts an outcome that is sent to its caller.
+    pub fn count(&mut self, now: Time, deadline: Time, outcome: &Outcome) {
+        for ring in &mut self.rings {
+            ring.at(now).count(now, deadline, outcome);
+        }
+    }
+
+    /// Sums of all windows, the shortest one first.
+    pub fn windows(&self, now: Time) -> Vec<Window> {
+        let rings = WINDOWS.iter().zip(&self.rings);
+        rings
+            .map(|((width, count), ring)| {
+                let window = *width * *count as u64;
+                Window {
+                    window,
+                    covered: window.min(now.since(self.started)),
+                    tally: ring.sum(now),
+                }
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/burn/src/window.rs
@@ -0,0 +1,22 @@
+use serde::{Deserialize, Serialize};
+use usher_types::Span;
+
+use crate::Tally;
+
+/// Windows of the report, each as the width of a bucket and the number of buckets.
+pub const WINDOWS: [(Span, usize); 3] = [
+    (Span::from_secs(10), 30),
+    (Span::from_secs(60), 60),
+    (Span::from_secs(3_600), 720),
+];
+
+/// What an agent counted within one window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    /// Length of the window.
+    pub window: Span,
+    /// Time that the agent has counted for; shorter than the window after a start.
+    pub covered: Span,
+    /// Outcomes within the window, to the width of one bucket.
+    pub tally: Tally,
+}
--- /dev/null
+++ b/crates/burn/tests/burn.rs
@@ -0,0 +1,112 @@
+//! Counting of outcomes, and windows that slide.
+
+use serde::Deserialize;
+use usher_burn::{Burn, Tally};
+use usher_types::{Outcome, Share, Span, Time};
+
+const DAY: u64 = 24 * 3_600;
+
+#[derive(Deserialize)]
+struct Row {
+    guards: String,
+    outcome: Outcome,
+    at: u64,
+    #[serde(default)]
+    in_time: u64,
+    #[serde(default)]
+    late: u64,
+    #[serde(default)]
+    refused: u64,
+    #[serde(default)]
+    unknown: u64,
+    #[serde(default)]
+    failed: u64,
+}
+
+fn at(second: u64) -> Time {
+    Time::ZERO + Span::from_secs(second)
+}
+
+fn requests(burn: &Burn, second: u64) -> Vec<u64> {
+    let windows = burn.windows(at(second));
+    windows.iter().map(|w| w.tally.requests()).collect()
+}
+
+/// Guards against the failure that each row names.
+#[test]
+fn outcomes_are_counted_by_what_the_caller_was_told() {
+    let rows: Vec<Row> = serde_json::from_str(include_str!("data/outcomes.json")).unwrap();
+    for row in rows {
+        let mut tally = Tally::default();
+        tally.count(at(row.at), at(10), &row.outcome);
+        let Row {
+            in_time,
+            late,
+            refused,
+            unknown,
+            failed,
+            ..
+        } = row;
+        let expected = Tally {
+            in_time,
+            late,
+            refused,
+            unknown,
+            failed,
+        };
+        assert_eq!(tally, expected, "{}", row.guards);
+    }
+}
+
+/// Guards against outcomes that stay in a window for ever, or leave it early.
+#[test]
+fn outcomes_leave_each_window_when_it_has_passed() {
+    let mut burn = Burn::new(at(5_000));
+    burn.count(at(5_005), at(5_005), &Outcome::Unknown);
+    assert_eq!(requests(&burn, 5_005), [1, 1, 1]);
+    assert_eq!(requests(&burn, 5_005 + 290), [1, 1, 1]);
+    assert_eq!(requests(&burn, 5_005 + 300), [0, 1, 1]);
+    assert_eq!(requests(&burn, 5_005 + 3_600), [0, 0, 1]);
+    assert_eq!(requests(&burn, 5_005 + 29 * DAY), [0, 0, 1]);
+    assert_eq!(requests(&burn, 5_005 + 30 * DAY), [0, 0, 0]);
+}
+
+/// Guards against a bucket that is used again and still holds the counts of an earlier round.
+#[test]
+fn a_bucket_that_is_used_again_starts_empty() {
+    let mut burn = Burn::new(at(0));
+    for second in [0, 300, 600] {
+        burn.count(at(second), at(second), &Outcome::Unknown);
+        assert_eq!(requests(&burn, second)[0], 1);
+    }
+}
+
+/// Guards against a report over 30 days that hides a start a minute ago.
+#[test]
+fn a_window_names_the_time_that_it_covers() {
+    let burn = Burn::new(at(100));
+    let covered = |second| -> Vec<Span> {
+        let windows = burn.windows(at(second));
+        windows.iter().map(|w| w.covered).collect()
+    };
+    assert_eq!(covered(160), [Span::from_secs(60); 3]);
+    assert_eq!(
+        covered(100 + DAY)[..2],
+        [Span::from_secs(300), Span::from_secs(3_600)]
+    );
+}
+
+/// Guards against a division by zero, and an overspent budget that looks like an empty one.
+#[test]
+fn rates_need_requests_and_a_budget() {
+    let share = |value| Share::new(value).unwrap();
+    let bad = Tally {
+        in_time: 90,
+        failed: 10,
+        ..Tally::default()
+    };
+    assert_eq!(Tally::default().burn_rate(share(0.99)), None);
+    assert_eq!(bad.burn_rate(share(1.0)), None);
+    let left = bad.budget_left(share(0.95)).unwrap();
+    assert!((left + 1.0).abs() < 1e-9, "{left}");
+}
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -3,7 +3,7 @@
 
 use argh::FromArgs;
 
-use crate::commands::{Action, Apply, Check, Drain, ShowStatus};
+use crate::commands::{Action, Apply, Check, Drain, Report, ShowStatus};
 
 /// Configures marigoldusher through the platform's store and shows its processes.
 #[derive(Debug, FromArgs)]
@@ -11,6 +11,8 @@
     example = "{command_name} --store 127.0.0.1:7000 profile set fast hunt=5ms attempts=3",
     example = "{command_name} --store 127.0.0.1:7000 service set booking-desk address=192.0.2.1:80 profile=fast",
     example = "{command_name} --settings usher.ini service list --json",
+    example = "{command_name} --store 127.0.0.1:7000 apply riga.json --wait",
+    example = "{command_name} --store 127.0.0.1:7000 report burn --service booking-desk",
     note = "The settings file names the store as `address` in its section `[store]`.",
     error_code(0, "done"),
     error_code(1, "refused or failed"),
@@ -40,6 +42,7 @@
     Check(Check),
     Status(ShowStatus),
     Drain(Drain),
+    Report(Report),
 }
 
 impl Command {
@@ -51,6 +54,7 @@
             Self::Check(check) => check.json,
             Self::Status(status) => status.json,
             Self::Drain(drain) => drain.json,
+            Self::Report(report) => report.json(),
         }
     }
 }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod edit;
 mod get;
 mod list;
+mod report;
 mod set;
 mod status;
 
@@ -16,4 +17,5 @@
 pub(crate) use apply::Apply;
 pub(crate) use check::Check;
 pub(crate) use drain::Drain;
+pub(crate) use report::Report;
 pub(crate) use status::ShowStatus;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operator's command-line tool.
 
 mod args;
+mod burn_report;
 mod commands;
 mod document;
 mod error;
--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -10,7 +10,7 @@
 use serde_json::Value as Json;
 use usher_config::{Kind, Object, Report, Rollout, RolloutState, Value};
 use usher_platform::Store;
-use usher_types::{HostId, Incarnation, Peer, Span, Version};
+use usher_types::{HostId, Incarnation, Peer, ServiceName, Span, Version};
 
 use crate::error::CliError;
 
@@ -22,6 +22,8 @@
 pub(crate) struct Process {
     pub(crate) peer: Peer,
     pub(crate) admin: SocketAddrV4,
+    /// Service of a host.
+    pub(crate) service: Option<ServiceName>,
     /// `None` if the process did not answer.
     pub(crate) status: Option<Status>,
     pub(crate) json: Json,
@@ -39,7 +41,12 @@
 /// Lists the processes in rosters and fleets and asks all of them at the same time.
 pub(crate) async fn ask_all(store: &Store) -> Result<Vec<Process>, CliError> {
     let mut calls = Vec::new();
-    for (peer, admin) in listed(store).await? {
+    for Listed {
+        peer,
+        admin,
+        service,
+    } in listed(store).await?
+    {
         calls.push(task::spawn(async move {
             let answer: Result<Json, ClientError> = call(admin, "status").await;
             let json = answer.unwrap_or_default();
@@ -47,6 +54,7 @@
             Process {
                 peer,
                 admin,
+                service,
                 status,
                 json,
             }
@@ -63,7 +71,7 @@
 pub(crate) async fn drain(store: &Store, host: &HostId) -> Result<(), CliError> {
     let own = Peer::Host(host.clone());
     let listed = listed(store).await?;
-    let Some((_, admin)) = listed.into_iter().find(|(peer, _)| *peer == own) else {
+    let Some(Listed { admin, .. }) = listed.into_iter().find(|entry| entry.peer == own) else {
         return Err(CliError::NoHost(host.clone()));
     };
     let answer: Result<bool, ClientError> = call(admin, "drain").await;
@@ -122,7 +130,14 @@
     Ok(newest)
 }
 
-async fn listed(store: &Store) -> Result<Vec<(Peer, SocketAddrV4)>, CliError> {
+/// An entry of a roster or a fleet.
+struct Listed {
+    peer: Peer,
+    admin: SocketAddrV4,
+    service: Option<ServiceName>,
+}
+
+async fn listed(store: &Store) -> Result<Vec<Listed>, CliError> {
     let mut peers = Vec::new();
     for kind in [Kind::Fleet, Kind::Roster] {
         let batch = store.list(Some(kind), Version::default()).await?;
@@ -131,18 +146,26 @@
     Ok(peers)
 }
 
-fn peers_of(object: &Object) -> Vec<(Peer, SocketAddrV4)> {
+fn peers_of(object: &Object) -> Vec<Listed> {
     match &object.value {
         Some(Value::Fleet(fleet)) => {
             let balancers = fleet.balancers.iter();
             balancers
-                .map(|(name, entry)| (Peer::Instance(name.clone()), entry.admin))
+                .map(|(name, entry)| Listed {
+                    peer: Peer::Instance(name.clone()),
+                    admin: entry.admin,
+                    service: None,
+                })
                 .collect()
         }
         Some(Value::Roster(roster)) => {
             let members = roster.members.iter();
             members
-                .map(|(host, member)| (Peer::Host(host.clone()), member.admin))
+                .map(|(host, member)| Listed {
+                    peer: Peer::Host(host.clone()),
+                    admin: member.admin,
+                    service: object.name.as_str().parse().ok(),
+                })
                 .collect()
         }
         _ => Vec::new(),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -56,5 +56,6 @@
         Command::Check(check) => check.run(),
         Command::Status(status) => status.run(&session()?).await,
         Command::Drain(drain) => drain.run(&session()?).await,
+        Command::Report(report) => report.run(&session()?).await,
     }
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/cli/commands.rs
@@ -1,74 +1,9 @@
 //! Commands of the tool against the store's stand-in.
 
-use std::net::TcpListener;
-use std::path::PathBuf;
-use std::{env, fs, process};
-
-use async_std::task;
 use serde_json::{Value as Json, json};
 use usher_cli::{ExitStatus, run};
-use usher_standins::store::serve;
-
-struct Shell {
-    store: String,
-    folder: PathBuf,
-}
-
-impl Shell {
-    fn new(test: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let store = listener.local_addr().unwrap().to_string();
-        task::spawn(serve(listener));
-        let folder = env::temp_dir().join(format!("usher-cli-{}-{test}", process::id()));
-        fs::create_dir_all(&folder).unwrap();
-        Self { store, folder }
-    }
-
-    fn run(&self, line: &str) -> (ExitStatus, String) {
-        let mut args = vec!["--store", &self.store];
-        args.extend(line.split(' '));
-        let (mut out, mut err) = (Vec::new(), Vec::new());
-        let status = run(&args, &mut out, &mut err);
-        out.extend(err);
-        (status, String::from_utf8(out).unwrap())
-    }
-
-    fn ok(&self, line: &str) -> String {
-        let (status, text) = self.run(line);
-        assert_eq!(status, ExitStatus::Ok, "{line}: {text}");
-        text
-    }
-
-    fn refused(&self, line: &str, status: ExitStatus, says: &str) {
-        let (found, text) = self.run(line);
-        assert_eq!(found, status, "{line}: {text}");
-        assert!(text.contains(says), "{line}: {text}");
-    }
-
-    fn file(&self, name: &str, text: &str) -> String {
-        let path = self.folder.join(name);
-        fs::write(&path, text).unwrap();
-        path.to_str().unwrap().to_owned()
-    }
-
-    fn faults(&self, faults: &Json) {
-        let url = format!("http://{}/faults", self.store);
-        let request = surf::put(url).body_json(faults).unwrap();
-        assert_eq!(task::block_on(request).unwrap().status(), 204);
-    }
 
-    fn writes(&self) -> Json {
-        let url = format!("http://{}/v1/stats", self.store);
-        let stats: Json = task::block_on(surf::get(url).recv_json()).unwrap();
-        stats["writes"].clone()
-    }
-}
-
-impl Drop for Shell {
-    fn drop(&mut self) {
-        drop(fs::remove_dir_all(&self.folder));
-    }
-}
+use crate::shell::Shell;
 
 // Guards against refused input that is written in part, by `apply` or accepted by `check`.
 #[test]
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! The operator's tool against the store's stand-in and fake processes.
+
+mod commands;
+mod fake;
+mod processes;
+mod shell;
--- /dev/null
+++ b/crates/cli/tests/cli/processes.rs
@@ -0,0 +1,150 @@
+//! Commands that ask processes: `apply --wait`, `status`, `drain` and `report burn`.
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value as Json, json};
+use usher_cli::ExitStatus;
+
+use crate::fake::{Fake, list_balancer, list_hosts, nobody, status};
+use crate::shell::Shell;
+
+const DOCUMENT: &str = r#"{
+    "profiles": { "fast": { "objective": 0.9 } },
+    "services": { "desk": { "address": "192.0.2.1:80", "profile": "fast" } }
+}"#;
+// Above every version that these tests write.
+const NEWEST: u64 = 1_000;
+
+// Guards against an `apply --wait` that ends before the slowest process has the configuration.
+#[test]
+fn apply_waits_for_the_last_process() {
+    let shell = Shell::new("wait");
+    let (fast, slow) = (Fake::new(status(NEWEST)), Fake::new(status(0)));
+    list_balancer(&shell, "entry-1", fast.admin);
+    list_hosts(&shell, "desk", &[("desk-1", slow.admin)]);
+    let file = shell.file("desk.json", DOCUMENT);
+    let waiting = thread::spawn(move || (shell.run(&format!("apply {file} --wait")), shell));
+    thread::sleep(Duration::from_millis(400));
+    assert!(!waiting.is_finished());
+    slow.set("revision", json!(NEWEST));
+    let ((found, text), _shell) = waiting.join().unwrap();
+    assert_eq!(found, ExitStatus::Ok, "{text}");
+}
+
+// Guards against a rollout that is called complete without a process that lags or is gone.
+#[test]
+fn apply_names_the_processes_that_lag() {
+    let shell = Shell::new("lag");
+    let (fast, slow) = (Fake::new(status(NEWEST)), Fake::new(status(1)));
+    list_balancer(&shell, "entry-1", fast.admin);
+    let hosts = [("desk-1", slow.admin), ("desk-2", nobody())];
+    list_hosts(&shell, "desk", &hosts);
+    let file = shell.file("desk.json", DOCUMENT);
+    let command = format!("apply {file} --wait --limit 300ms");
+    let (found, text) = shell.run(&command);
+    assert_eq!(found, ExitStatus::TimedOut, "{text}");
+    for says in [
+        "MU-8010",
+        "host desk-1 is at version 1",
+        "host desk-2 does not answer",
+    ] {
+        assert!(text.contains(says), "{says}: {text}");
+    }
+    assert!(!text.contains("entry-1"), "{text}");
+    shell.refused("status --check", ExitStatus::TimedOut, "MU-8010");
+}
+
+// Guards against a status without the processes that are listed and do not answer.
+#[test]
+fn status_lists_every_process() {
+    let shell = Shell::new("status");
+    let entry = Fake::new(status(7));
+    list_balancer(&shell, "entry-1", entry.admin);
+    list_hosts(&shell, "desk", &[("desk-1", nobody())]);
+    let text = shell.ok("status");
+    let line = |name: &str| {
+        text.lines()
+            .find(|line| line.contains(name))
+            .unwrap()
+            .to_owned()
+    };
+    assert!(line("entry-1").contains("serving"), "{text}");
+    assert!(line("desk-1").contains("no answer"), "{text}");
+    let json: Json = serde_json::from_str(&shell.ok("status --json")).unwrap();
+    let answered = json["processes"].as_array().unwrap().iter();
+    let answered: Vec<&Json> = answered.map(|process| &process["answered"]).collect();
+    assert_eq!(answered, [&json!(true), &json!(false)]);
+    assert_eq!(json["in_force"], false);
+    shell.refused("drain desk-9", ExitStatus::Failed, "MU-8011");
+    shell.refused("drain desk-1", ExitStatus::Failed, "MU-8012");
+    assert_eq!(shell.writes(), 2, "only the two lists");
+}
+
+fn counted(in_time: u64, late: u64, covered: &str) -> Json {
+    let tally = json!({
+        "in_time": in_time, "late": late, "refused": 1, "unknown": 0, "failed": 0
+    });
+    let mut status = status(7);
+    status["burn"] = json!([{ "window": "300s", "covered": covered, "tally": tally }]);
+    status
+}
+
+// Guards against a report that leaves out a host, or adds hosts of another service.
+#[test]
+fn burn_is_summed_over_the_hosts_of_a_service() {
+    let shell = Shell::new("burn");
+    let fakes = [
+        counted(40, 5, "60s"),
+        counted(50, 3, "300s"),
+        counted(1, 9, "1s"),
+    ];
+    let fakes = fakes.map(Fake::new);
+    shell.ok(&format!("apply {}", shell.file("desk.json", DOCUMENT)));
+    shell.ok("service set map address=192.0.2.2:80 profile=fast");
+    let desk = [
+        ("desk-1", fakes[0].admin),
+        ("desk-2", fakes[1].admin),
+        ("desk-3", nobody()),
+    ];
+    list_hosts(&shell, "desk", &desk);
+    list_hosts(&shell, "map", &[("map-1", fakes[2].admin)]);
+    let writes = shell.writes();
+    let json: Json = serde_json::from_str(&shell.ok("report burn --service desk --json")).unwrap();
+    let report = &json["services"][0];
+    let window = &report["windows"][0];
+    assert_eq!(window["requests"], 100);
+    assert_eq!(window["late"], 8);
+    assert_eq!(window["covered"], "300s");
+    assert_eq!(window["goodput"], 0.9);
+    let rate = window["burn_rate"].as_f64().unwrap();
+    assert!((rate - 1.0).abs() < 1e-9, "objective 0.9: {rate}");
+    assert_eq!(report["silent"], json!(["desk-3"]));
+    let text = shell.ok("report burn");
+    assert!(
+        text.contains("desk: objective 90.00%, budget left 0.00%"),
+        "{text}"
+    );
+    assert!(text.contains("host desk-3 does not answer"), "{text}");
+    assert!(text.contains("map: objective"), "{text}");
+    shell.refused(
+        "report burn --service nodesk",
+        ExitStatus::Failed,
+        "MU-8003",
+    );
+    shell.refused("report burn --service Desk", ExitStatus::Usage, "MU-1001");
+    assert_eq!(shell.writes(), writes);
+}
+
+// Guards against a division by zero in a deployment without traffic or hosts.
+#[test]
+fn burn_without_requests_has_no_rate() {
+    let shell = Shell::new("idle");
+    assert_eq!(shell.ok("report burn"), "");
+    shell.ok(&format!("apply {}", shell.file("desk.json", DOCUMENT)));
+    assert!(
+        shell
+            .ok("report burn")
+            .contains("desk: objective 90.00%, budget left -")
+    );
+}
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -6,6 +6,7 @@
 use async_std::channel::Sender;
 use serde_json::{Value, json};
 use usher_agent::{Action, AgentState, Event};
+use usher_burn::Burn;
 use usher_types::{HostId, Payload, RequestId, RequestKey, Span, Time};
 use usher_wire::{RunRequest, encode_packet};
 
@@ -37,8 +38,9 @@
     agent: AgentState,
     links: Links,
     runs: Runs,
-    // JSON-RPC ids of the requests that wait for an answer.
-    ids: HashMap<RequestId, Value>,
+    // JSON-RPC ids and deadlines of the requests that wait for an answer.
+    ids: HashMap<RequestId, (Value, Time)>,
+    burn: Burn,
     counts: Counts,
     next_report: Time,
 }
@@ -51,6 +53,7 @@
             links,
             runs: Runs::default(),
             ids: HashMap::new(),
+            burn: Burn::new(now()),
             counts: Counts::default(),
             next_report: Time::ZERO,
         }
@@ -126,7 +129,11 @@
             }
             Action::Deliver { id, bytes } => self.deliver(id, &bytes),
             Action::Answer { id, outcome } => {
-                let number = self.ids.remove(&id).unwrap_or_default();
+                let (number, deadline) = self.ids.remove(&id).unzip();
+                if let Some(deadline) = deadline {
+                    self.burn.count(now(), deadline, &outcome);
+                }
+                let number = number.unwrap_or_default();
                 let bytes = deliver::encode(number, outcome);
                 self.feed(Event::Reply { id, bytes });
             }
@@ -162,7 +169,7 @@
         };
         match deliver::parse(now(), &view.profile, id, bytes) {
             Ok((request, number)) => {
-                self.ids.insert(id, number);
+                self.ids.insert(id, (number, request.deadline));
                 self.feed(Event::Request(request));
             }
             Err(bytes) => self.feed(Event::Reply { id, bytes }),
@@ -278,7 +285,7 @@
 
     fn status(&self) -> Value {
         let Some(summary) = self.agent.summary(now()) else {
-            return json!({});
+            return json!({ "burn": self.burn.windows(now()) });
         };
         json!({
             "flows": summary.flows,
@@ -287,6 +294,7 @@
             "records": summary.records,
             "awaiting": summary.awaiting,
             "requests": self.ids.len(),
+            "burn": self.burn.windows(now()),
             "counters": self.counts.totals(),
         })
     }
