daemon: one table of settings, with examples and a page that tests hold to it

Cause: keys, defaults and allowed values stood in the reading code only, and no test read a settings file.

Change: a table of keys with section, role, allowed values, default and unit, which the code reads by; examples/balancer.ini, agent.ini and usher.ini with every key; docs/settings.md, also for profiles. Tests refuse wrong files by a table of faults and compare table, examples and page.

The tests go red with another default in the code, a row missing from the page, another profile default on the page, and a key missing from an example.

--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,5 +2,6 @@
 
 mod commands;
 mod fake;
+mod pages;
 mod processes;
 mod shell;
--- /dev/null
+++ b/crates/cli/tests/cli/pages.rs
@@ -0,0 +1,64 @@
+//! Pages and examples that describe what the tool reads.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value as Json, json};
+use usher_cli::{ExitStatus, run};
+use usher_types::{ClassRule, Profile};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+// Key and default of each row of a table.
+fn rows(table: &str) -> BTreeMap<String, String> {
+    let lines = table.lines().filter(|line| line.starts_with("| "));
+    let cells = lines.skip(1).map(|line| line.split(" | "));
+    cells
+        .map(|mut cells| {
+            let key = cells.next().unwrap().trim_start_matches("| ");
+            (key.to_owned(), cells.nth(1).unwrap().to_owned())
+        })
+        .collect()
+}
+
+fn fields(value: &Json) -> BTreeMap<String, String> {
+    let plain = |value: &Json| value.as_str().map_or(value.to_string(), str::to_owned);
+    let fields = value.as_object().unwrap().iter();
+    fields
+        .map(|(key, value)| (key.clone(), plain(value)))
+        .collect()
+}
+
+// Guards against a page that misses a key of a profile or states another default.
+#[test]
+fn settings_page_lists_profile_keys() {
+    let page = fs::read_to_string(root().join("docs/settings.md")).unwrap();
+    let (_, profiles) = page.split_once("## Profiles").unwrap();
+    let (profile, rule) = profiles.split_once("Keys of a rule").unwrap();
+    assert_eq!(rows(profile), fields(&json!(Profile::default())));
+    assert_eq!(rows(rule), fields(&json!(ClassRule::default())));
+}
+
+// Guards against examples that the tool does not take.
+#[test]
+fn examples_are_read() {
+    let file = |name: &str| {
+        root()
+            .join("examples")
+            .join(name)
+            .to_str()
+            .unwrap()
+            .to_owned()
+    };
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let status = run(&["check", &file("riga.json")], &mut out, &mut err);
+    assert_eq!(status, ExitStatus::Ok, "{}", String::from_utf8_lossy(&err));
+    // The settings are read before the file, which does not exist, and no store is asked.
+    let args = ["--settings", &file("usher.ini"), "apply", "missing.json"];
+    assert_eq!(run(&args, &mut out, &mut err), ExitStatus::Failed);
+    let text = String::from_utf8(err).unwrap();
+    assert!(text.contains("MU-8002: missing.json"), "{text}");
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,11 +2,13 @@
 
 mod args;
 mod error;
+mod key;
 mod logs;
 mod section;
 mod settings;
 
 pub use args::Args;
 pub use error::SettingsError;
+pub use key::{KEYS, Key, Preset, Scope};
 pub use logs::start as start_logs;
 pub use settings::{Role, Settings};
--- a/crates/daemon/src/section.rs
+++ b/crates/daemon/src/section.rs
@@ -3,7 +3,7 @@
 
 use indexmap::IndexMap;
 
-use crate::SettingsError;
+use crate::{Key, Preset, SettingsError};
 
 /// One section of a settings file; keys are taken out as they are read.
 #[derive(Debug)]
@@ -18,44 +18,33 @@
         Self { file, name, keys }
     }
 
-    /// Reads a key that must be present.
-    pub(crate) fn required<T: FromStr>(
-        &mut self,
-        key: &'static str,
-        allowed: &'static str,
-    ) -> Result<T, SettingsError> {
-        let file = self.file.clone();
-        let missing = SettingsError::Missing {
-            file,
-            section: self.name,
-            key,
-            allowed,
+    /// Reads a key that has a value in the file or by default.
+    pub(crate) fn read<T: FromStr>(&mut self, key: &Key) -> Result<T, SettingsError> {
+        if let Some(value) = self.find(key)? {
+            return Ok(value);
+        }
+        let Preset::Value(value) = key.preset else {
+            return Err(SettingsError::Missing {
+                file: self.file.clone(),
+                section: self.name,
+                key: key.name,
+                allowed: key.allowed,
+            });
         };
-        self.optional(key, allowed)?.ok_or(missing)
+        self.parse(key, value)
     }
 
     /// Reads a key that may be absent.
-    pub(crate) fn optional<T: FromStr>(
-        &mut self,
-        key: &'static str,
-        allowed: &'static str,
-    ) -> Result<Option<T>, SettingsError> {
-        let Some(value) = self.keys.shift_remove(key) else {
+    pub(crate) fn find<T: FromStr>(&mut self, key: &Key) -> Result<Option<T>, SettingsError> {
+        let Some(value) = self.keys.shift_remove(key.name) else {
             return Ok(None);
         };
-        match value.trim().parse() {
-            Ok(parsed) => Ok(Some(parsed)),
-            Err(_) => Err(self.invalid(key, value, allowed)),
-        }
+        self.parse(key, &value).map(Some)
     }
 
     /// Reads a list separated by commas; an absent key gives an empty list.
-    pub(crate) fn list<T: FromStr>(
-        &mut self,
-        key: &'static str,
-        allowed: &'static str,
-    ) -> Result<Vec<T>, SettingsError> {
-        let Some(value) = self.keys.shift_remove(key) else {
+    pub(crate) fn list<T: FromStr>(&mut self, key: &Key) -> Result<Vec<T>, SettingsError> {
+        let Some(value) = self.keys.shift_remove(key.name) else {
             return Ok(Vec::new());
         };
         let parts = value
@@ -63,7 +52,7 @@
             .map(str::trim)
             .filter(|part| !part.is_empty());
         let parsed: Result<Vec<T>, _> = parts.map(T::from_str).collect();
-        parsed.map_err(|_fault| self.invalid(key, value, allowed))
+        parsed.map_err(|_fault| self.invalid(key, &value))
     }
 
     /// Refuses keys that nothing has read.
@@ -78,13 +67,19 @@
         }
     }
 
-    fn invalid(&self, key: &'static str, value: String, allowed: &'static str) -> SettingsError {
+    /// The error for a value that a key does not take.
+    pub(crate) fn invalid(&self, key: &Key, value: &str) -> SettingsError {
         SettingsError::Value {
             file: self.file.clone(),
             section: self.name,
-            key,
-            value,
-            allowed,
+            key: key.name,
+            value: value.to_owned(),
+            allowed: key.allowed,
         }
     }
+
+    fn parse<T: FromStr>(&self, key: &Key, value: &str) -> Result<T, SettingsError> {
+        let parsed = value.trim().parse();
+        parsed.map_err(|_fault| self.invalid(key, value))
+    }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,4 +1,5 @@
 use std::fs;
+use std::num::{NonZeroU16, NonZeroUsize};
 use std::path::{Path, PathBuf};
 
 use indexmap::IndexMap;
@@ -6,19 +7,10 @@
 use usher_runtime::{AgentSettings, BalancerSettings, Common};
 use usher_types::Slots;
 
-use crate::SettingsError;
 use crate::section::Section;
+use crate::{SettingsError, key};
 
 const SECTIONS: [&str; 5] = ["process", "balancer", "agent", "log", "metrics"];
-const ADDRESS: &str = "an IPv4 address and port, for example 127.0.0.1:7000";
-const ADDRESSES: &str = "IPv4 addresses and ports, separated by commas";
-const NAME: &str = "1 to 63 characters out of a-z, 0-9 and '-', starting with a letter";
-const COUNT: &str = "a whole number of at least 1";
-const ROLE: &str = "balancer or agent";
-const LEVEL: &str = "error, warn, info, debug or trace";
-const DEFAULT_THREADS: usize = 2;
-const DEFAULT_HINTS: usize = 200_000;
-
 type Sections = IndexMap<String, IndexMap<String, String>>;
 
 /// What the process is to run.
@@ -80,23 +72,15 @@
             )
         };
         let (mut process, mut log, mut metrics) = (take("process"), take("log"), take("metrics"));
-        let role: String = process.required("role", ROLE)?;
+        let role: String = process.read(&key::ROLE)?;
         let common = common(&mut process, &mut metrics)?;
         let role = match role.as_str() {
             "balancer" => Role::Balancer(balancer(&mut process, take("balancer"), common)?),
             "agent" => Role::Agent(agent(&mut process, take("agent"), common)?),
-            _ => {
-                return Err(SettingsError::Value {
-                    file: path.into(),
-                    section: "process",
-                    key: "role",
-                    value: role,
-                    allowed: ROLE,
-                });
-            }
+            _ => return Err(process.invalid(&key::ROLE, &role)),
         };
-        let log_file = log.optional("file", "a path")?;
-        let log_level = log.optional("level", LEVEL)?.unwrap_or(LevelFilter::Info);
+        let log_file = log.find(&key::LOG_FILE)?;
+        let log_level = log.read(&key::LOG_LEVEL)?;
         process.finish()?;
         log.finish()?;
         metrics.finish()?;
@@ -126,11 +110,11 @@
 
 fn common(process: &mut Section, metrics: &mut Section) -> Result<Common, SettingsError> {
     Ok(Common {
-        centre: process.required("centre", NAME)?,
-        store: process.required("store", ADDRESS)?,
-        admin: process.required("admin", ADDRESS)?,
-        peers: process.list("peers", ADDRESSES)?,
-        statsd: metrics.optional("statsd", ADDRESS)?,
+        centre: process.read(&key::CENTRE)?,
+        store: process.read(&key::STORE)?,
+        admin: process.read(&key::ADMIN)?,
+        peers: process.list(&key::PEERS)?,
+        statsd: metrics.find(&key::STATSD)?,
     })
 }
 
@@ -139,15 +123,13 @@
     mut section: Section,
     common: Common,
 ) -> Result<BalancerSettings, SettingsError> {
-    let threads = section.optional("threads", COUNT)?;
-    let hints = section.optional("hints", COUNT)?;
     let settings = BalancerSettings {
         common,
-        instance: process.required("name", NAME)?,
-        packets: section.required("packets", ADDRESS)?,
-        control: section.required("control", ADDRESS)?,
-        threads: threads.map_or(DEFAULT_THREADS, std::num::NonZeroUsize::get),
-        hints: hints.map_or(DEFAULT_HINTS, std::num::NonZeroUsize::get),
+        instance: process.read(&key::PROCESS_NAME)?,
+        packets: section.read(&key::PACKETS)?,
+        control: section.read(&key::CONTROL)?,
+        threads: section.read::<NonZeroUsize>(&key::THREADS)?.get(),
+        hints: section.read::<NonZeroUsize>(&key::HINTS)?.get(),
     };
     section.finish()?;
     Ok(settings)
@@ -158,15 +140,14 @@
     mut section: Section,
     common: Common,
 ) -> Result<AgentSettings, SettingsError> {
-    let slots: std::num::NonZeroU16 = section.required("slots", COUNT)?;
     let settings = AgentSettings {
         common,
-        host: process.required("name", NAME)?,
-        service: section.required("service", NAME)?,
-        listen: section.required("listen", ADDRESS)?,
-        fabric: section.required("fabric", ADDRESS)?,
-        backend: section.required("backend", ADDRESS)?,
-        slots: Slots::new(slots.get()),
+        host: process.read(&key::PROCESS_NAME)?,
+        service: section.read(&key::SERVICE)?,
+        listen: section.read(&key::LISTEN)?,
+        fabric: section.read(&key::FABRIC)?,
+        backend: section.read(&key::BACKEND)?,
+        slots: Slots::new(section.read::<NonZeroU16>(&key::SLOTS)?.get()),
     };
     section.finish()?;
     Ok(settings)
