Pages for errors, events and metrics, held to the code by tests

Cause: 63 error numbers, 24 events and 45 metrics were documented nowhere, and the names of agent metrics came from the debug text of enums.

Change: docs/errors.md, docs/events.md and docs/metrics.md with cause and what to do. Metrics are a table in code; counters of the decision crates get names such as flows.hop_limit, in statsd and in `status`. Tests compare pages and code in both directions, refuse two meanings for one number and references to numbers that do not exist, and hold the table of metrics to the counters of the decision crates. The example number on the design page now exists.

Measured: cargo test -p usher-runtime passes. The tests go red with a renumbered error, two errors with one number, a row missing from the page, two refusals with one number, two events with one number, a renamed metric, and a page that names an unknown event. In a trial of the demo with a UDP listener as statsd server, 16 names arrived, all of them on the page with the right kind.

Limit: a balancer's thread sends its counters after 256 packets, so a quiet balancer shows them late.

--- a/crates/runtime/src/agent/counts.rs
+++ b/crates/runtime/src/agent/counts.rs
@@ -1,31 +1,43 @@
 use indexmap::IndexMap;
 
+use crate::Metric;
 use crate::metrics::Metrics;
 
 /// Counters of the traffic thread, sent to the metrics client in batches.
 #[derive(Debug, Default)]
 pub(crate) struct Counts {
-    totals: IndexMap<String, u64>,
-    sent: IndexMap<String, u64>,
+    counts: IndexMap<(&'static str, String), Count>,
+}
+
+#[derive(Debug, Default)]
+struct Count {
+    total: u64,
+    sent: u64,
 }
 
 impl Counts {
-    pub(crate) fn add(&mut self, part: &str, name: &str) {
-        *self.totals.entry(format!("{part}.{name}")).or_default() += 1;
+    pub(crate) fn add(&mut self, part: &'static str, name: String) {
+        self.counts.entry((part, name)).or_default().total += 1;
     }
 
-    /// Counts since the process started.
-    pub(crate) fn totals(&self) -> &IndexMap<String, u64> {
-        &self.totals
+    /// Counts since the process started, by the names of the metrics.
+    pub(crate) fn totals(&self) -> IndexMap<String, u64> {
+        let counts = self.counts.iter();
+        counts
+            .map(|((part, name), count)| (Metric::counter_name(part, name), count.total))
+            .collect()
     }
 
     pub(crate) fn flush(&mut self, metrics: &Metrics) {
-        for (name, total) in &self.totals {
-            let sent = self.sent.entry(name.clone()).or_default();
-            if *total > *sent {
-                metrics.count(name, *total - *sent);
-                *sent = *total;
+        for ((part, name), count) in &mut self.counts {
+            let new = count.total - count.sent;
+            if new == 0 {
+                continue;
+            }
+            if let Some(metric) = Metric::agent_counter(&Metric::counter_name(part, name)) {
+                metrics.count(metric, new);
             }
+            count.sent = count.total;
         }
     }
 }
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -18,7 +18,7 @@
 use crate::clock::now;
 use crate::control::{Content, ControlEvent, Parcels};
 use crate::metrics::Metrics;
-use crate::{AgentSettings, event, socket};
+use crate::{AgentSettings, event, metric, socket};
 
 const IDLE: Span = Span::from_secs(1);
 const REPORT: Span = Span::from_millis(500);
@@ -159,7 +159,7 @@
             Action::InForce(revision) => self.tell(ControlEvent::InForce(revision)),
             Action::Drained => self.tell(ControlEvent::Drained),
             Action::RecordsDrained => self.tell(ControlEvent::RecordsDrained),
-            Action::Count { part, name } => self.counts.add(part, &name),
+            Action::Count { part, name } => self.counts.add(part, name),
         }
     }
 
@@ -277,9 +277,13 @@
         let Some(summary) = self.agent.summary(time) else {
             return;
         };
-        self.links.metrics.time("wait", summary.wait);
-        self.links.metrics.gauge("flows", summary.flows as u64);
-        self.links.metrics.gauge("records", summary.records as u64);
+        self.links.metrics.time(&metric::WAIT, summary.wait);
+        self.links
+            .metrics
+            .gauge(&metric::FLOWS, summary.flows as u64);
+        self.links
+            .metrics
+            .gauge(&metric::RECORDS, summary.records as u64);
         self.tell(ControlEvent::Load {
             wait: summary.wait,
             weight: summary.weight,
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -22,7 +22,7 @@
 use crate::clock::now;
 use crate::control::{Call, CatchUp, ControlEvent, State, edit_fleet, follow, serve};
 use crate::metrics::Metrics;
-use crate::{BalancerSettings, RuntimeError, event, socket};
+use crate::{BalancerSettings, RuntimeError, event, metric, socket};
 
 const IDLE: Duration = Duration::from_secs(1);
 const JOIN_RETRY: Duration = Duration::from_millis(300);
@@ -213,7 +213,7 @@
             ..Status::default()
         };
         self.advance(Event::Status(status));
-        self.metrics.gauge("revision", revision.get());
+        self.metrics.gauge(&metric::REVISION, revision.get());
     }
 
     fn forget_deleted(&mut self) {
--- a/crates/runtime/src/balancer/traffic.rs
+++ b/crates/runtime/src/balancer/traffic.rs
@@ -11,7 +11,7 @@
 use crate::control::ControlEvent;
 use crate::metrics::Metrics;
 use crate::socket::{self, MAX_DATAGRAM};
-use crate::{BalancerSettings, RuntimeError, event};
+use crate::{BalancerSettings, RuntimeError, event, metric};
 
 // Enough that two traffic threads seldom want the same part of the hints.
 const SHARDS: usize = 16;
@@ -120,7 +120,7 @@
                 Ok(Message::Relay(_) | Message::Agent { .. }) => continue,
                 Err(fault) => {
                     event::MALFORMED.log(&[("source", &source), ("fault", &fault)]);
-                    self.metrics.count("malformed", 1);
+                    self.metrics.count(&metric::MALFORMED, 1);
                     continue;
                 }
             };
@@ -177,11 +177,11 @@
 
     fn flush(&mut self, metrics: &Metrics) {
         let counts = std::mem::take(self);
-        metrics.count("forwarded", counts.forwarded);
-        metrics.count("malformed", counts.malformed);
-        metrics.count("dropped.unknown_service", counts.unknown_service);
-        metrics.count("dropped.no_members", counts.no_members);
-        metrics.count("dropped.wrong_direction", counts.wrong_direction);
+        metrics.count(&metric::FORWARDED, counts.forwarded);
+        metrics.count(&metric::MALFORMED, counts.malformed);
+        metrics.count(&metric::UNKNOWN_SERVICE, counts.unknown_service);
+        metrics.count(&metric::NO_MEMBERS, counts.no_members);
+        metrics.count(&metric::WRONG_DIRECTION, counts.wrong_direction);
     }
 }
 
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -6,7 +6,7 @@
 };
 use usher_types::Span;
 
-use crate::RuntimeError;
+use crate::{Metric, RuntimeError};
 
 /// Metrics of one process, sent to statsd; `docs/metrics.md` lists the names.
 #[derive(Debug, Clone)]
@@ -31,17 +31,19 @@
     }
 
     /// Adds to a counter.
-    pub(crate) fn count(&self, name: &str, value: u64) {
-        let _ = self.0.count(name, value);
+    pub(crate) fn count(&self, metric: &Metric, value: u64) {
+        let _ = self.0.count(metric.name, value);
     }
 
     /// Sets a gauge.
-    pub(crate) fn gauge(&self, name: &str, value: u64) {
-        let _ = self.0.gauge(name, value);
+    pub(crate) fn gauge(&self, metric: &Metric, value: u64) {
+        let _ = self.0.gauge(metric.name, value);
     }
 
     /// Records a time.
-    pub(crate) fn time(&self, name: &str, span: Span) {
-        let _ = self.0.time(name, Duration::from_micros(span.as_micros()));
+    pub(crate) fn time(&self, metric: &Metric, span: Span) {
+        let _ = self
+            .0
+            .time(metric.name, Duration::from_micros(span.as_micros()));
     }
 }
