runtime: agents log suspicion and its end per host, and removals

Cause: an agent logged MU-E1104 also when the last suspicion ended, and no event when it removed a host, so an alarm on these numbers would be wrong.

Change: agents and balancers log the difference between two lists of suspected hosts, as MU-E1104 and MU-E1105 with one host each; a written removal is logged as MU-E1106 for hosts as for balancers.

--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -10,16 +10,19 @@
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use usher_agent::View;
-use usher_members::{Action, Event, Identity, Membership, Proposal, Status};
+use usher_members::{Action, Change, Event, Identity, Membership, Proposal, Status};
 use usher_platform::{Limits, Store};
 use usher_types::{
-    HostState, Incarnation, Member, Message, PastRoster, Peer, Roster, Span, Time, Version, Weight,
+    HostId, HostState, Incarnation, Member, Message, PastRoster, Peer, Roster, Span, Time, Version,
+    Weight,
 };
 
 use super::phase::Phase;
 use super::worker_event::WorkerEvent;
 use crate::clock::now;
-use crate::control::{Call, CatchUp, ControlEvent, State, edit_roster, follow, serve};
+use crate::control::{
+    Call, CatchUp, ControlEvent, State, edit_roster, follow, log_suspicion, serve,
+};
 use crate::{AgentSettings, RuntimeError, event, socket};
 
 const IDLE: Duration = Duration::from_secs(1);
@@ -40,6 +43,7 @@
     membership: Membership,
     status: Status,
     unsettled: Option<Vec<Version>>,
+    suspected: Vec<HostId>,
     created: bool,
     was_member: bool,
     records_drained: bool,
@@ -73,6 +77,7 @@
             catch_up: CatchUp::default(),
             status: Status::default(),
             unsettled: None,
+            suspected: Vec::new(),
             created: false,
             was_member: false,
             records_drained: false,
@@ -212,8 +217,8 @@
                     socket::send(&self.socket, to, &Message::BeatAck(ack));
                 }
                 Action::Suspected { service, hosts } => {
-                    let hosts = format!("{hosts:?}");
-                    event::SUSPECTED.log(&[("service", &service), ("hosts", &hosts)]);
+                    log_suspicion(&service, &self.suspected, &hosts);
+                    self.suspected = hosts;
                 }
                 // Balancers write their fleet.
                 Action::Distrusted { .. } | Action::ProposeFleet(_) => {}
@@ -262,8 +267,14 @@
                 Some(with_history(current, changed, unsettled.as_deref()))
             };
             let written = edit_roster(&store, &service, edit).await;
-            if let Err(fault) = &written {
-                event::ROSTER_WRITE.log(&[("fault", fault)]);
+            match (&written, &proposal.change) {
+                (Ok(Some(_)), Change::Remove { hosts }) => {
+                    for (host, _) in hosts {
+                        event::REMOVED.log(&[("service", &service), ("host", host)]);
+                    }
+                }
+                (Ok(_), _) => {}
+                (Err(fault), _) => event::ROSTER_WRITE.log(&[("fault", fault)]),
             }
             let _ = events
                 .send(ControlEvent::Written(written.unwrap_or_default()))
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -20,7 +20,9 @@
 };
 
 use crate::clock::now;
-use crate::control::{Call, CatchUp, ControlEvent, State, edit_fleet, follow, serve};
+use crate::control::{
+    Call, CatchUp, ControlEvent, State, edit_fleet, follow, log_suspicion, serve,
+};
 use crate::metrics::Metrics;
 use crate::{BalancerSettings, RuntimeError, event, metric, socket};
 
@@ -179,12 +181,7 @@
 
     fn suspect(&mut self, service: ServiceName, hosts: Vec<HostId>) {
         let before = self.suspected.get(&service).map_or(&[][..], Vec::as_slice);
-        for host in hosts.iter().filter(|host| !before.contains(host)) {
-            event::SUSPECTED.log(&[("service", &service), ("host", host)]);
-        }
-        for host in before.iter().filter(|host| !hosts.contains(host)) {
-            event::RESTORED.log(&[("service", &service), ("host", host)]);
-        }
+        log_suspicion(&service, before, &hosts);
         if let Some(table) = self.tables.get_mut(&service) {
             *table = Arc::new(table.with_suspected(&hosts));
         }
--- a/crates/runtime/src/control/mod.rs
+++ b/crates/runtime/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod event;
 mod feed;
 mod state;
+mod suspicion;
 mod writer;
 
 pub(crate) use call::{Call, Content, Page, Parcels, serve};
@@ -12,4 +13,5 @@
 pub(crate) use event::ControlEvent;
 pub(crate) use feed::{fetch_from_peers, follow};
 pub(crate) use state::State;
+pub(crate) use suspicion::log_suspicion;
 pub(crate) use writer::{edit_fleet, edit_roster};
