Cancellation by callers, a bound on answers, and saturating time spans

Cause: a caller could not withdraw a request; an answer longer than a flow carries was dropped without a word; a huge deadline overflowed a time span, which is a panic in debug builds. The page test reads the folder of decisions as well.

--- a/crates/runtime/src/agent/deliver.rs
+++ b/crates/runtime/src/agent/deliver.rs
@@ -1,28 +1,40 @@
 use serde_json::Value;
-use usher_types::{Outcome, Profile, Refusal, Request, RequestId, Span, Time};
-use usher_wire::{RequestMessage, ResponseMessage};
+use usher_flows::MAX_MESSAGE_BYTES;
+use usher_types::{Outcome, Payload, Profile, Refusal, Request, RequestId, Span, Time};
+use usher_wire::{CancelMessage, RequestMessage, ResponseMessage};
 
-/// Turns a caller's message into a request and the JSON-RPC id to answer with.
-///
-/// # Errors
-/// Gives the answer to a malformed message.
-pub(crate) fn parse(
-    now: Time,
-    profile: &Profile,
-    id: RequestId,
-    bytes: &[u8],
-) -> Result<(Request, Value), Vec<u8>> {
-    let Ok(message) = RequestMessage::decode(bytes) else {
-        return Err(encode(Value::Null, refusal(Refusal::Invalid)));
-    };
+const TOO_LONG: &[u8] = br#"{"code":-32003,"message":"MU-4101: answer too long"}"#;
+
+/// A caller's message.
+#[derive(Debug)]
+pub(crate) enum Delivered {
+    /// A request, and the JSON-RPC id to answer with.
+    Request(Request, Value),
+    /// Gives up the request with this JSON-RPC id.
+    Cancel(Value),
+    /// Not understood; the bytes are the answer.
+    Malformed(Vec<u8>),
+}
+
+/// Reads a caller's message.
+pub(crate) fn parse(now: Time, profile: &Profile, id: RequestId, bytes: &[u8]) -> Delivered {
+    if let Ok(message) = RequestMessage::decode(bytes) {
+        let number = message.id.clone();
+        return Delivered::Request(request(now, profile, id, message), number);
+    }
+    match CancelMessage::decode(bytes) {
+        Ok(message) => Delivered::Cancel(message.id),
+        Err(_) => Delivered::Malformed(encode(Value::Null, refusal(Refusal::Invalid))),
+    }
+}
+
+fn request(now: Time, profile: &Profile, id: RequestId, message: RequestMessage) -> Request {
     let meta = message.meta;
     let rule = profile.methods.get(&message.method);
-    let priority = meta
-        .priority
-        .or(rule.map(|rule| rule.priority))
-        .unwrap_or_default();
+    let priority = meta.priority.or(rule.map(|rule| rule.priority));
     let left = meta.deadline_ms.map_or(profile.deadline, Span::from_millis);
-    let request = Request {
+    let budget = meta.budget.unwrap_or(profile.attempts);
+    Request {
         id,
         key: meta.key,
         once: meta.once,
@@ -30,27 +42,30 @@
         deadline: now + left,
         attempt: meta.attempt,
         age: Span::from_millis(meta.age_ms),
-        budget: meta
-            .budget
-            .map_or(profile.attempts, |budget| budget.min(profile.attempts)),
-        priority,
+        budget: budget.min(profile.attempts),
+        priority: priority.unwrap_or_default(),
         body: message.body,
-    };
-    Ok((request, message.id))
+    }
 }
 
-/// JSON-RPC text of an outcome.
+/// JSON-RPC text of an outcome, short enough for a flow.
 pub(crate) fn encode(id: Value, outcome: Outcome) -> Vec<u8> {
-    let fallback = id.clone();
-    let response = ResponseMessage { id, outcome };
-    response.encode().unwrap_or_else(|_| {
+    let text = ResponseMessage {
+        id: id.clone(),
+        outcome,
+    }
+    .encode();
+    let replacement = match text {
+        Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => return bytes,
+        Ok(_) => Outcome::Failed(Payload::from(TOO_LONG)),
         // The backend server's payload is not JSON: it ran, and its answer cannot be passed on.
-        let unknown = ResponseMessage {
-            id: fallback,
-            outcome: Outcome::Unknown,
-        };
-        unknown.encode().unwrap_or_default()
-    })
+        Err(_) => Outcome::Unknown,
+    };
+    let response = ResponseMessage {
+        id,
+        outcome: replacement,
+    };
+    response.encode().unwrap_or_default()
 }
 
 fn refusal(refusal: Refusal) -> Outcome {
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -11,6 +11,7 @@
 use usher_wire::{RunRequest, encode_packet};
 
 use super::counts::Counts;
+use super::deliver::Delivered;
 use super::runs::Runs;
 use super::worker_event::WorkerEvent;
 use super::{deliver, handover};
@@ -168,11 +169,29 @@
             return;
         };
         match deliver::parse(now(), &view.profile, id, bytes) {
-            Ok((request, number)) => {
+            Delivered::Request(request, number) => {
                 self.ids.insert(id, (number, request.deadline));
                 self.feed(Event::Request(request));
             }
-            Err(bytes) => self.feed(Event::Reply { id, bytes }),
+            Delivered::Cancel(number) => {
+                self.cancel(&id, &number);
+                // Nothing is sent in answer to a notification.
+                self.feed(Event::Reply {
+                    id,
+                    bytes: Vec::new(),
+                });
+            }
+            Delivered::Malformed(bytes) => self.feed(Event::Reply { id, bytes }),
+        }
+    }
+
+    fn cancel(&mut self, notification: &RequestId, number: &Value) {
+        let mut waiting = self.ids.iter();
+        let found = waiting
+            .find(|(id, (known, _))| id.flow == notification.flow && known == number)
+            .map(|(id, _)| *id);
+        if let Some(id) = found {
+            self.feed(Event::Cancel(id));
         }
     }
 
--- a/crates/runtime/tests/pages.rs
+++ b/crates/runtime/tests/pages.rs
@@ -129,8 +129,13 @@
 fn every_number_that_is_named_exists() {
     let known: BTreeSet<String> = errors().into_iter().map(|(number, _)| number).collect();
     let mut texts = code();
-    for entry in fs::read_dir(root().join("docs")).unwrap() {
-        texts.push(fs::read_to_string(entry.unwrap().path()).unwrap());
+    for folder in ["docs", "docs/decisions"] {
+        for entry in fs::read_dir(root().join(folder)).into_iter().flatten() {
+            let path = entry.unwrap().path();
+            if path.is_file() {
+                texts.push(fs::read_to_string(path).unwrap());
+            }
+        }
     }
     texts.push(fs::read_to_string(root().join("README.md")).unwrap());
     for text in texts {
--- a/crates/types/src/span.rs
+++ b/crates/types/src/span.rs
@@ -35,12 +35,12 @@
 
     /// A span of whole milliseconds.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * MICROS_PER_MILLI)
+        Self(millis.saturating_mul(MICROS_PER_MILLI))
     }
 
     /// A span of whole seconds.
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * MICROS_PER_SECOND)
+        Self(secs.saturating_mul(MICROS_PER_SECOND))
     }
 
     /// A span of seconds, rounded down to microseconds; negative values give zero.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Decoding never panics: malformed input gives a [`WireError`] that the receiver counts.
 
+mod cancel;
 mod error;
 mod message;
 mod meta;
@@ -10,6 +11,7 @@
 mod response;
 mod run;
 
+pub use cancel::CancelMessage;
 pub use error::WireError;
 pub use message::{decode_message, encode_message};
 pub use meta::Meta;
