--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -61,7 +61,12 @@
 
 /// Profiles: named descriptions of how traffic is treated.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "profile")]
+#[argh(
+    subcommand,
+    name = "profile",
+    example = "{command_name} list",
+    example = "{command_name} set fast hunt=5ms attempts=3"
+)]
 pub(crate) struct ProfileCommand {
     #[argh(subcommand)]
     pub(crate) action: Action,
@@ -69,7 +74,12 @@
 
 /// Services: an address and the profile that it selects.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "service")]
+#[argh(
+    subcommand,
+    name = "service",
+    example = "{command_name} list",
+    example = "{command_name} set booking-desk address=192.0.2.1:80 profile=fast"
+)]
 pub(crate) struct ServiceCommand {
     #[argh(subcommand)]
     pub(crate) action: Action,
--- a/crates/cli/src/commands/report.rs
+++ b/crates/cli/src/commands/report.rs
@@ -11,7 +11,7 @@
 
 /// Reports on services, summed over their hosts.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "report")]
+#[argh(subcommand, name = "report", example = "{command_name} burn")]
 pub(crate) struct Report {
     #[argh(subcommand)]
     pub(crate) subject: Subject,
--- a/crates/cli/tests/cli/commands.rs
+++ b/crates/cli/tests/cli/commands.rs
@@ -150,5 +150,10 @@
     assert_eq!(status, ExitStatus::Usage);
     assert!(String::from_utf8(err).unwrap().contains("MU-8001"));
     assert!(shell.ok("apply --help").contains("loses a race"));
+    let help = include_str!("help.txt").lines();
+    for command in help {
+        let text = shell.ok(&format!("{command} --help"));
+        assert!(text.contains("Examples"), "{command}: {text}");
+    }
     assert!(shell.ok("--help").contains("Examples"));
 }
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -10,7 +10,8 @@
 use crate::settings::{Role, Settings};
 
 const EXIT_FAILED: u8 = 1;
-const EXIT_SETTINGS: u8 = 2;
+/// Exit status after a wrong command line or wrong settings.
+pub const EXIT_USAGE: u8 = 2;
 
 /// Layer-4 load balancer daemon: a balancer on an entry instance or an agent beside a backend
 /// server.
@@ -18,8 +19,9 @@
 /// SIGTERM begins a planned stop: no request in progress is cut.
 #[derive(Debug, FromArgs)]
 #[argh(
-    example = "marigoldusherd --settings /etc/marigoldusher/agent.ini",
-    note = "Exit status: 0 stopped as planned, 1 failed, 2 wrong settings."
+    example = "marigoldusherd --settings agent.ini",
+    example = "marigoldusherd --settings agent.ini --check",
+    note = "Exit status: 0 stopped as planned, 1 failed, 2 wrong settings or command line."
 )]
 pub struct Args {
     /// INI file; docs/settings.md lists its keys
@@ -59,7 +61,7 @@
     /// Exit status after a failed [`Args::run`].
     pub fn failure(&self) -> u8 {
         match Settings::load(&self.settings) {
-            Err(_) => EXIT_SETTINGS,
+            Err(_) => EXIT_USAGE,
             Ok(_) => EXIT_FAILED,
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,7 +7,7 @@
 mod section;
 mod settings;
 
-pub use args::Args;
+pub use args::{Args, EXIT_USAGE};
 pub use error::SettingsError;
 pub use key::{KEYS, Key, Preset, Scope};
 pub use logs::start as start_logs;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,10 +2,25 @@
 
 use std::process::ExitCode;
 
-use usher_daemon::Args;
+use argh::FromArgs;
+use usher_daemon::{Args, EXIT_USAGE};
+
+const PROGRAM: &str = "marigoldusherd";
 
 fn main() -> ExitCode {
-    let args: Args = argh::from_env();
+    let line: Vec<String> = std::env::args().skip(1).collect();
+    let line: Vec<&str> = line.iter().map(String::as_str).collect();
+    let args = match Args::from_args(&[PROGRAM], &line) {
+        Ok(args) => args,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
     match args.run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/runtime/tests/pages.rs
+++ b/crates/runtime/tests/pages.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use log::Level;
 use usher_runtime::{EVENTS, METRICS};
 
 fn root() -> PathBuf {
@@ -230,3 +231,14 @@
         .collect();
     assert_eq!(dotted, counters.keys().map(String::as_str).collect());
 }
+
+/// Guards against a warning that leaves operators without a word on what to do, and against alarms
+/// under an outdated text.
+#[test]
+fn operating_page_lists_every_alarm() {
+    let page = page("operating.md");
+    for event in EVENTS.iter().filter(|event| event.level <= Level::Warn) {
+        let alarm = format!("| MU-E{} {} |", event.code, event.text);
+        assert!(page.contains(&alarm), "{alarm}");
+    }
+}
