standins: caller for single requests, faults of the fabric, switches of the backend server

Tests against the real processes need typed outcomes of single requests, a fabric with loss, duplication, delay and a list of balancers that can change, and backend servers that count runs per key and can be paused or made to answer late, fail or shed.

Change: Caller, Request and Pending; Fabric and PathFaults, which also affect answers; Switches and Behaviour; a request's body may name its running time and the size of its answer.

--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -10,16 +10,19 @@
 use jsonrpsee::types::{ErrorObjectOwned, Params};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
+use serde::Deserialize;
 use serde_json::{Value, json};
 use usher_types::{Span, Time};
 use usher_wire::{RUN_NOT_STARTED, RunRequest};
 
 use super::args::BackendArgs;
+use super::switches::{Behaviour, Switches};
 use crate::clock;
 
 const DEFAULT_TIME: Span = Span::from_millis(5);
 const STRAGGLER_FACTOR: f64 = 30.0;
 const COLD_FACTOR: f64 = 4.0;
+const RUN_FAILED: i32 = -32_011;
 
 /// A backend server that pretends to work for a time drawn for each request.
 ///
@@ -27,10 +30,19 @@
 #[derive(Debug)]
 pub struct Backend {
     args: BackendArgs,
+    switches: Switches,
     started: Time,
     state: Mutex<State>,
 }
 
+// What a request may ask of the backend server in its body.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Wish {
+    time_ms: Option<u64>,
+    answer: Option<usize>,
+}
+
 #[derive(Debug)]
 struct State {
     rng: Pcg64,
@@ -45,6 +57,17 @@
     /// # Errors
     /// Fails when the address cannot be bound.
     pub async fn start(args: BackendArgs) -> io::Result<(SocketAddr, ServerHandle)> {
+        Self::start_with(args, Switches::default()).await
+    }
+
+    /// Serves JSON-RPC until the handle is dropped, controlled by switches.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be bound.
+    pub async fn start_with(
+        args: BackendArgs,
+        switches: Switches,
+    ) -> io::Result<(SocketAddr, ServerHandle)> {
         let server = Server::builder().build(SocketAddr::V4(args.listen)).await?;
         let address = server.local_addr()?;
         let rng = Pcg64::seed_from_u64(args.seed);
@@ -56,6 +79,7 @@
         };
         let backend = Self {
             args,
+            switches,
             started: clock::now(),
             state: Mutex::new(state),
         };
@@ -75,23 +99,22 @@
 
     async fn run(&self, params: &Params<'_>) -> Result<Value, ErrorObjectOwned> {
         let request: RunRequest = params.parse()?;
-        let length = self.begin(&request)?;
+        let wish: Wish = serde_json::from_str(request.body.get()).unwrap_or_default();
+        let length = self.begin(&request, &wish)?;
         println!("run {} {}", request.key, request.method);
         let cancelled = self.work(request.run, length).await;
         self.end(request.run);
         if cancelled {
-            return Err(ErrorObjectOwned::owned(
-                -32_011,
-                "cancelled while running",
-                None::<()>,
-            ));
+            return Err(failure("cancelled while running"));
+        }
+        if self.switches.behaviour() == Behaviour::Failing {
+            return Err(failure("failed while running"));
         }
-        Ok(
-            json!({ "service": self.args.service, "key": request.key, "text": "x".repeat(self.args.answer) }),
-        )
+        let text = "x".repeat(wish.answer.unwrap_or(self.args.answer));
+        Ok(json!({ "service": self.args.service, "key": request.key, "text": text }))
     }
 
-    fn begin(&self, request: &RunRequest) -> Result<Span, ErrorObjectOwned> {
+    fn begin(&self, request: &RunRequest, wish: &Wish) -> Result<Span, ErrorObjectOwned> {
         let now = clock::now();
         let mut state = self.lock();
         if request.start_by.is_some_and(|limit| now > limit) {
@@ -100,9 +123,19 @@
         if state.busy >= self.args.slots {
             return Err(not_started("no free slot"));
         }
+        let behaviour = self.switches.behaviour();
+        if behaviour == Behaviour::Shedding {
+            return Err(not_started("shedding"));
+        }
         state.busy += 1;
         state.runs += 1;
-        Ok(self.draw(&mut state.rng, &request.method, now))
+        self.switches.record(request.key);
+        let drawn = self.draw(&mut state.rng, &request.method, now);
+        let length = wish.time_ms.map_or(drawn, Span::from_millis);
+        Ok(match behaviour {
+            Behaviour::Late(extra) => length + extra,
+            _ => length,
+        })
     }
 
     fn draw(&self, rng: &mut Pcg64, method: &str, now: Time) -> Span {
@@ -123,7 +156,10 @@
         const STEP: Span = Span::from_millis(50);
         let end = clock::now() + length;
         loop {
-            let left = end - clock::now();
+            let mut left = end - clock::now();
+            if self.switches.behaviour() == Behaviour::Paused {
+                left = STEP;
+            }
             if left == Span::ZERO {
                 return false;
             }
@@ -156,6 +192,10 @@
     }
 }
 
+fn failure(reason: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(RUN_FAILED, reason, None::<()>)
+}
+
 fn not_started(reason: &str) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(RUN_NOT_STARTED, reason, None::<()>)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod store;
 
 pub use args::Args;
-pub use backend::{Backend, BackendArgs};
-pub use caller::CallerArgs;
-pub use fabric::FabricArgs;
+pub use backend::{Backend, BackendArgs, Behaviour, Switches};
+pub use caller::{Caller, CallerArgs, Pending, Request};
+pub use fabric::{Fabric, FabricArgs, PathFaults};
