--- /dev/null
+++ b/crates/daemon/tests/processes/main.rs
@@ -0,0 +1,11 @@
+//! Scenarios against the real processes: kill, stop and continue, restart, store down, faulty fabric.
+
+mod answers;
+mod balancers;
+mod datagrams;
+mod deployment;
+mod isolation;
+mod load;
+mod paused_agent;
+mod process;
+mod settings;
--- a/crates/runtime/src/agent/handover.rs
+++ b/crates/runtime/src/agent/handover.rs
@@ -48,6 +48,11 @@
     });
 }
 
+/// Sends a message that is too large for a datagram; its sender repeats what gets no answer.
+pub(crate) fn send_message(admin: SocketAddrV4, parcels: Parcels) {
+    task::spawn(async move { call::<bool>(admin, &parcels).await });
+}
+
 async fn call<T: DeserializeOwned>(
     admin: SocketAddrV4,
     parcels: &Parcels,
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -7,7 +7,9 @@
 use serde_json::{Value, json};
 use usher_agent::{Action, AgentState, Event};
 use usher_burn::Burn;
-use usher_types::{HostId, Payload, RequestId, RequestKey, Span, Time};
+use usher_types::{
+    AgentMessage, HostId, Message, Outcome, Payload, RequestId, RequestKey, Span, Time,
+};
 use usher_wire::{RunRequest, encode_packet};
 
 use super::counts::Counts;
@@ -23,6 +25,8 @@
 
 const IDLE: Span = Span::from_secs(1);
 const REPORT: Span = Span::from_millis(500);
+// Payloads above this do not fit one datagram of 65,507 bytes with the rest of their message.
+const MAX_PAYLOAD: usize = 60_000;
 
 /// What connects the traffic thread to the rest of the process.
 pub(crate) struct Links {
@@ -121,7 +125,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { to, message } => socket::send(&self.links.socket, to, &message),
+            Action::Send { to, message } => self.send(to, message),
             Action::Packet(packet) => {
                 if let Ok(bytes) = encode_packet(&packet) {
                     // A lost packet is sent again by the flow's timer.
@@ -164,6 +168,24 @@
         }
     }
 
+    fn send(&self, to: SocketAddrV4, message: Message) {
+        if payload(&message).is_none_or(|payload| payload.len() <= MAX_PAYLOAD) {
+            return socket::send(&self.links.socket, to, &message);
+        }
+        let members = self.agent.view().map(|view| &view.roster.members);
+        let receiver = members.and_then(|members| {
+            let mut members = members.iter();
+            members.find(|(_, member)| member.agent == to)
+        });
+        let from = self.settings.listen;
+        let content = Content::Message { from, message };
+        if let Some((host, _)) = receiver
+            && let Some((admin, parcels)) = self.parcels(host, content)
+        {
+            handover::send_message(admin, parcels);
+        }
+    }
+
     fn deliver(&mut self, id: RequestId, bytes: &[u8]) {
         let Some(view) = self.agent.view() else {
             return;
@@ -240,6 +262,10 @@
         let event = match content {
             Content::Flows(parcel) => Event::TakeFlows(parcel),
             Content::Records(parcel) => Event::TakeRecords(parcel),
+            Content::Message { from, message } => {
+                self.feed(Event::Message { from, message });
+                return Some(json!(true));
+            }
         };
         let mut answer = None;
         for action in self.agent.handle(now(), event) {
@@ -340,3 +366,18 @@
         let _ = self.links.events.try_send(event);
     }
 }
+
+// The payload of messages whose size the caller or the backend server decides.
+fn payload(message: &Message) -> Option<&[u8]> {
+    let Message::Agent { message, .. } = message else {
+        return None;
+    };
+    match message {
+        AgentMessage::Offer(offer) => Some(&offer.body),
+        AgentMessage::OfferOutcome(report) => match &report.outcome {
+            Outcome::Answered(payload) | Outcome::Failed(payload) => Some(payload),
+            Outcome::NotRun { .. } | Outcome::Unknown => None,
+        },
+        _ => None,
+    }
+}
--- a/crates/runtime/src/control/call.rs
+++ b/crates/runtime/src/control/call.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use usher_config::Object;
-use usher_types::{Generation, ServiceName, Version};
+use usher_types::{Generation, Message, ServiceName, Version};
 
 use super::ControlEvent;
 use crate::RuntimeError;
@@ -57,6 +57,11 @@
     Flows(usher_flows::Parcel),
     /// Dedupe records; answered by the roster version of the parcel.
     Records(usher_dedupe::Parcel),
+    /// A message that is too large for a datagram; answered by `true`.
+    Message {
+        from: SocketAddrV4,
+        message: Message,
+    },
 }
 
 type Events = Sender<ControlEvent>;
--- a/crates/runtime/src/metric.rs
+++ b/crates/runtime/src/metric.rs
@@ -43,6 +43,7 @@
 pub(crate) const NO_MEMBERS: Metric = counter(BALANCER, "dropped.no_members", "packets");
 pub(crate) const WRONG_DIRECTION: Metric = counter(BALANCER, "dropped.wrong_direction", "packets");
 pub(crate) const REVISION: Metric = gauge(BALANCER, "revision", "store version");
+pub(crate) const AGENT_MALFORMED: Metric = counter(AGENT, "malformed", "datagrams");
 pub(crate) const WAIT: Metric = timer(AGENT, "wait", "ms");
 pub(crate) const FLOWS: Metric = gauge(AGENT, "flows", "flows");
 pub(crate) const RECORDS: Metric = gauge(AGENT, "records", "records");
@@ -57,6 +58,7 @@
     NO_MEMBERS,
     WRONG_DIRECTION,
     REVISION,
+    AGENT_MALFORMED,
     WAIT,
     FLOWS,
     RECORDS,
