Balancers retry to leave their fleet; membership and fleet writes in files of their own

Cause: a planned stop wrote the fleet once. Of balancers that stopped at the same time only one left the list, as the others lost the race.

Change: up to 5 attempts, 300 ms apart. FleetEntry holds a balancer's writes to its fleet; heartbeats of members are in heartbeats.rs. No other change of behaviour.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -8,6 +8,7 @@
 mod event;
 mod fleet_proposal;
 mod fleet_watch;
+mod heartbeats;
 mod host;
 mod host_life;
 mod identity;
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -2,11 +2,10 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use indexmap::IndexSet;
 use rand::RngCore;
 use usher_types::{
-    Beat, BeatAck, DataCentre, Fleet, HostId, HostState, InstanceId, Peer, Roster, ServiceName,
-    Span, Time, Version,
+    Beat, BeatAck, DataCentre, Fleet, HostId, HostState, Peer, Roster, ServiceName, Span, Time,
+    Version,
 };
 
 use crate::balancers::Balancers;
@@ -19,10 +18,6 @@
 
 /// Time between two heartbeats.
 const BEAT: Span = Span::from_secs(1);
-/// Reported hosts per heartbeat, which bounds its size.
-const MAX_SUSPECTS: usize = 32;
-/// Members of a service that a balancer tells of a silent one.
-const TOLD: usize = 16;
 
 /// Heartbeats, suspicion and roster proposals of one process.
 ///
@@ -42,18 +37,18 @@
 /// ```
 #[derive(Debug)]
 pub struct Membership {
-    identity: Identity,
-    status: Status,
-    state: HostState,
-    own: OwnHost,
+    pub(crate) identity: Identity,
+    pub(crate) status: Status,
+    pub(crate) state: HostState,
+    pub(crate) own: OwnHost,
     store_up: bool,
-    balancers: Balancers,
-    services: Services,
-    fleet: FleetWatch,
+    pub(crate) balancers: Balancers,
+    pub(crate) services: Services,
+    pub(crate) fleet: FleetWatch,
     ticked: Option<Time>,
     next_beat: Time,
     // Members that are known to have the current roster of the own service.
-    aligned: HashSet<HostId>,
+    pub(crate) aligned: HashSet<HostId>,
 }
 
 impl Membership {
@@ -126,7 +121,7 @@
         self.own.life()
     }
 
-    fn own_watch(&self) -> Option<&Watch> {
+    pub(crate) fn own_watch(&self) -> Option<&Watch> {
         self.services.get(self.identity.service()?)
     }
 
@@ -197,38 +192,6 @@
             .collect()
     }
 
-    /// Repeats the heartbeat for a member that has only now adopted the same roster.
-    ///
-    /// It could not acknowledge the one that followed this process's own adoption.
-    fn align(&mut self, now: Time, source: SocketAddrV4, beat: &Beat) -> Option<Action> {
-        let Peer::Host(host) = &beat.from else {
-            return None;
-        };
-        let watch = self.own_watch().filter(|_| self.own.life().beats())?;
-        if beat.roster != watch.roster().version || self.aligned.contains(host) {
-            return None;
-        }
-        let repeated = self.beat(now, vec![source], hosts(watch.silent(now)));
-        self.aligned.insert(host.clone());
-        repeated
-    }
-
-    /// A member acknowledges no heartbeat of an older roster, so that it renews no old lease.
-    ///
-    /// A process that its roster does not list acknowledges none of its service: an earlier process
-    /// on the same host may have adopted a newer roster and stopped.
-    fn acknowledge(&self, beat: &Beat, service: Option<&ServiceName>) -> Option<BeatAck> {
-        let roster = self.services.version(service);
-        let renews = self.identity.service().is_some() && service.is_some();
-        let outdated = renews && (beat.roster < roster || !self.own.life().beats());
-        (!outdated).then(|| BeatAck {
-            from: self.identity.peer(),
-            roster,
-            revision: self.status.revision,
-            sent: beat.sent,
-        })
-    }
-
     fn on_tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions: Vec<_> = self.own_proposal(now).into_iter().collect();
         if now < self.next_beat {
@@ -287,87 +250,6 @@
             change,
         }))
     }
-
-    fn beats(&self, now: Time) -> Vec<Action> {
-        match &self.identity {
-            Identity::Agent { host, centre, .. } => {
-                let Some(watch) = self.own_watch().filter(|_| self.own.life().beats()) else {
-                    return Vec::new();
-                };
-                let others = watch.roster().members.iter();
-                let others = others.filter(|(other, _)| *other != host);
-                let mut to = self.balancers.of_host(centre, host);
-                to.extend(others.map(|(_, member)| member.agent));
-                self.beat(now, to, hosts(watch.silent(now)))
-                    .into_iter()
-                    .collect()
-            }
-            Identity::Balancer {
-                instance, centre, ..
-            } => {
-                let balancers = self.fleet.silent(now).cloned().map(Peer::Instance);
-                let silent = self.services.iter().flat_map(|watch| watch.silent(now));
-                let silent = balancers.chain(hosts(silent));
-                let to = self.fleet_targets(now, instance, centre);
-                let told = self
-                    .services
-                    .iter()
-                    .filter_map(|watch| self.tell(now, watch));
-                self.beat(now, to, silent).into_iter().chain(told).collect()
-            }
-        }
-    }
-
-    /// Balancers of the own data centre that hear this one, or hear one that has fallen silent.
-    ///
-    /// The latter gives a silent balancer a second reporter where not all hear all.
-    fn fleet_targets(&self, now: Time, own: &InstanceId, centre: &DataCentre) -> Vec<SocketAddrV4> {
-        let silent = self.fleet.silent(now);
-        let witnesses = silent.flat_map(|name| self.balancers.hearers(centre, name));
-        let names = self.balancers.hearers(centre, own).into_iter();
-        let names: IndexSet<InstanceId> = names.chain(witnesses).collect();
-        let others = names.iter().filter(|name| *name != own);
-        others
-            .filter_map(|name| self.balancers.control(centre, name))
-            .collect()
-    }
-
-    /// A balancer's report to live members, which in small services lack a second reporter.
-    fn tell(&self, now: Time, watch: &Watch) -> Option<Action> {
-        watch.silent(now).next()?;
-        let members = &watch.roster().members;
-        let told = watch.live().filter_map(|host| members.get(host)).take(TOLD);
-        self.beat(
-            now,
-            told.map(|member| member.agent).collect(),
-            hosts(watch.silent(now)),
-        )
-    }
-
-    fn beat(
-        &self,
-        now: Time,
-        to: Vec<SocketAddrV4>,
-        silent: impl Iterator<Item = Peer>,
-    ) -> Option<Action> {
-        let roster = self.own_watch().map(|watch| watch.roster().version);
-        let beat = Beat {
-            from: self.identity.peer(),
-            incarnation: self.identity.incarnation(),
-            roster: roster.unwrap_or_default(),
-            revision: self.status.revision,
-            state: self.state,
-            wait: self.status.wait,
-            weight: self.status.weight,
-            sent: now,
-            suspects: silent.take(MAX_SUSPECTS).collect(),
-        };
-        (!to.is_empty()).then_some(Action::Beat { to, beat })
-    }
-}
-
-fn hosts<'a>(silent: impl Iterator<Item = &'a HostId>) -> impl Iterator<Item = Peer> {
-    silent.cloned().map(Peer::Host)
 }
 
 /// Re-evaluates a service and names what changed.
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -12,22 +12,18 @@
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use usher_config::{Entry, Kind, ObjectKey};
-use usher_members::{Action, Event, FleetProposal, Identity, Membership, Status};
+use usher_members::{Action, Event, Identity, Membership, Status};
 use usher_platform::{Limits, Store};
 use usher_routing::{Router, Table};
-use usher_types::{
-    Balancer, Fleet, HostId, Incarnation, Message, PastRoster, Peer, Roster, ServiceName, Version,
-};
+use usher_types::{HostId, Incarnation, Message, PastRoster, Peer, Roster, ServiceName, Version};
 
+use super::fleet_entry::FleetEntry;
 use crate::clock::now;
-use crate::control::{
-    Call, CatchUp, ControlEvent, State, edit_fleet, follow, log_suspicion, serve,
-};
+use crate::control::{Call, CatchUp, ControlEvent, State, follow, log_suspicion, serve};
 use crate::metrics::Metrics;
 use crate::{BalancerSettings, RuntimeError, event, metric, socket};
 
 const IDLE: Duration = Duration::from_secs(1);
-const JOIN_RETRY: Duration = Duration::from_millis(300);
 
 /// Control state of a balancer.
 pub(crate) struct Control {
@@ -38,6 +34,7 @@
     metrics: Metrics,
     events: Sender<ControlEvent>,
     store: Store,
+    entry: FleetEntry,
     state: State,
     catch_up: CatchUp,
     membership: Membership,
@@ -55,13 +52,15 @@
         events: Sender<ControlEvent>,
     ) -> Self {
         let incarnation = incarnation();
+        let store = Store::new(settings.common.store, Limits::default());
         let identity = Identity::Balancer {
             instance: settings.instance.clone(),
             centre: settings.common.centre.clone(),
             incarnation,
         };
         Self {
-            store: Store::new(settings.common.store, Limits::default()),
+            entry: FleetEntry::new(store.clone(), &settings, incarnation),
+            store,
             membership: Membership::new(identity, Box::new(Pcg64::from_os_rng())),
             settings,
             incarnation,
@@ -95,13 +94,12 @@
         };
         stop.race(self.work(receiver)).await;
         event::STOPPING.log(&[]);
-        self.leave().await;
+        self.entry.leave().await;
         Ok(())
     }
 
     fn join(&self) {
-        let settings = self.settings.clone();
-        task::spawn(join(self.store.clone(), settings, self.incarnation));
+        task::spawn(self.entry.clone().join());
     }
 
     async fn work(&mut self, receiver: Receiver<ControlEvent>) {
@@ -173,7 +171,7 @@
                 // Agents write rosters; balancers only watch them.
                 Action::Distrusted { .. } | Action::Propose(_) => {}
                 Action::ProposeFleet(proposal) => {
-                    task::spawn(remove(self.store.clone(), proposal));
+                    task::spawn(self.entry.clone().remove(proposal));
                 }
             }
         }
@@ -315,19 +313,6 @@
             "suspected": self.suspected.values().flatten().collect::<Vec<_>>(),
         })
     }
-
-    async fn leave(&self) {
-        let own = &self.settings.instance;
-        let edit = |fleet: &mut Fleet| {
-            let listed = fleet.balancers.get(own).map(|entry| entry.incarnation);
-            let is_own = listed == Some(self.incarnation);
-            is_own && fleet.balancers.shift_remove(own).is_some()
-        };
-        match edit_fleet(&self.store, &self.settings.common.centre, edit).await {
-            Ok(_) => event::LEFT.log(&[]),
-            Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
-        }
-    }
 }
 
 /// Milliseconds of wall-clock time, so that a later process on the same host has a higher one.
@@ -337,46 +322,3 @@
         .unwrap_or_default();
     Incarnation::new(since.as_millis() as u64)
 }
-
-// A write that loses a race is not repeated: the next heartbeat decides on the newer fleet.
-async fn remove(store: Store, proposal: FleetProposal) {
-    let edit = |fleet: &mut Fleet| match proposal.apply(fleet) {
-        Some(changed) => {
-            *fleet = changed;
-            true
-        }
-        None => false,
-    };
-    match edit_fleet(&store, &proposal.centre, edit).await {
-        Ok(true) => {
-            for (balancer, _) in &proposal.balancers {
-                event::REMOVED.log(&[("centre", &proposal.centre), ("balancer", balancer)]);
-            }
-        }
-        Ok(false) => {}
-        Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
-    }
-}
-
-// Writes the own entry until the store has it.
-async fn join(store: Store, settings: BalancerSettings, incarnation: Incarnation) {
-    let entry = Balancer {
-        incarnation,
-        control: settings.control,
-        admin: settings.common.admin,
-    };
-    loop {
-        let edit = |fleet: &mut Fleet| {
-            fleet
-                .balancers
-                .insert(settings.instance.clone(), entry.clone())
-                .as_ref()
-                != Some(&entry)
-        };
-        match edit_fleet(&store, &settings.common.centre, edit).await {
-            Ok(_) => return event::JOINED.log(&[("centre", &settings.common.centre)]),
-            Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
-        }
-        task::sleep(JOIN_RETRY).await;
-    }
-}
--- a/crates/runtime/src/balancer/mod.rs
+++ b/crates/runtime/src/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer: forwards packets from the fabric to agents.
 
 mod control;
+mod fleet_entry;
 mod traffic;
 
 use std::sync::Arc;
