capacity: measure slopes of decision crates and codecs; load on the real processes

Cause: figures at the size of two years are to be worked out from measured slopes. Stand-in `probe` sends openings at a fixed rate to a balancer or an agent; scripts/load uses it on real processes.

--- /dev/null
+++ b/crates/capacity/src/sweeps/records.rs
@@ -0,0 +1,60 @@
+use std::io;
+use std::sync::Arc;
+
+use usher_dedupe::{Agent, Ledger, LedgerEvent, Lineage, Origin};
+use usher_types::{Complete, Outcome, Payload, Roster};
+
+use super::service::claim;
+use crate::{Point, meter, sample};
+
+// A short answer, as a booking has.
+const ANSWER: &[u8] = br#"{"service":"booking-desk","booking":"1234567890"}"#;
+
+pub(crate) fn measure(records: usize, point: &mut Point) -> io::Result<()> {
+    let now = sample::START;
+    let roster = Roster {
+        earlier: Vec::new(),
+        ..sample::roster(0, 1)
+    };
+    let agent = Agent {
+        host: sample::host(0),
+        incarnation: roster.members[0].incarnation,
+    };
+    let mut ledger = Ledger::new(agent, Origin::Created);
+    let lineage = Lineage {
+        roster: Arc::new(roster),
+        earlier: Vec::new(),
+        complete: true,
+    };
+    ledger.handle(now, LedgerEvent::Roster(lineage));
+    let (nanos, bytes) = meter::grown(|| {
+        let ((), claims) = meter::once(|| {
+            for key in 0..records {
+                ledger.handle(now, LedgerEvent::Claim(claim(key, now)));
+            }
+        });
+        let ((), reports) = meter::once(|| {
+            for key in 0..records {
+                ledger.handle(now, LedgerEvent::Complete(complete(key)));
+            }
+        });
+        (claims, reports)
+    })?;
+    point.set("ledger_bytes", bytes);
+    point.set("claim_ns", nanos.0 / records as f64);
+    point.set("complete_ns", nanos.1 / records as f64);
+    point.set("ledger_records", ledger.len() as f64);
+    Ok(())
+}
+
+fn complete(key: usize) -> Complete {
+    let claim = claim(key, sample::START);
+    Complete {
+        key: claim.key,
+        holder: claim.holder,
+        incarnation: claim.incarnation,
+        sent: claim.sent,
+        reply: claim.reply,
+        outcome: Outcome::Answered(Payload::from(ANSWER)),
+    }
+}
--- /dev/null
+++ b/crates/capacity/tests/line.rs
@@ -0,0 +1,21 @@
+//! Fitted lines and their residual.
+
+use assert_matches::assert_matches;
+use usher_capacity::Line;
+
+/// Guards against a line through points that do not determine one.
+#[test]
+fn one_size_has_no_line() {
+    assert_matches!(Line::fit(&[]), None);
+    assert_matches!(Line::fit(&[(5.0, 1.0), (5.0, 2.0)]), None);
+}
+
+/// Guards against a residual that hides growth which is not linear.
+#[test]
+fn a_curve_leaves_a_residual() {
+    let squares: Vec<_> = (0..5)
+        .map(|size| (f64::from(size), f64::from(size * size)))
+        .collect();
+    let line = Line::fit(&squares).expect("a line");
+    assert!(line.residual > 0.08, "{line:?}");
+}
--- a/crates/standins/src/args.rs
+++ b/crates/standins/src/args.rs
@@ -4,7 +4,7 @@
 use argh::FromArgs;
 use async_std::task;
 
-use crate::{Backend, BackendArgs, CallerArgs, FabricArgs, store};
+use crate::{Backend, BackendArgs, CallerArgs, FabricArgs, ProbeArgs, store};
 
 /// Test stand-ins for the platform, a backend server and a caller.
 #[derive(Debug, FromArgs)]
@@ -20,6 +20,7 @@
     Fabric(FabricArgs),
     Backend(BackendArgs),
     Caller(CallerArgs),
+    Probe(ProbeArgs),
 }
 
 /// object store with versions, conditional writes, watches and fault switches
@@ -42,6 +43,7 @@
             Role::Fabric(args) => args.run().map(|()| true),
             Role::Backend(args) => task::block_on(serve(args)),
             Role::Caller(args) => args.run(),
+            Role::Probe(args) => args.run(),
         }
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,9 +5,11 @@
 mod caller;
 mod clock;
 mod fabric;
+mod probe;
 pub mod store;
 
 pub use args::Args;
 pub use backend::{Backend, BackendArgs};
 pub use caller::CallerArgs;
 pub use fabric::FabricArgs;
+pub use probe::ProbeArgs;
