--- a/crates/daemon/tests/processes/isolation.rs
+++ b/crates/daemon/tests/processes/isolation.rs
@@ -92,7 +92,7 @@
     }
     let dropped = |group: &str| {
         let status = deployment.call("map-office-1", "status").unwrap();
-        status["counters"][format!("{group}.WrongService")].as_u64()
+        status["counters"][format!("{group}.wrong_service")].as_u64()
     };
     await_until("dropped messages", ANSWER, || {
         dropped("agent").is_some_and(|count| count >= 2 * STRAY as u64)
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,9 +5,11 @@
 mod caller;
 mod clock;
 mod fabric;
+mod probe;
 pub mod store;
 
 pub use args::Args;
 pub use backend::{Backend, BackendArgs, Behaviour, Switches};
 pub use caller::{Caller, CallerArgs, Pending, Request};
 pub use fabric::{Fabric, FabricArgs, PathFaults};
+pub use probe::ProbeArgs;
