Count messages for another service by a typed counter

Cause: the counter's name carried quotes, so status showed none. Change: a counter type in crate agent. Result: isolation::reused_address_serves_no_other_service: red before, green after (16.7 s).

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -12,6 +12,7 @@
     AgentMessage, Body, Message, Offer, PastRoster, Relay, RequestId, RequestKey, Roster, Time,
 };
 
+use crate::counter::Counter;
 use crate::peers::Peers;
 use crate::{Action, Event, Settings, Summary, View};
 
@@ -231,7 +232,7 @@
                 if service == self.settings.service && oldest.is_some_and(|own| generation >= own) {
                     self.on_agent_message(from, message);
                 } else {
-                    self.count("agent", &"WrongService");
+                    self.count("agent", &Counter::WrongService);
                 }
             }
             Message::Hint(_) => {}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod action;
 mod agent_state;
+mod counter;
 mod event;
 mod flow_actions;
 mod key_actions;
