--- /dev/null
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -0,0 +1,333 @@
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use indexmap::IndexMap;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use jsonrpsee::server::ServerHandle;
+use serde_json::{Value as Json, json};
+use usher_config::{Condition, Kind, ObjectKey, Value};
+use usher_platform::{Limits, Store};
+use usher_standins::{Backend, BackendArgs, Caller, Fabric, Switches, store};
+use usher_types::{Profile, RequestKey, Service, Span, Version};
+
+use crate::process::Process;
+
+pub const BOOKING: &str = "booking-desk";
+pub const MAPS: &str = "map-office";
+pub const SLOTS: usize = 3;
+pub const START: Duration = Duration::from_secs(30);
+pub const ANSWER: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+const CALL: Duration = Duration::from_secs(2);
+const CENTRES: [&str; 3] = ["riga-centrs", "riga-purvciems", "riga-agenskalns"];
+const STORE_PORT: u16 = 1_000;
+const FABRIC_PORT: u16 = 1_001;
+const BALANCER_PORT: u16 = 2_000;
+const HOST_PORT: u16 = 3_000;
+const PORTS_EACH: u16 = 10;
+
+/// A whole deployment on a loopback address of its own, so that deployments share no port.
+///
+/// Store, fabric and backend servers are stand-ins in this process.
+#[derive(Debug)]
+pub struct Deployment {
+    pub ip: Ipv4Addr,
+    pub fabric: Fabric,
+    pub processes: IndexMap<String, Process>,
+    pub backends: IndexMap<String, Switches>,
+    pub peers: Vec<SocketAddrV4>,
+    pub statsd: Option<SocketAddrV4>,
+    store: Store,
+    folder: PathBuf,
+    handles: Vec<ServerHandle>,
+    admins: IndexMap<String, SocketAddrV4>,
+    callers: AtomicU8,
+}
+
+/// Polls a condition until it holds; fails the test after `limit`.
+pub fn await_until(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) {
+    let until = Instant::now() + limit;
+    while !condition() {
+        assert!(Instant::now() < until, "timed out waiting for {what}");
+        thread::sleep(POLL);
+    }
+}
+
+/// Address that callers use for a service.
+pub fn service_address(service: &str) -> SocketAddrV4 {
+    let last = if service == BOOKING { 10 } else { 11 };
+    SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, last), 7_000)
+}
+
+impl Deployment {
+    /// Starts store and fabric and writes profiles and services.
+    pub fn new(name: &str) -> Self {
+        static NUMBER: AtomicU8 = AtomicU8::new(1);
+        let [.., high, low] = (std::process::id() % 62_500).to_be_bytes();
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, 1 + high, low, number);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        // An earlier run may have left logs.
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).unwrap();
+        let store = SocketAddrV4::new(ip, STORE_PORT);
+        task::spawn(store::serve(TcpListener::bind(store).unwrap()));
+        let callers = SocketAddrV4::new(ip, FABRIC_PORT);
+        let answers = SocketAddrV4::new(ip, FABRIC_PORT + 1);
+        let deployment = Self {
+            ip,
+            fabric: Fabric::start(callers, answers, 1).unwrap(),
+            processes: IndexMap::new(),
+            backends: IndexMap::new(),
+            peers: Vec::new(),
+            statsd: None,
+            store: Store::new(store, Limits::default()),
+            folder,
+            handles: Vec::new(),
+            admins: IndexMap::new(),
+            callers: AtomicU8::new(1),
+        };
+        for service in [BOOKING, MAPS] {
+            deployment.put(Kind::Profile, service, Profile::default());
+            let entry = Service {
+                address: service_address(service),
+                profile: service.parse().unwrap(),
+                generation: usher_types::Generation::default(),
+            };
+            deployment.put(Kind::Service, service, entry);
+        }
+        deployment
+    }
+
+    /// Starts balancers and hosts of `booking-desk` and waits until requests are served.
+    pub fn start(name: &str, balancers: u16, hosts: u16) -> Self {
+        let mut deployment = Self::new(name);
+        for number in 1..=balancers {
+            deployment.add_balancer(number);
+        }
+        for number in 1..=hosts {
+            deployment.add_host(BOOKING, number);
+        }
+        let numbers: Vec<u16> = (1..=balancers).collect();
+        deployment.spray_to(&numbers);
+        deployment.await_members(BOOKING, usize::from(hosts));
+        deployment.await_in_force(START);
+        deployment.await_once();
+        deployment
+    }
+
+    pub fn add_balancer(&mut self, number: u16) {
+        let name = format!("entry-{number}");
+        let port = BALANCER_PORT + PORTS_EACH * number;
+        let [packets, control] = [1, 2].map(|offset| self.address(port + offset));
+        let section = format!("[balancer]\npackets = {packets}\ncontrol = {control}\n");
+        self.launch(&name, "balancer", port, &section);
+    }
+
+    /// Starts a backend server and its agent.
+    pub fn add_host(&mut self, service: &str, number: u16) {
+        let backend = self.address(host_port(service, number) + 2);
+        let args = BackendArgs {
+            listen: backend,
+            service: service.to_owned(),
+            slots: SLOTS,
+            time: Vec::new(),
+            speed: 1.0,
+            cold: Span::ZERO,
+            stragglers: 0.0,
+            answer: 64,
+            seed: u64::from(number),
+        };
+        let switches = Switches::default();
+        let started = Backend::start_with(args, switches.clone());
+        let (_, handle) = task::block_on(started).unwrap();
+        self.handles.push(handle);
+        self.backends.insert(host_name(service, number), switches);
+        self.add_agent(service, number);
+    }
+
+    /// Starts the agent beside a backend server that is running.
+    pub fn add_agent(&mut self, service: &str, number: u16) {
+        let listen = self.agent_address(service, number);
+        self.add_agent_at(service, number, listen);
+    }
+
+    /// Starts an agent on a given UDP address.
+    pub fn add_agent_at(&mut self, service: &str, number: u16, listen: SocketAddrV4) {
+        let port = host_port(service, number);
+        let backend = self.address(port + 2);
+        let fabric = self.fabric.answers();
+        let section = format!(
+            "[agent]\nservice = {service}\nlisten = {listen}\nbackend = {backend}\n\
+             fabric = {fabric}\nslots = {SLOTS}\n"
+        );
+        self.launch(&host_name(service, number), "agent", port, &section);
+    }
+
+    pub fn agent_address(&self, service: &str, number: u16) -> SocketAddrV4 {
+        self.address(host_port(service, number) + 1)
+    }
+
+    /// UDP addresses of a balancer for packets and for heartbeats.
+    pub fn balancer_addresses(&self, number: u16) -> [SocketAddrV4; 2] {
+        let port = BALANCER_PORT + PORTS_EACH * number;
+        [self.address(port + 1), self.address(port + 2)]
+    }
+
+    pub fn admin(&self, name: &str) -> SocketAddrV4 {
+        self.admins[name]
+    }
+
+    /// Lets the fabric spray packets over these balancers.
+    pub fn spray_to(&self, balancers: &[u16]) {
+        let addresses: Vec<_> = balancers
+            .iter()
+            .map(|number| self.balancer_addresses(*number)[0])
+            .collect();
+        self.fabric.set_balancers(&addresses).unwrap();
+    }
+
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes.get_mut(name).unwrap()
+    }
+
+    /// Starts a caller with an address of its own.
+    pub fn caller(&self) -> Caller {
+        let number = self.callers.fetch_add(1, Ordering::Relaxed);
+        Caller::start(self.fabric.callers(), Ipv4Addr::new(10, 1, 0, number)).unwrap()
+    }
+
+    /// Calls the administration RPC of a process; `None` when it does not answer.
+    pub fn call(&self, name: &str, method: &str) -> Option<Json> {
+        let address = self.admin(name);
+        let client = HttpClientBuilder::default()
+            .request_timeout(CALL)
+            .build(format!("http://{address}"))
+            .unwrap();
+        task::block_on(async { client.request(method, rpc_params![]).await.ok() })
+    }
+
+    /// Configuration version that a process has in force.
+    pub fn revision(&self, name: &str) -> Option<u64> {
+        self.call(name, "status")?["revision"].as_u64()
+    }
+
+    /// Creates or replaces an object and returns its version.
+    pub fn put(&self, kind: Kind, name: &str, value: impl Into<Value>) -> Version {
+        let key = ObjectKey::new(kind, name.parse().unwrap());
+        let value = value.into();
+        task::block_on(async {
+            let condition = match self.store.get(&key).await.unwrap() {
+                Some(object) => Condition::Version(object.version),
+                None => Condition::Absent,
+            };
+            self.store.put(key, condition, value).await.unwrap()
+        })
+    }
+
+    /// Sets the fault switches of the store.
+    pub fn store_faults(&self, faults: &Json) {
+        let url = format!("http://{}:{STORE_PORT}/faults", self.ip);
+        let status = task::block_on(async {
+            let request = surf::put(url).body_json(faults).unwrap();
+            request.await.unwrap().status()
+        });
+        assert_eq!(status, 204);
+    }
+
+    pub fn store_works(&self) {
+        self.store_faults(&json!({}));
+    }
+
+    /// Hosts in the roster of a service.
+    pub fn members(&self, service: &str) -> Vec<String> {
+        let key = ObjectKey::new(Kind::Roster, service.parse().unwrap());
+        let object = task::block_on(self.store.get(&key)).unwrap();
+        match object.and_then(|object| object.value) {
+            Some(Value::Roster(roster)) => roster.members.keys().map(ToString::to_string).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    pub fn await_members(&self, service: &str, count: usize) {
+        await_until("the roster", START, || self.members(service).len() == count);
+    }
+
+    /// Waits until every running process has the newest configuration in force.
+    pub fn await_in_force(&self, limit: Duration) {
+        let newest = task::block_on(self.store.list(None, Version::default()));
+        let newest = newest.unwrap().through.get();
+        await_until("the configuration in force", limit, || {
+            let mut names = self.processes.keys();
+            names.all(|name| self.revision(name).is_some_and(|held| held >= newest))
+        });
+    }
+
+    /// Number of runs of a key on all backend servers.
+    pub fn runs(&self, key: RequestKey) -> usize {
+        self.backends
+            .values()
+            .map(|backend| backend.runs(key))
+            .sum()
+    }
+
+    // Key owners grant once their records of the joins have been handed over.
+    fn await_once(&self) {
+        const IN_A_ROW: u32 = 10;
+        let caller = self.caller();
+        let address = service_address(BOOKING);
+        let mut granted = 0;
+        await_until("grants", START, || {
+            let Some(flow) = caller.open(address, CALL) else {
+                eprintln!("a flow did not open");
+                return false;
+            };
+            let outcome = caller.send(flow, &crate::load::once()).wait(ANSWER);
+            let is_answered = matches!(outcome, Some(usher_types::Outcome::Answered(_)));
+            if !is_answered {
+                eprintln!("{flow}: {outcome:?}");
+            }
+            granted = if is_answered { granted + 1 } else { 0 };
+            granted >= IN_A_ROW
+        });
+    }
+
+    fn address(&self, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, port)
+    }
+
+    fn launch(&mut self, name: &str, role: &str, port: u16, section: &str) {
+        let admin = self.address(port);
+        let centre = CENTRES[usize::from(port / PORTS_EACH) % CENTRES.len()];
+        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        let peers = peers.join(",");
+        let statsd = match self.statsd {
+            Some(address) => format!("[metrics]\nstatsd = {address}\n"),
+            None => String::new(),
+        };
+        let settings = format!(
+            "[process]\nrole = {role}\nname = {name}\ncentre = {centre}\nstore = {}:{STORE_PORT}\n\
+             admin = {admin}\npeers = {peers}\n[log]\nlevel = debug\n{statsd}{section}",
+            self.ip
+        );
+        let process = Process::start(&self.folder, name, &settings);
+        self.processes.insert(name.to_owned(), process);
+        self.admins.insert(name.to_owned(), admin);
+    }
+}
+
+pub fn host_name(service: &str, number: u16) -> String {
+    format!("{service}-{number}")
+}
+
+fn host_port(service: &str, number: u16) -> u16 {
+    let first = if service == BOOKING { 0 } else { 50 };
+    HOST_PORT + PORTS_EACH * (first + number)
+}
--- /dev/null
+++ b/crates/daemon/tests/processes/load.rs
@@ -0,0 +1,141 @@
+use std::collections::VecDeque;
+use std::hash::{BuildHasher, RandomState};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use usher_standins::{Caller, Pending, Request};
+use usher_types::{FlowId, Outcome, Refusal, RequestKey};
+
+use crate::deployment::{ANSWER, await_until, service_address};
+
+const PACE: Duration = Duration::from_millis(10);
+
+/// A key that no other request has.
+pub fn new_key() -> RequestKey {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let random = RandomState::new().hash_one(number);
+    RequestKey::new(u128::from(random) << 64 | u128::from(number))
+}
+
+/// A non-repeatable request.
+pub fn once() -> Request {
+    Request {
+        once: true,
+        ..Request::new("book", new_key())
+    }
+}
+
+/// A repeatable request.
+pub fn read() -> Request {
+    Request::new("schedule", new_key())
+}
+
+/// Opens flows to a service.
+pub fn open(caller: &Caller, service: &str, count: usize) -> Vec<FlowId> {
+    let open = |_| caller.open(service_address(service), ANSWER).unwrap();
+    (0..count).map(open).collect()
+}
+
+/// Whether an answer belongs to a request.
+pub fn matches(request: &Request, payload: &[u8]) -> bool {
+    let value: serde_json::Value = serde_json::from_slice(payload).unwrap();
+    value["key"] == request.key.to_string()
+}
+
+/// What became of the requests of a load.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Tally {
+    pub sent: u64,
+    pub answered: u64,
+    pub mismatched: u64,
+    pub not_run: Vec<Refusal>,
+    pub unknown: u64,
+    pub failed: u64,
+    pub unanswered: u64,
+}
+
+/// Requests at a steady pace over flows that stay open, until it is stopped.
+#[derive(Debug)]
+pub struct Load {
+    stop: mpsc::Sender<()>,
+    tally: Arc<Mutex<Tally>>,
+    thread: JoinHandle<()>,
+}
+
+impl Load {
+    pub fn start(
+        caller: &Arc<Caller>,
+        flows: Vec<FlowId>,
+        request: impl Fn() -> Request + Send + 'static,
+    ) -> Self {
+        let (stop, stopped) = mpsc::channel();
+        let tally = Arc::new(Mutex::new(Tally::default()));
+        let (caller, counts) = (Arc::clone(caller), Arc::clone(&tally));
+        let thread = thread::spawn(move || run(&caller, &flows, request, &stopped, &counts));
+        Self {
+            stop,
+            tally,
+            thread,
+        }
+    }
+
+    /// Waits until `count` more requests have been answered.
+    pub fn await_answers(&self, count: u64) {
+        let answered = || self.tally.lock().unwrap().answered;
+        let target = answered() + count;
+        await_until("answers", ANSWER * 2, || answered() >= target);
+    }
+
+    /// Sends no more, waits for the outcomes that are due and returns the counts.
+    pub fn stop(self) -> Tally {
+        drop(self.stop);
+        self.thread.join().unwrap();
+        self.tally.lock().unwrap().clone()
+    }
+}
+
+fn run(
+    caller: &Caller,
+    flows: &[FlowId],
+    request: impl Fn() -> Request,
+    stopped: &mpsc::Receiver<()>,
+    tally: &Mutex<Tally>,
+) {
+    let mut waiting: VecDeque<(Request, Pending)> = VecDeque::new();
+    for flow in flows.iter().cycle() {
+        let request = request();
+        let pending = caller.send(*flow, &request);
+        waiting.push_back((request, pending));
+        tally.lock().unwrap().sent += 1;
+        waiting.retain(|(request, pending)| match pending.wait(Duration::ZERO) {
+            Some(outcome) => {
+                count(&mut tally.lock().unwrap(), request, Some(outcome));
+                false
+            }
+            None => true,
+        });
+        // The pace of the load; the channel closes when it is to stop.
+        if stopped.recv_timeout(PACE) == Err(RecvTimeoutError::Disconnected) {
+            break;
+        }
+    }
+    for (request, pending) in waiting {
+        let outcome = pending.wait(ANSWER);
+        count(&mut tally.lock().unwrap(), &request, outcome);
+    }
+}
+
+fn count(tally: &mut Tally, request: &Request, outcome: Option<Outcome>) {
+    match outcome {
+        Some(Outcome::Answered(payload)) if matches(request, &payload) => tally.answered += 1,
+        Some(Outcome::Answered(_)) => tally.mismatched += 1,
+        Some(Outcome::NotRun { refusal, .. }) => tally.not_run.push(refusal),
+        Some(Outcome::Unknown) => tally.unknown += 1,
+        Some(Outcome::Failed(_)) => tally.failed += 1,
+        None => tally.unanswered += 1,
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Scenarios against the real processes: kill, stop and continue, restart, store down, faulty fabric.
+
+mod balancers;
+mod deployment;
+mod load;
+mod process;
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -195,7 +195,7 @@
                 self.records_drained = true;
                 self.check_left();
             }
-            ControlEvent::Written(roster) => self.on_written(roster),
+            ControlEvent::Written(roster) => Self::on_written(roster),
             ControlEvent::Call(call) => self.answer(call),
             ControlEvent::Stop => self.begin_drain(true),
         }
@@ -243,7 +243,10 @@
         let entry = self.state.service(&self.settings.service)?;
         let profile = self.state.profile(&entry.profile)?;
         let own = roster.members.get(&self.settings.host);
-        self.was_member |= own.is_some_and(|member| member.incarnation == self.incarnation);
+        let is_own = own.is_some_and(|member| member.incarnation == self.incarnation);
+        self.was_member |= is_own;
+        // The watch may show the first roster before the answer to its write arrives.
+        self.created |= is_own && roster.earlier.is_empty() && roster.members.len() == 1;
         self.was_member.then(|| View {
             generation: entry.generation,
             profile: Arc::new(profile.clone()),
@@ -273,12 +276,8 @@
         });
     }
 
-    fn on_written(&mut self, roster: Option<Arc<Roster>>) {
+    fn on_written(roster: Option<Arc<Roster>>) {
         let Some(roster) = roster else { return };
-        let is_first = roster.earlier.is_empty() && roster.members.len() == 1;
-        if is_first && roster.members.contains_key(&self.settings.host) {
-            self.created = true;
-        }
         event::ROSTER.log(&[
             ("version", &roster.version),
             ("members", &roster.members.len()),
