daemon: paused and killed agents run no request twice

Sixteen seconds of SIGSTOP on one of three agents, with duplicated packets and later attempts on other flows, and SIGKILL of an agent while its once-requests run and are sent again as attempt 2.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -3,4 +3,5 @@
 mod balancers;
 mod deployment;
 mod load;
+mod paused_agent;
 mod process;
