daemon: refuse settings that repeat a key or section

Fault found: of a repeated key or section the parser kept the last one without notice (exit status 0).

--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -63,4 +63,13 @@
         /// Values that the key takes.
         allowed: &'static str,
     },
+    /// A section or key that occurs more than once.
+    #[error("MU-7007: {}: {place} occurs more than once", file.display())]
+    #[diagnostic(help("keep one of them and start the process again"))]
+    Repeated {
+        /// Path of the file.
+        file: PathBuf,
+        /// The section, and the key if it is repeated within its section.
+        place: String,
+    },
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,8 +1,9 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use log::LevelFilter;
+use serde_ini::{Item, Parser};
 use usher_runtime::{AgentSettings, BalancerSettings, Common};
 use usher_types::Slots;
 
@@ -59,6 +60,10 @@
         };
         let text = fs::read_to_string(path).map_err(|error| unreadable(&error))?;
         let sections: Sections = serde_ini::from_str(&text).map_err(|error| unreadable(&error))?;
+        if let Some(place) = repeated(&text) {
+            let file = path.to_owned();
+            return Err(SettingsError::Repeated { file, place });
+        }
         Self::read(path, sections)
     }
 
@@ -109,6 +114,26 @@
     }
 }
 
+// The parser keeps only the last of several values, which would hide the earlier ones.
+fn repeated(text: &str) -> Option<String> {
+    let mut seen = IndexSet::new();
+    let mut section = String::new();
+    for item in Parser::from_str(text) {
+        let place = match item.ok()? {
+            Item::Section { name } => {
+                section = format!("[{name}]");
+                section.clone()
+            }
+            Item::Value { key, .. } => format!("{section} '{key}'"),
+            Item::Empty | Item::Comment { .. } => continue,
+        };
+        if !seen.insert(place.clone()) {
+            return Some(place);
+        }
+    }
+    None
+}
+
 // Keys of the other role would have no effect, so they are refused.
 fn other_role(path: &Path, sections: &Sections) -> Result<(), SettingsError> {
     let unused = sections
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -5,3 +5,4 @@
 mod load;
 mod paused_agent;
 mod process;
+mod settings;
