runtime: count malformed datagrams of an agent

Seven kinds of malformed datagrams go to the sockets of a balancer and an agent. Fault found: the agent's reader logged them and counted nothing. It now counts 'malformed' in the metrics, as the balancer does. Before: timed out waiting for the agent's counts. After: passes; both processes go on serving.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Scenarios against the real processes: kill, stop and continue, restart, store down, faulty fabric.
 
 mod balancers;
+mod datagrams;
 mod deployment;
 mod load;
 mod paused_agent;
--- a/crates/runtime/src/agent/mod.rs
+++ b/crates/runtime/src/agent/mod.rs
@@ -39,7 +39,7 @@
     let (events, receiver) = channel::unbounded::<ControlEvent>();
     let (to_worker, worker_events) = mpsc::channel::<WorkerEvent>();
     let (commands, runs) = channel::unbounded();
-    reader::start(&socket, to_worker.clone(), events.clone())?;
+    reader::start(&socket, to_worker.clone(), events.clone(), metrics.clone())?;
     let reports = to_worker.clone();
     task::spawn(backend::serve(settings.backend, runs, move |report| {
         // The process is ending when the traffic thread has gone.
--- a/crates/runtime/src/agent/reader.rs
+++ b/crates/runtime/src/agent/reader.rs
@@ -7,6 +7,7 @@
 
 use super::view::WorkerEvent;
 use crate::control::ControlEvent;
+use crate::metrics::Metrics;
 use crate::socket::MAX_DATAGRAM;
 use crate::{RuntimeError, event};
 
@@ -15,15 +16,21 @@
     socket: &UdpSocket,
     worker: mpsc::Sender<WorkerEvent>,
     control: Sender<ControlEvent>,
+    metrics: Metrics,
 ) -> Result<(), RuntimeError> {
     let socket = socket.try_clone().map_err(RuntimeError::Thread)?;
     let thread = thread::Builder::new().name("reader".to_owned());
-    let thread = thread.spawn(move || read(&socket, &worker, &control));
+    let thread = thread.spawn(move || read(&socket, &worker, &control, &metrics));
     thread.map(|_| ()).map_err(RuntimeError::Thread)
 }
 
 // Ends when the traffic thread has gone.
-fn read(socket: &UdpSocket, worker: &mpsc::Sender<WorkerEvent>, control: &Sender<ControlEvent>) {
+fn read(
+    socket: &UdpSocket,
+    worker: &mpsc::Sender<WorkerEvent>,
+    control: &Sender<ControlEvent>,
+    metrics: &Metrics,
+) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         let Ok((length, source)) = socket.recv_from(&mut buffer) else {
@@ -36,6 +43,7 @@
             Ok(datagram) => datagram,
             Err(fault) => {
                 event::MALFORMED.log(&[("source", &source), ("fault", &fault)]);
+                metrics.count("malformed", 1);
                 continue;
             }
         };
