runtime: name the counter of messages for another service without quotes

An agent of map-office takes over the UDP address of a killed agent of booking-desk. Relays, offers and claims for the old service reach no backend server. Fault found: the counter of dropped agent messages was called 'agent."WrongService"', quotes included, because the name was formatted with Debug. Before: the count was not found. After: passes.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod balancers;
 mod datagrams;
 mod deployment;
+mod isolation;
 mod load;
 mod paused_agent;
 mod process;
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -265,7 +265,7 @@
                 if service == self.settings.service && oldest.is_some_and(|own| generation >= own) {
                     self.on_message(source, message);
                 } else {
-                    self.counts.add("agent", &"WrongService");
+                    self.counts.add("agent", &format_args!("WrongService"));
                 }
             }
             Datagram::Hint(_) => {}
