runtime: send messages too large for a datagram over the administration RPC

Answers of 1 byte to 1 MB under 5 % loss, 5 % duplicates and random delays of up to 20 ms. Fault found: an answer above 64 KB to a request that had been offered to another agent became 'outcome unknown'. Cause: the outcome travels back in one UDP datagram, which the system refuses (MU-E1602 repeated in both agents' logs). Ruled out: the fabric's faults, which agent messages do not cross. Such outcomes, and offers with such a body, now go over the administration RPC; the scheduler's repetition and acknowledgement are unchanged. After: passes, no MU-E1602 in the logs.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Scenarios against the real processes: kill, stop and continue, restart, store down, faulty fabric.
 
+mod answers;
 mod balancers;
 mod datagrams;
 mod deployment;
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -14,7 +14,7 @@
 };
 use usher_flows::{self as flows, FlowTable};
 use usher_types::{
-    Beat, Body, HostId, HostState, PastRoster, Peer, Relay, RequestId, RequestKey, Roster,
+    Beat, Body, HostId, HostState, Outcome, PastRoster, Peer, Relay, RequestId, RequestKey, Roster,
     ServiceName, Span, Time, Version,
 };
 use usher_wire::{AgentMessage, Datagram, RunRequest, encode_packet};
@@ -33,6 +33,8 @@
 const REPORT: Span = Span::from_millis(500);
 // A claim that outlives this has no caller that waits for it.
 const CLAIM_LIMIT: Span = Span::from_secs(60);
+// Payloads above this do not fit one datagram of 65,507 bytes with the rest of their message.
+const MAX_PAYLOAD: usize = 60_000;
 const HANDOVER_RETRY: Duration = Duration::from_millis(300);
 
 /// What connects the traffic thread to the rest of the process.
@@ -605,6 +607,10 @@
                     self.on_ledger_action(action);
                 }
             }
+            Content::Message { from, message } => {
+                self.on_message(from, message);
+                answer = Some(json!(true));
+            }
         }
         answer
     }
@@ -656,6 +662,9 @@
             self.local.push_back(message);
             return;
         }
+        if payload(&message).is_some_and(|payload| payload.len() > MAX_PAYLOAD) {
+            return self.send_large(to, message);
+        }
         let Some(view) = &self.view else { return };
         let service = self.settings.service.clone();
         let datagram = Datagram::Agent {
@@ -666,6 +675,20 @@
         socket::send(&self.links.socket, to, &datagram);
     }
 
+    // The scheduler repeats a message that gets no answer.
+    fn send_large(&self, to: SocketAddrV4, message: AgentMessage) {
+        let Some(view) = &self.view else { return };
+        let mut members = view.roster.members.iter();
+        let Some((host, _)) = members.find(|(_, member)| member.agent == to) else {
+            return;
+        };
+        let from = self.settings.listen;
+        let content = Content::Message { from, message };
+        if let Some((admin, parcels)) = self.parcels(host, content) {
+            task::spawn(async move { hand_over::<bool>(admin, &parcels).await });
+        }
+    }
+
     fn status(&self) -> Value {
         let Some(parts) = &self.parts else {
             return json!({});
@@ -682,6 +705,18 @@
     }
 }
 
+// The payload of messages whose size the caller or the backend server decides.
+fn payload(message: &AgentMessage) -> Option<&[u8]> {
+    match message {
+        AgentMessage::Offer(offer) => Some(&offer.body),
+        AgentMessage::OfferOutcome(report) => match &report.outcome {
+            Outcome::Answered(payload) | Outcome::Failed(payload) => Some(payload),
+            Outcome::NotRun { .. } | Outcome::Unknown => None,
+        },
+        _ => None,
+    }
+}
+
 fn lineage(roster: &Arc<Roster>) -> Lineage {
     let earlier = roster
         .earlier
--- a/crates/runtime/src/control/call.rs
+++ b/crates/runtime/src/control/call.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use usher_config::Object;
 use usher_types::{Generation, ServiceName, Version};
+use usher_wire::AgentMessage;
 
 use super::ControlEvent;
 use crate::RuntimeError;
@@ -48,6 +49,11 @@
     Flows(usher_flows::Parcel),
     /// Dedupe records; answered by the roster version of the parcel.
     Records(usher_dedupe::Parcel),
+    /// A message that is too large for a datagram; answered by `true`.
+    Message {
+        from: SocketAddrV4,
+        message: AgentMessage,
+    },
 }
 
 type Events = Sender<ControlEvent>;
