--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -7,5 +7,6 @@
 mod isolation;
 mod load;
 mod paused_agent;
+mod planned_stop;
 mod process;
 mod settings;
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -50,6 +50,7 @@
 enum Phase {
     Running,
     Draining { stop: bool },
+    Drained,
     Leaving,
     Left { since: Time },
 }
@@ -59,6 +60,7 @@
         f.write_str(match self {
             Self::Running => "serving",
             Self::Draining { .. } => "draining",
+            Self::Drained => "drained",
             Self::Leaving => "leaving",
             Self::Left { .. } => "left",
         })
@@ -298,6 +300,14 @@
     }
 
     fn begin_drain(&mut self, stop: bool) {
+        // The traffic thread reports the end of a drain once.
+        if stop && self.phase == Phase::Drained {
+            self.leave();
+            return;
+        }
+        if !stop && self.phase != Phase::Running {
+            return;
+        }
         event::STOPPING.log(&[]);
         if self.phase == Phase::Running && matches!(self.membership.life(), HostLife::Unknown) {
             self.phase = Phase::Left { since: now() };
@@ -309,13 +319,19 @@
     }
 
     fn on_drained(&mut self) {
-        if self.phase == (Phase::Draining { stop: true }) {
-            self.phase = Phase::Leaving;
-            let _ = self.worker.send(WorkerEvent::Leave);
-            self.advance(Event::Leave);
+        match self.phase {
+            Phase::Draining { stop: true } => self.leave(),
+            Phase::Draining { stop: false } => self.phase = Phase::Drained,
+            Phase::Running | Phase::Drained | Phase::Leaving | Phase::Left { .. } => {}
         }
     }
 
+    fn leave(&mut self) {
+        self.phase = Phase::Leaving;
+        let _ = self.worker.send(WorkerEvent::Leave);
+        self.advance(Event::Leave);
+    }
+
     fn answer(&mut self, call: Call) {
         match call {
             Call::Status(reply) => self.answer_status(reply),
