dedupe: parcels carry the earlier rosters that their sender distinguishes

Fault found by the restart of an agent under load: for at least 5 s after the agent rejoined, about a third of all once-requests, those whose keys it owns, were refused as expired. Cause: the receiver of a parcel counts its keys as known from the start only if it knows every earlier roster that the sender still distinguishes. A sender keeps stopped rosters for 60 s, but the writer of a roster leaves stopped ones out of its lineage, so a process that joins within that time deferred first attempts for 35 s. Ruled out: lost handovers (all acknowledged in the logs) and leases (other owners granted). The parcel now carries those rosters whole, and the receiver remembers them; a roster that it has folded still leaves its floor as it is. The ledger's test builds its parcels from the same rows; no expected result changed.

--- a/crates/dedupe/src/history.rs
+++ b/crates/dedupe/src/history.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use usher_types::{HostId, RequestKey, Roster, Span, Time, Version};
+use usher_types::{HostId, PastRoster, RequestKey, Roster, Span, Time, Version};
 
 use crate::event::Lineage;
 use crate::ledger::Origin;
@@ -114,7 +114,11 @@
             }
         }
         // A folded roster counts only in the own floor, which must then stay.
-        let known = |version: &Version| self.roster(*version).is_some();
+        for past in &parcel.rosters {
+            self.remember(Arc::new(past.to_roster()));
+        }
+        self.observe(now);
+        let known = |past: &PastRoster| self.roster(past.version).is_some();
         if self.complete && parcel.rosters.iter().all(known) {
             let floor = parcel.since.map(|span| now - shorter(span));
             self.floor = self.floor.min(floor);
@@ -139,7 +143,7 @@
             to,
             roster: self.version(),
             covers: own.chain(passed).collect(),
-            rosters: self.earlier.iter().map(|e| e.roster.version).collect(),
+            rosters: self.earlier.iter().map(|e| past(&e.roster)).collect(),
             since: self.vouched(now),
             records: Vec::new(),
         }
@@ -269,3 +273,10 @@
         all.find(|roster| roster.version == version)
     }
 }
+
+fn past(roster: &Roster) -> PastRoster {
+    PastRoster {
+        version: roster.version,
+        members: roster.members.clone(),
+    }
+}
--- a/crates/dedupe/src/parcel.rs
+++ b/crates/dedupe/src/parcel.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use usher_types::{RequestKey, Span, Version};
+use usher_types::{PastRoster, RequestKey, Span, Version};
 
 use crate::{Agent, Record};
 
@@ -27,8 +27,8 @@
     pub roster: Version,
     /// Earlier owners whose records are complete in this parcel.
     pub covers: Vec<Cover>,
-    /// Earlier rosters that the sender still distinguishes.
-    pub rosters: Vec<Version>,
+    /// Earlier rosters that the sender still distinguishes; the receiver may have skipped some.
+    pub rosters: Vec<PastRoster>,
     /// Time since all rosters older than those had stopped; `None` when there were none.
     pub since: Option<Span>,
     /// Records of keys that the receiver owns.
--- a/crates/dedupe/tests/dedupe/ledger.rs
+++ b/crates/dedupe/tests/dedupe/ledger.rs
@@ -8,7 +8,8 @@
     Cover, Ledger, LedgerAction, LedgerEvent, Lineage, Origin, Parcel, Record, State, owner_of,
 };
 use usher_types::{
-    Attempt, BeatAck, Claim, Complete, Decision, HostId, Peer, RequestKey, Roster, Span, Version,
+    Attempt, BeatAck, Claim, Complete, Decision, HostId, PastRoster, Peer, RequestKey, Roster,
+    Span, Version,
 };
 
 use crate::fixture::{self, START, address, agent, outcome};
@@ -90,6 +91,14 @@
         fixture::roster(version, &self.rosters[&version])
     }
 
+    fn past(&self, version: u64) -> PastRoster {
+        let members = self.roster(version).members.clone();
+        PastRoster {
+            version: Version::new(version),
+            members,
+        }
+    }
+
     fn key(&self) -> RequestKey {
         let owned = |key: &RequestKey| {
             let mut owners = self.owners.iter();
@@ -183,7 +192,7 @@
                     to: to.clone(),
                     roster: version,
                     covers: covers.iter().map(cover).collect(),
-                    rosters: rosters.iter().copied().map(Version::new).collect(),
+                    rosters: rosters.iter().map(|past| self.past(*past)).collect(),
                     since: *since,
                     records: record.into_iter().collect(),
                 })
