--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -10,3 +10,4 @@
 mod planned_stop;
 mod process;
 mod settings;
+mod store_down;
--- a/crates/daemon/tests/processes/planned_stop.rs
+++ b/crates/daemon/tests/processes/planned_stop.rs
@@ -72,11 +72,16 @@
     reads.await_answers(ROUND);
     deployment.add_agent(BOOKING, 2);
     deployment.await_members(BOOKING, 3);
+    deployment.await_in_force(ANSWER);
+    // Flows that were handed over stay where they are; new ones reach the new agent as well.
     let before = deployment.backends[HOST].total();
+    let fresh = Load::start(&caller, open(&caller, BOOKING, FLOWS), once);
     await_until("work for the new agent", ANSWER, || {
         deployment.backends[HOST].total() > before
     });
+    fresh.await_answers(ROUND);
     reads.await_answers(ROUND);
+    assert_nothing_lost(&fresh.stop());
     let (reads, bookings) = (reads.stop(), bookings.stop());
     assert_nothing_lost(&reads);
     assert_nothing_lost(&bookings);
