--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -7,5 +7,7 @@
 mod isolation;
 mod load;
 mod paused_agent;
+mod planned_stop;
 mod process;
 mod settings;
+mod store_down;
--- a/crates/dedupe/tests/dedupe/ledger.rs
+++ b/crates/dedupe/tests/dedupe/ledger.rs
@@ -8,8 +8,8 @@
     Cover, Ledger, LedgerAction, LedgerEvent, Lineage, Origin, Parcel, Record, State, owner_of,
 };
 use usher_types::{
-    Attempt, BeatAck, Claim, Complete, Decision, HostId, Outcome, Peer, RequestKey, Roster, Span,
-    Version,
+    Attempt, BeatAck, Claim, Complete, Decision, HostId, Outcome, PastRoster, Peer, RequestKey,
+    Roster, Span, Version,
 };
 
 use crate::fixture::{self, START, address, agent, outcome};
@@ -96,6 +96,14 @@
         fixture::roster(version, &self.rosters[&version])
     }
 
+    fn past(&self, version: u64) -> PastRoster {
+        let members = self.roster(version).members.clone();
+        PastRoster {
+            version: Version::new(version),
+            members,
+        }
+    }
+
     fn key(&self) -> RequestKey {
         let owned = |key: &RequestKey| {
             let mut owners = self.owners.iter();
@@ -189,7 +197,7 @@
                     to: to.clone(),
                     roster: version,
                     covers: covers.iter().map(cover).collect(),
-                    rosters: rosters.iter().copied().map(Version::new).collect(),
+                    rosters: rosters.iter().map(|past| self.past(*past)).collect(),
                     since: *since,
                     records: record.into_iter().collect(),
                 })
--- a/crates/runtime/src/agent/phase.rs
+++ b/crates/runtime/src/agent/phase.rs
@@ -77,6 +77,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Running(_) => "serving",
+            Self::Draining(process) if process.is_done() => "drained",
             Self::Draining(_) => "draining",
             Self::Leaving(_) => "leaving",
             Self::Left(_) => "left",
--- a/crates/runtime/src/agent/process.rs
+++ b/crates/runtime/src/agent/process.rs
@@ -53,6 +53,10 @@
         })
     }
 
+    pub(crate) fn is_done(&self) -> bool {
+        self.0.done
+    }
+
     pub(crate) fn may_leave(&self) -> bool {
         self.0.stop && self.0.done
     }
