bench: measure the real agents and routers against baselines and an oracle

Nothing measured the policy. The crate now draws a workload from a seed and serves it with agents and routers in virtual time, with four baselines of flow placement, a bounded queue, and an oracle. Experiments: imbalance, crest, blocking.

Agent: waits of peers are kept in address order.

--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 
 use usher_admission::Event as RequestEvent;
@@ -12,7 +12,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     adopted: HashMap<HostId, Version>,
-    waits: HashMap<SocketAddrV4, Span>,
+    // Ordered, so that equal waits give the same choice in every run.
+    waits: BTreeMap<SocketAddrV4, Span>,
 }
 
 impl Peers {
--- /dev/null
+++ b/crates/bench/src/experiment/imbalance.rs
@@ -0,0 +1,68 @@
+use usher_types::{Span, Time};
+
+use super::subjects::subjects;
+use super::table::{Figures, Row, Table, row};
+use crate::model::{Deployment, Plan, Shape, Tally};
+
+const FLOWS: usize = 2_000;
+const RAMP: Span = Span::from_secs(60);
+const END: Span = Span::from_secs(120);
+const LOAD: f64 = 0.6;
+
+/// Steady load; half of the flows are long-lived, the others last 20 s on average.
+pub(super) fn run(seeds: u64) -> Vec<Table> {
+    let sites = [Deployment::riga(), Deployment::bengal()];
+    sites.iter().map(|site| table(site, seeds)).collect()
+}
+
+fn table(site: &Deployment, seeds: u64) -> Table {
+    let shape = Shape {
+        flows: FLOWS,
+        ramp: RAMP,
+        end: END,
+        load: LOAD,
+        rush: None,
+        churn: true,
+        skip_long: false,
+    };
+    let window = (Time::ZERO + RAMP, Time::ZERO + END);
+    let rows: Vec<Row> = subjects()
+        .iter()
+        .map(|(name, kind)| {
+            row(name, seeds, |seed| {
+                let plan = Plan::draw(site, shape, seed);
+                figures(site, &plan, &kind.run(site, &plan, window, seed))
+            })
+        })
+        .collect();
+    Table {
+        title: format!("imbalance, {}, load {LOAD}", site.name),
+        rows,
+    }
+}
+
+fn figures(site: &Deployment, plan: &Plan, tally: &Tally) -> Figures {
+    let loads = tally.loads();
+    let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+    let variance = loads.iter().map(|l| (l - mean).powi(2)).sum::<f64>() / loads.len() as f64;
+    let missed = (0..plan.arrivals.len())
+        .filter(|number| tally.latency(site, plan, *number).is_none())
+        .count();
+    let control = tally.control.iter().copied().max().unwrap_or_default();
+    vec![
+        (
+            "max load/strength",
+            loads.iter().copied().fold(0.0, f64::max),
+        ),
+        ("coefficient of variation", variance.sqrt() / mean),
+        (
+            "missed, % of requests",
+            100.0 * missed as f64 / plan.arrivals.len() as f64,
+        ),
+        ("broken flows", tally.broken as f64),
+        (
+            "control B/s per agent",
+            control as f64 / tally.length.as_secs_f64().max(1.0),
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/bench/src/experiment/subjects.rs
@@ -0,0 +1,41 @@
+use usher_admission::{Policy, QueueOrder};
+
+use crate::subject::{Choice, Kind, Options};
+
+// Places per host of the bounded queue.
+const PLACES: usize = 50;
+
+fn system(change: impl FnOnce(&mut Options)) -> Kind {
+    let mut options = Options::default();
+    change(&mut options);
+    Kind::System(options)
+}
+
+fn policy(change: impl FnOnce(&mut Policy)) -> Kind {
+    system(|options| change(&mut options.policy))
+}
+
+/// Names of the rows and what they measure.
+pub(super) fn subjects() -> Vec<(&'static str, Kind)> {
+    let unlimited = |choice| Kind::Baseline(choice, None);
+    vec![
+        ("system", system(|_| {})),
+        ("system, measured weights", system(|o| o.weights = true)),
+        ("system, no hunting", system(|o| o.hunt = None)),
+        ("system, no offers", policy(|p| p.offers = false)),
+        ("system, no reservation", policy(|p| p.reservation = false)),
+        ("system, no classes", policy(|p| p.classes = false)),
+        (
+            "system, fifo 50",
+            policy(|p| p.order = QueueOrder::Fifo { length: PLACES }),
+        ),
+        ("system, no refusal", policy(|p| p.refusal = false)),
+        ("system, no priority", policy(|p| p.shedding = false)),
+        ("hash only", unlimited(Choice::Hash)),
+        ("round robin", unlimited(Choice::RoundRobin)),
+        ("least connections", unlimited(Choice::LeastLoaded)),
+        ("two choices", unlimited(Choice::TwoChoices)),
+        ("hash, fifo 50", Kind::Baseline(Choice::Hash, Some(PLACES))),
+        ("oracle", Kind::Oracle),
+    ]
+}
--- /dev/null
+++ b/crates/bench/src/experiment/table.rs
@@ -0,0 +1,105 @@
+use std::fmt;
+use std::thread;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+// Longer than each deadline.
+const LONGEST_MICROS: u64 = 60_000_000;
+
+/// Figures of one subject by column, one value for each seed.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// The subject.
+    pub name: String,
+    /// Values by column.
+    pub figures: IndexMap<&'static str, Vec<f64>>,
+}
+
+/// Results of an experiment on one site.
+#[derive(Debug, Clone, Serialize)]
+pub struct Table {
+    /// Experiment, site and setting.
+    pub title: String,
+    /// Subjects.
+    pub rows: Vec<Row>,
+}
+
+pub(super) type Figures = Vec<(&'static str, f64)>;
+
+/// Runs the seeds of one row on threads of their own.
+pub(super) fn row(name: &str, seeds: u64, run: impl Fn(u64) -> Figures + Sync) -> Row {
+    let results: Vec<Figures> = thread::scope(|scope| {
+        let start = |seed| {
+            scope.spawn({
+                let run = &run;
+                move || run(seed)
+            })
+        };
+        let threads: Vec<_> = (1..=seeds).map(start).collect();
+        threads
+            .into_iter()
+            .filter_map(|thread| thread.join().ok())
+            .collect()
+    });
+    let mut figures: IndexMap<&'static str, Vec<f64>> = IndexMap::new();
+    for (column, value) in results.into_iter().flatten() {
+        figures.entry(column).or_default().push(value);
+    }
+    Row {
+        name: name.to_owned(),
+        figures,
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "### {}\n", self.title)?;
+        let Some(first) = self.rows.first() else {
+            return Ok(());
+        };
+        let columns: Vec<&str> = first.figures.keys().copied().collect();
+        writeln!(f, "| | {} |", columns.join(" | "))?;
+        writeln!(f, "|---|{}", "---|".repeat(columns.len()))?;
+        for row in &self.rows {
+            write!(f, "| {} |", row.name)?;
+            for values in row.figures.values() {
+                write!(f, " {} |", spread(values))?;
+            }
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
+
+// Median, and the smallest and largest value when they differ.
+fn spread(values: &[f64]) -> String {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let (Some(low), Some(high)) = (sorted.first(), sorted.last()) else {
+        return String::new();
+    };
+    let median = number(sorted[sorted.len() / 2]);
+    let (low, high) = (number(*low), number(*high));
+    if low == high {
+        median
+    } else {
+        format!("{median} ({low}–{high})")
+    }
+}
+
+fn number(value: f64) -> String {
+    if value.fract() == 0.0 || value.abs() >= 100.0 {
+        format!("{value:.0}")
+    } else if value.abs() >= 10.0 {
+        format!("{value:.1}")
+    } else {
+        format!("{value:.3}")
+    }
+}
+
+/// Latencies in microseconds, to three digits.
+pub(super) fn histogram() -> hdrhistogram::Histogram<u64> {
+    hdrhistogram::Histogram::new_with_bounds(1, LONGEST_MICROS, 3)
+        .unwrap_or_else(|_| unreachable!("the bounds are valid"))
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,31 @@
 //! Entry point of the measuring tool.
 
-fn main() {}
+use argh::FromArgs;
+use usher_bench::experiment::Experiment;
+
+/// Measures the system and its baselines in virtual time.
+#[derive(FromArgs)]
+struct Args {
+    /// imbalance, crest, blocking or all
+    #[argh(positional)]
+    experiment: Experiment,
+    /// number of seeds, from 1; default 5
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// print JSON with the values of all seeds
+    #[argh(switch)]
+    json: bool,
+}
+
+fn main() -> Result<(), serde_json::Error> {
+    let args: Args = argh::from_env();
+    let tables = args.experiment.run(args.seeds);
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&tables)?);
+    } else {
+        for table in &tables {
+            println!("{table}");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/subject/mod.rs
@@ -0,0 +1,13 @@
+//! What is measured: the real decision code, the baselines and the oracle.
+
+mod agents;
+mod agents_callers;
+mod agents_hosts;
+mod baseline;
+mod kind;
+mod oracle;
+
+pub use agents::{Agents, Options};
+pub use baseline::{Baseline, Choice};
+pub use kind::Kind;
+pub use oracle::Oracle;
