admission: queue only what is expected to end within half of its time

A queue in deadline order that is filled up to the deadline dispatches each request at the last moment. Policy::horizon now bounds the expected end of a queued request to a share of its time, 50 % by default.

The property test draws the horizon at random.

--- a/crates/admission/src/arrival.rs
+++ b/crates/admission/src/arrival.rs
@@ -62,9 +62,16 @@
         task.request.attempt = task.request.attempt.max(request.attempt);
         task.request.deadline = task.request.deadline.max(request.deadline);
         task.rank = self.rank(task.request.deadline, task.rank.sequence);
+        task.goal = task.goal.max(self.goal(now, request.deadline));
         task.limit_start(now, self.policy.refusal);
     }
 
+    fn goal(&self, now: Time, deadline: Time) -> Time {
+        now + deadline
+            .since(now)
+            .scale(f64::from(self.policy.horizon) / 100.0)
+    }
+
     /// The record of a request that is not held yet.
     pub(crate) fn task(&mut self, now: Time, mut request: Request, caller: Caller) -> Task {
         let rule = self.profile.methods.get(&request.method);
@@ -88,6 +95,7 @@
             class,
             cost,
             latest: request.deadline,
+            goal: self.goal(now, request.deadline),
             rank: self.rank(request.deadline, self.sequence),
             doubt,
             granted: false,
@@ -153,7 +161,7 @@
             return queue.make_room(now, task, &outlook);
         }
         let wait = outlook.wait(queue.work_before(task.rank));
-        (wait + task.cost <= task.left(now)).then(Vec::new)
+        (wait + task.cost <= task.room(now)).then(Vec::new)
     }
 
     fn shed(&mut self, now: Time, id: RequestId) {
--- a/crates/admission/src/entry.rs
+++ b/crates/admission/src/entry.rs
@@ -76,7 +76,7 @@
             id: task.id(),
             cost: task.cost,
             latest: task.latest,
-            deadline: task.request.deadline,
+            goal: task.goal,
             priority: task.request.priority,
             readiness,
             offerable: !claimed && task.is_offerable(),
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -37,6 +37,9 @@
     pub refusal: bool,
     /// Queued work of lower priority makes room for work of higher priority.
     pub shedding: bool,
+    /// Share of the time to its deadline, in percent, within which a request must be expected to end
+    /// to be queued. The rest covers wrong estimates and the way back to the caller.
+    pub horizon: u8,
     /// Queued requests are offered to peers with a shorter wait.
     pub offers: bool,
 }
@@ -49,6 +52,7 @@
             reservation: true,
             refusal: true,
             shedding: true,
+            horizon: 50,
             offers: true,
         }
     }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -26,7 +26,7 @@
     pub(crate) id: RequestId,
     pub(crate) cost: Span,
     pub(crate) latest: Time,
-    pub(crate) deadline: Time,
+    pub(crate) goal: Time,
     pub(crate) priority: Priority,
     pub(crate) readiness: Readiness,
     pub(crate) offerable: bool,
@@ -106,11 +106,11 @@
         let kept = |rank: &Rank| !shed.contains(rank);
         let before = self.order.range(..task.rank);
         let mut ahead = sum(before.filter(|(r, _)| kept(r)).map(|(_, w)| w.cost));
-        if outlook.wait(ahead) + task.cost > task.left(now) {
+        if outlook.wait(ahead) + task.cost > task.room(now) {
             return Some(task.rank);
         }
         for (rank, waiting) in self.order.range(task.rank..).filter(|(r, _)| kept(r)) {
-            let left = waiting.deadline.since(now);
+            let left = waiting.goal.since(now);
             let met = outlook.wait(ahead) + waiting.cost <= left;
             if met && outlook.wait(ahead + task.cost) + waiting.cost > left {
                 return Some(*rank);
--- a/crates/admission/src/sharing.rs
+++ b/crates/admission/src/sharing.rs
@@ -67,7 +67,7 @@
             return None;
         }
         let (peer, wait) = self.peers.shortest(&task.offers)?;
-        let in_time = wait + task.cost <= task.left(now);
+        let in_time = wait + task.cost <= task.room(now);
         let shorter = wait + self.profile.hunt < self.class_wait(now, task.class);
         (in_time && shorter).then_some(peer)
     }
--- a/crates/admission/src/task.rs
+++ b/crates/admission/src/task.rs
@@ -36,6 +36,8 @@
     pub(crate) cost: Span,
     /// Latest time at which a dispatch can meet the deadline.
     pub(crate) latest: Time,
+    /// Time by which the request must be expected to end to be queued.
+    pub(crate) goal: Time,
     pub(crate) rank: Rank,
     pub(crate) doubt: Doubt,
     /// The key owner has granted the key to this agent.
@@ -57,6 +59,11 @@
         self.request.deadline.since(now)
     }
 
+    /// Time left until the goal.
+    pub(crate) fn room(&self, now: Time) -> Span {
+        self.goal.since(now)
+    }
+
     /// A request taken from a peer stays here, so that offers cannot form a cycle.
     pub(crate) fn is_offerable(&self) -> bool {
         let local = self.callers.iter().all(|c| matches!(c, Caller::Local(_)));
--- a/crates/admission/tests/admission/properties.rs
+++ b/crates/admission/tests/admission/properties.rs
@@ -42,14 +42,18 @@
         1 => (1_usize..6).prop_map(|length| QueueOrder::Fifo { length }),
     ];
     let on = || prop::bool::weighted(0.8);
-    (order, on(), on(), on(), on()).prop_map(|(order, refusal, shedding, offers, classes)| Policy {
-        order,
-        classes,
-        reservation: true,
-        refusal,
-        shedding,
-        offers,
-    })
+    let horizon = prop_oneof![Just(50), 1..=100_u8];
+    (order, on(), on(), on(), on(), horizon).prop_map(
+        |(order, refusal, shedding, offers, classes, horizon)| Policy {
+            horizon,
+            order,
+            classes,
+            reservation: true,
+            refusal,
+            shedding,
+            offers,
+        },
+    )
 }
 
 proptest! {
--- a/crates/bench/src/experiment/blocking.rs
+++ b/crates/bench/src/experiment/blocking.rs
@@ -12,12 +12,15 @@
 const LOAD: f64 = 0.6;
 
 /// Short requests with and without long ones among them; the short ones are the same.
-pub(super) fn run(seeds: u64) -> Vec<Table> {
+pub(super) fn run(seeds: u64, subject: &str) -> Vec<Table> {
     let sites = [Deployment::riga(), Deployment::bengal()];
-    sites.iter().map(|site| table(site, seeds)).collect()
+    sites
+        .iter()
+        .map(|site| table(site, seeds, subject))
+        .collect()
 }
 
-fn table(site: &Deployment, seeds: u64) -> Table {
+fn table(site: &Deployment, seeds: u64, subject: &str) -> Table {
     let shape = Shape {
         flows: FLOWS,
         ramp: RAMP,
@@ -28,7 +31,7 @@
         skip_long: false,
     };
     let window = (Time::ZERO + FROM, Time::ZERO + END);
-    let rows: Vec<Row> = subjects()
+    let rows: Vec<Row> = subjects(subject)
         .iter()
         .map(|(name, kind)| {
             row(name, seeds, |seed| {
--- a/crates/bench/src/experiment/crest.rs
+++ b/crates/bench/src/experiment/crest.rs
@@ -2,7 +2,7 @@
 
 use super::subjects::subjects;
 use super::table::{Figures, Row, Table, row};
-use crate::model::{Deployment, Ending, Plan, Shape, Tally};
+use crate::model::{Arrival, Deployment, Ending, Plan, Shape, Tally};
 use crate::subject::Kind;
 
 // Enough that the hash spreads the rush evenly; 2,000 gave the same figures within their spread.
@@ -15,15 +15,15 @@
 const RUSH: f64 = 4.0;
 
 /// A rush of four times the capacity for four seconds; callers do not repeat requests.
-pub(super) fn run(seeds: u64) -> Vec<Table> {
+pub(super) fn run(seeds: u64, subject: &str) -> Vec<Table> {
     let sites = [Deployment::riga(), Deployment::bengal()];
     sites
         .iter()
-        .map(|site| table(&site.clone().without_long(), seeds))
+        .map(|site| table(&site.clone().without_long(), seeds, subject))
         .collect()
 }
 
-fn table(site: &Deployment, seeds: u64) -> Table {
+fn table(site: &Deployment, seeds: u64, subject: &str) -> Table {
     let shape = Shape {
         flows: FLOWS,
         ramp: RAMP,
@@ -34,7 +34,7 @@
         skip_long: false,
     };
     let window = (Time::ZERO + START, Time::ZERO + STOP);
-    let rows: Vec<Row> = subjects()
+    let rows: Vec<Row> = subjects(subject)
         .iter()
         .map(|(name, kind)| {
             row(name, seeds, |seed| {
@@ -90,6 +90,7 @@
         tally.endings.iter().filter(wrongly).count() as f64,
     ));
     figures.push(("recovery ms", recovery(site, plan, tally)));
+    figures.push(("late work/capacity", late(site, plan, tally)));
     figures.push(("broken flows", tally.broken as f64));
     figures
 }
@@ -130,3 +131,15 @@
         .map(|(_, arrival)| (arrival.at - stop).as_millis() as f64)
         .fold(0.0, f64::max)
 }
+
+/// Work answered too late that arrived in the rush, as a share of the capacity.
+fn late(site: &Deployment, plan: &Plan, tally: &Tally) -> f64 {
+    let is_late = |(number, arrival): &(usize, &Arrival)| {
+        let since = arrival.at - Time::ZERO;
+        let answered = matches!(tally.endings[*number], Some((_, Ending::Answered)));
+        since >= START && since < STOP && answered && tally.latency(site, plan, *number).is_none()
+    };
+    let late = plan.arrivals.iter().enumerate().filter(is_late);
+    let work: f64 = late.map(|(_, arrival)| arrival.work.as_secs_f64()).sum();
+    work / (site.capacity() * (STOP - START).as_secs_f64())
+}
--- a/crates/bench/src/experiment/imbalance.rs
+++ b/crates/bench/src/experiment/imbalance.rs
@@ -10,12 +10,15 @@
 const LOAD: f64 = 0.6;
 
 /// Steady load; half of the flows are long-lived, the others last 20 s on average.
-pub(super) fn run(seeds: u64) -> Vec<Table> {
+pub(super) fn run(seeds: u64, subject: &str) -> Vec<Table> {
     let sites = [Deployment::riga(), Deployment::bengal()];
-    sites.iter().map(|site| table(site, seeds)).collect()
+    sites
+        .iter()
+        .map(|site| table(site, seeds, subject))
+        .collect()
 }
 
-fn table(site: &Deployment, seeds: u64) -> Table {
+fn table(site: &Deployment, seeds: u64, subject: &str) -> Table {
     let shape = Shape {
         flows: FLOWS,
         ramp: RAMP,
@@ -26,7 +29,7 @@
         skip_long: false,
     };
     let window = (Time::ZERO + RAMP, Time::ZERO + END);
-    let rows: Vec<Row> = subjects()
+    let rows: Vec<Row> = subjects(subject)
         .iter()
         .map(|(name, kind)| {
             row(name, seeds, |seed| {
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -24,15 +24,15 @@
 }
 
 impl Experiment {
-    /// Runs the experiment with the seeds 1 to `seeds`.
-    pub fn run(self, seeds: u64) -> Vec<Table> {
+    /// Runs the experiment with the seeds 1 to `seeds` on the subjects whose name contains `subject`.
+    pub fn run(self, seeds: u64, subject: &str) -> Vec<Table> {
         match self {
-            Self::Imbalance => imbalance::run(seeds),
-            Self::Crest => crest::run(seeds),
-            Self::Blocking => blocking::run(seeds),
+            Self::Imbalance => imbalance::run(seeds, subject),
+            Self::Crest => crest::run(seeds, subject),
+            Self::Blocking => blocking::run(seeds, subject),
             Self::All => [Self::Imbalance, Self::Crest, Self::Blocking]
                 .into_iter()
-                .flat_map(|experiment| experiment.run(seeds))
+                .flat_map(|experiment| experiment.run(seeds, subject))
                 .collect(),
         }
     }
--- a/crates/bench/src/experiment/subjects.rs
+++ b/crates/bench/src/experiment/subjects.rs
@@ -15,10 +15,10 @@
     system(|options| change(&mut options.policy))
 }
 
-/// Names of the rows and what they measure.
-pub(super) fn subjects() -> Vec<(&'static str, Kind)> {
+/// Names of the rows and what they measure; only names that contain `part`.
+pub(super) fn subjects(part: &str) -> Vec<(&'static str, Kind)> {
     let unlimited = |choice| Kind::Baseline(choice, None);
-    vec![
+    let mut all = vec![
         ("system", system(|_| {})),
         ("system, measured weights", system(|o| o.weights = true)),
         ("system, no hunting", system(|o| o.hunt = None)),
@@ -31,11 +31,16 @@
         ),
         ("system, no refusal", policy(|p| p.refusal = false)),
         ("system, no priority", policy(|p| p.shedding = false)),
+        ("system, horizon 100", policy(|p| p.horizon = 100)),
+        ("system, horizon 75", policy(|p| p.horizon = 75)),
+        ("system, horizon 25", policy(|p| p.horizon = 25)),
         ("hash only", unlimited(Choice::Hash)),
         ("round robin", unlimited(Choice::RoundRobin)),
         ("least connections", unlimited(Choice::LeastLoaded)),
         ("two choices", unlimited(Choice::TwoChoices)),
         ("hash, fifo 50", Kind::Baseline(Choice::Hash, Some(PLACES))),
         ("oracle", Kind::Oracle),
-    ]
+    ];
+    all.retain(|(name, _)| name.contains(part));
+    all
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,6 +12,9 @@
     /// number of seeds, from 1; default 5
     #[argh(option, default = "5")]
     seeds: u64,
+    /// run only the subjects whose name contains this text
+    #[argh(option, default = "String::new()")]
+    subject: String,
     /// print JSON with the values of all seeds
     #[argh(switch)]
     json: bool,
@@ -19,7 +22,7 @@
 
 fn main() -> Result<(), serde_json::Error> {
     let args: Args = argh::from_env();
-    let tables = args.experiment.run(args.seeds);
+    let tables = args.experiment.run(args.seeds, &args.subject);
     if args.json {
         println!("{}", serde_json::to_string_pretty(&tables)?);
     } else {
