admission: claim as many requests as there are slots ahead of time

The first requests of a queue, as many as there are slots, are now claimed at once. What a grant allows is unchanged.

--- a/crates/admission/src/claiming.rs
+++ b/crates/admission/src/claiming.rs
@@ -24,6 +24,9 @@
 
 impl Scheduler {
     /// Sends claims for requests that are expected to get a slot within a round trip.
+    ///
+    /// As many requests as there are slots are claimed in any case: runs that end sooner than
+    /// estimated would otherwise leave their slots idle for a round trip.
     pub(crate) fn ask_claims(&mut self, now: Time) {
         self.claim_wake = None;
         for class in [Class::Short, Class::Long] {
@@ -41,13 +44,13 @@
         let places = usize::from(self.runs.slots.get()) * CLAIMS_PER_SLOT;
         let mut ahead = Span::ZERO;
         let mut due = Vec::new();
-        for waiting in self.table.queue(class).iter().take(places) {
+        for (position, waiting) in self.table.queue(class).iter().take(places).enumerate() {
             let wait = outlook.wait(ahead);
             ahead = ahead + waiting.cost;
             if waiting.readiness != Readiness::Unclaimed {
                 continue;
             }
-            if wait > self.claim_lead {
+            if wait > self.claim_lead && position >= usize::from(self.runs.slots.get()) {
                 let wake = now + (wait - self.claim_lead).max(MIN_CLAIM_WAIT);
                 self.claim_wake = Some(self.claim_wake.map_or(wake, |w| w.min(wake)));
                 break;
