daemon: send enough malformed datagrams for a batch of each traffic thread

Fault of the test: a balancer's threads count apart and report in batches of 256, so that 506 datagrams in 5 s over two threads need not fill one.

--- a/crates/daemon/tests/processes/datagrams.rs
+++ b/crates/daemon/tests/processes/datagrams.rs
@@ -9,8 +9,11 @@
 use crate::load::{open, read};
 
 const ROWS: &str = include_str!("data/datagrams.json");
-// A balancer reports its counts in batches of this many datagrams.
+// Each of a balancer's two traffic threads reports its counts in batches of this many datagrams.
 const BATCH: usize = 256;
+const THREADS: usize = 2;
+// Datagrams sent again at each check, for those that a full socket buffer dropped.
+const MORE: usize = 16;
 
 #[derive(Deserialize)]
 struct Row {
@@ -78,13 +81,14 @@
             let mut total = 0;
             malformed(&statsd, role, &mut total);
             total = 0;
-            for _ in 0..BATCH {
+            for _ in 0..THREADS * BATCH {
                 socket.send_to(&datagram, target).unwrap();
             }
             let what = format!("counts of {} by the {role} at {target}", row.name);
             await_until(&what, Duration::from_secs(5), || {
-                // Other datagrams fill the balancer's last batch.
-                socket.send_to(&datagram, target).unwrap();
+                for _ in 0..MORE {
+                    socket.send_to(&datagram, target).unwrap();
+                }
                 malformed(&statsd, role, &mut total) >= BATCH / 2
             });
         }
