--- a/crates/runtime/src/control/feed.rs
+++ b/crates/runtime/src/control/feed.rs
@@ -12,8 +12,9 @@
 use super::{ControlEvent, Page};
 use crate::event;
 
-// The platform counts a waiting watch as one call.
-const WATCH: Span = Span::from_secs(20);
+// The platform counts a waiting watch as one call. A watch that a hanging store swallowed is
+// given up soon enough for a change to be in force within 4 s of the return of the store.
+const WATCH: Span = Span::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(500);
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
