dedupe: pass on only covers that a key can have taken

Cause: a parcel passed on every cover of its sender, with every path, so each roster change multiplied the covers by the number of members. Change: a key moves only from an agent that left or to one that joined, so other paths are not sent; of covers with one roster and owner the one with the fewest conditions is kept. Both drop only covers that match no key or that another one implies.

--- a/crates/dedupe/src/history.rs
+++ b/crates/dedupe/src/history.rs
@@ -109,8 +109,8 @@
             return false;
         }
         for cover in &parcel.covers {
-            if cover.roster > self.folded && !self.covers.contains(cover) {
-                self.covers.push(cover.clone());
+            if cover.roster > self.folded {
+                self.note_cover(cover);
             }
         }
         // A folded roster counts only in the own floor, which must then stay.
@@ -125,34 +125,59 @@
     /// What a parcel to `to` under the current roster may state, without its records.
     pub(crate) fn parcel(&self, now: Time, to: Agent) -> Parcel {
         let step = (self.version(), to.clone());
-        let own = self.own_rosters().map(|roster| Cover {
+        let own = self
+            .own_rosters()
+            .filter(|roster| self.may_pass(roster, &to));
+        let own = own.map(|roster| Cover {
             roster: roster.version,
             owner: self.agent.clone(),
             path: vec![step.clone()],
         });
-        let passed = self.covers.iter().cloned().map(|mut cover| {
+        let passed = self.covers.iter().filter(|cover| {
+            let received = cover.path.last().and_then(|last| self.roster(last.0));
+            received.is_none_or(|roster| self.may_pass(roster, &to))
+        });
+        let passed = passed.cloned().map(|mut cover| {
             cover.path.push(step.clone());
             cover
         });
+        let covers = own.chain(passed).collect();
         Parcel {
             from: self.agent.clone(),
             to,
             roster: self.version(),
-            covers: own.chain(passed).collect(),
+            covers,
             rosters: self.earlier.iter().map(|e| e.roster.version).collect(),
             since: self.vouched(now),
             records: Vec::new(),
         }
     }
 
+    // Keeps the covers with the fewest conditions: without this, every roster change multiplies
+    // them by the number of members, and a rolling restart of 7 hosts does not end.
+    fn note_cover(&mut self, cover: &Cover) {
+        let is_same = |other: &Cover| other.roster == cover.roster && other.owner == cover.owner;
+        let implies = |few: &Cover, many: &Cover| few.path.iter().all(|s| many.path.contains(s));
+        let mut known = self.covers.iter().filter(|other| is_same(other));
+        if known.any(|other| implies(other, cover)) {
+            return;
+        }
+        self.covers
+            .retain(|other| !is_same(other) || !implies(cover, other));
+        self.covers.push(cover.clone());
+    }
+
     /// Whether keys may have moved from this agent to another member since an earlier roster.
     pub(crate) fn may_gain(&self, member: &Agent) -> bool {
-        let left = !self
-            .current
-            .as_ref()
-            .is_some_and(|r| is_member(r, &self.agent));
         let mut own = self.own_rosters();
-        own.any(|roster| left || !is_member(roster, member))
+        own.any(|roster| self.may_pass(roster, member))
+    }
+
+    // A key moves only from an agent that left or to one that joined.
+    fn may_pass(&self, since: &Roster, to: &Agent) -> bool {
+        let current = self.current.as_ref();
+        let left = !current.is_some_and(|roster| is_member(roster, &self.agent));
+        left || !is_member(since, to)
     }
 
     pub(crate) fn standing(&self, now: Time, key: RequestKey) -> Standing {
