--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
+use indexmap::IndexMap;
 use usher_admission::Event as RequestEvent;
 use usher_dedupe::LedgerEvent;
 use usher_flows::Event as FlowEvent;
@@ -12,7 +13,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     adopted: HashMap<HostId, Version>,
-    waits: HashMap<SocketAddrV4, Span>,
+    // In a fixed order, so that equal inputs give equal choices between equal waits.
+    waits: IndexMap<SocketAddrV4, Span>,
 }
 
 impl Peers {
@@ -42,7 +44,7 @@
         if beat.state == HostState::Serving {
             self.peers.waits.insert(from, beat.wait);
         } else {
-            self.peers.waits.remove(&from);
+            self.peers.waits.swap_remove(&from);
         }
         let waits = self
             .peers
