--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -17,6 +17,7 @@
 mod profile_rules;
 mod rollout;
 mod store_lease;
+mod typed;
 mod value;
 mod write_id;
 
--- a/crates/members/src/proposal.rs
+++ b/crates/members/src/proposal.rs
@@ -1,4 +1,4 @@
-use usher_types::{Roster, ServiceName, Version};
+use usher_types::{PastRoster, Roster, ServiceName, Version};
 
 use crate::Change;
 
@@ -42,4 +42,31 @@
         self.change.apply(&mut changed);
         Some(changed)
     }
+
+    /// The roster to write with the earlier ones whose members may still act as owners.
+    ///
+    /// It lists the roster that it replaces and those of its earlier ones that the writer does not
+    /// know as settled; `None` as `unsettled` means that the writer knows nothing of them.
+    ///
+    /// ```
+    /// use usher_members::{Change, Proposal};
+    /// use usher_types::{Roster, Version};
+    /// let change = Change::Remove { hosts: vec![] };
+    /// let proposal = Proposal { service: "namedesk".parse()?, base: Version::new(0), change };
+    /// assert!(proposal.succeed(&Roster::default(), None).unwrap().earlier.is_empty());
+    /// # Ok::<(), usher_types::ParseError>(())
+    /// ```
+    pub fn succeed(&self, current: &Roster, unsettled: Option<&[Version]>) -> Option<Roster> {
+        let mut changed = self.apply(current)?;
+        let is_open = |past: &PastRoster| unsettled.is_none_or(|open| open.contains(&past.version));
+        changed.earlier.retain(is_open);
+        if current.version > Version::default() && !current.members.is_empty() {
+            let past = PastRoster {
+                version: current.version,
+                members: current.members.clone(),
+            };
+            changed.earlier.insert(0, past);
+        }
+        Some(changed)
+    }
 }
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -12,9 +12,7 @@
 use usher_agent::View;
 use usher_members::{Action, Event, HostLife, Identity, Membership, Proposal, Status};
 use usher_platform::{Limits, Store};
-use usher_types::{
-    HostState, Incarnation, Member, Message, PastRoster, Roster, Span, Time, Version, Weight,
-};
+use usher_types::{HostState, Incarnation, Member, Message, Roster, Span, Time, Version, Weight};
 
 use super::worker_event::WorkerEvent;
 use crate::clock::now;
@@ -259,10 +257,7 @@
         let service = self.settings.service.clone();
         let unsettled = self.unsettled.clone();
         task::spawn(async move {
-            let edit = |current: &Roster| {
-                let changed = proposal.apply(current)?;
-                Some(with_history(current, changed, unsettled.as_deref()))
-            };
+            let edit = |current: &Roster| proposal.succeed(current, unsettled.as_deref());
             let written = edit_roster(&store, &service, edit).await;
             if let Err(fault) = &written {
                 event::ROSTER_WRITE.log(&[("fault", fault)]);
@@ -367,29 +362,6 @@
     }
 }
 
-// A roster lists the one it replaces and earlier ones that the writer does not know as settled.
-fn with_history(current: &Roster, mut changed: Roster, unsettled: Option<&[Version]>) -> Roster {
-    let is_open = |past: &PastRoster| unsettled.is_none_or(|open| open.contains(&past.version));
-    let mut earlier: Vec<PastRoster> = current
-        .earlier
-        .iter()
-        .filter(|p| is_open(p))
-        .cloned()
-        .collect();
-    if current.version > Version::default() && !current.members.is_empty() {
-        let members = current.members.clone();
-        earlier.insert(
-            0,
-            PastRoster {
-                version: current.version,
-                members,
-            },
-        );
-    }
-    changed.earlier = earlier;
-    changed
-}
-
 async fn pass_stop(stop: Receiver<()>, events: Sender<ControlEvent>) {
     while stop.recv().await.is_ok() {
         if events.send(ControlEvent::Stop).await.is_err() {
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use usher_config::{Cache, Kind, Object, ObjectKey, Value};
+use usher_config::{Cache, Object, ObjectKey};
 use usher_types::{Fleet, Profile, ProfileName, Roster, Service, ServiceName, Version};
 
 use crate::event;
@@ -54,46 +54,22 @@
 
     /// All services by name.
     pub(crate) fn services(&self) -> impl Iterator<Item = (ServiceName, &Service)> {
-        self.cache
-            .list(Kind::Service)
-            .filter_map(|object| match &object.value {
-                Some(Value::Service(service)) => {
-                    Some((object.name.as_str().parse().ok()?, service))
-                }
-                _ => None,
-            })
+        self.cache.services()
     }
 
     pub(crate) fn service(&self, name: &ServiceName) -> Option<&Service> {
-        match self.value(Kind::Service, name.as_str())? {
-            Value::Service(service) => Some(service),
-            _ => None,
-        }
+        self.cache.service(name)
     }
 
     pub(crate) fn profile(&self, name: &ProfileName) -> Option<&Profile> {
-        match self.value(Kind::Profile, name.as_str())? {
-            Value::Profile(profile) => Some(profile),
-            _ => None,
-        }
+        self.cache.profile(name)
     }
 
     pub(crate) fn roster(&self, service: &ServiceName) -> Option<Arc<Roster>> {
-        match self.value(Kind::Roster, service.as_str())? {
-            Value::Roster(roster) => Some(Arc::new(roster.clone())),
-            _ => None,
-        }
+        self.cache.roster(service)
     }
 
     pub(crate) fn fleet(&self, centre: &str) -> Option<Arc<Fleet>> {
-        match self.value(Kind::Fleet, centre)? {
-            Value::Fleet(fleet) => Some(Arc::new(fleet.clone())),
-            _ => None,
-        }
-    }
-
-    fn value(&self, kind: Kind, name: &str) -> Option<&Value> {
-        let key = ObjectKey::new(kind, name.parse().ok()?);
-        self.cache.get(&key)?.value.as_ref()
+        self.cache.fleet(centre)
     }
 }
