--- /dev/null
+++ b/crates/scenario/src/balancer_node.rs
@@ -0,0 +1,193 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use usher_config::{Cache, Object};
+use usher_members::{Action, Event, Identity, Membership, Status};
+use usher_routing::{Forward, HintTable, Router, Table};
+use usher_types::{
+    DataCentre, HostId, Incarnation, InstanceId, Message, Packet, PastRoster, Roster, ServiceName,
+    Time, Version,
+};
+
+use crate::effect::Effect;
+
+const HINTS: usize = 1_000;
+
+/// A balancer wired as the runtime wires it, without threads and sockets.
+#[derive(Debug)]
+pub(crate) struct BalancerNode {
+    pub(crate) cache: Cache,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) dropped: BTreeMap<String, u64>,
+    address: SocketAddrV4,
+    centre: DataCentre,
+    membership: Membership,
+    router: Router,
+    hints: HintTable,
+    tables: IndexMap<ServiceName, Arc<Table>>,
+    suspected: IndexMap<ServiceName, Vec<HostId>>,
+}
+
+impl BalancerNode {
+    pub(crate) fn new(
+        instance: InstanceId,
+        incarnation: Incarnation,
+        address: SocketAddrV4,
+        centre: DataCentre,
+        seed: u64,
+    ) -> Self {
+        let identity = Identity::Balancer {
+            instance,
+            centre: centre.clone(),
+            incarnation,
+        };
+        Self {
+            cache: Cache::default(),
+            effects: Vec::new(),
+            dropped: BTreeMap::new(),
+            address,
+            centre,
+            membership: Membership::new(identity, Box::new(Pcg64::seed_from_u64(seed))),
+            router: Router::default(),
+            hints: HintTable::new(HINTS),
+            tables: IndexMap::new(),
+            suspected: IndexMap::new(),
+        }
+    }
+
+    pub(crate) fn next_timer(&self) -> Option<Time> {
+        self.membership.next_timer()
+    }
+
+    pub(crate) fn tick(&mut self, now: Time) {
+        if self.membership.next_timer().is_some_and(|due| due <= now) {
+            self.advance(now, Event::Tick);
+        }
+    }
+
+    pub(crate) fn packet(&mut self, packet: Packet) {
+        match self.router.forward(packet, &mut self.hints, self.address) {
+            Forward::Send { to, relay } => {
+                let message = Message::Relay(relay);
+                self.effects.push(Effect::Send { to, message });
+            }
+            Forward::Drop(reason) => {
+                *self.dropped.entry(reason.to_string()).or_default() += 1;
+            }
+        }
+    }
+
+    pub(crate) fn message(&mut self, now: Time, source: SocketAddrV4, message: Message) {
+        match message {
+            Message::Hint(hint) => self.hints.insert(hint.flow, hint.holder),
+            Message::Beat(beat) => self.advance(now, Event::Beat { source, beat }),
+            Message::BeatAck(ack) => self.advance(now, Event::BeatAck(ack)),
+            Message::Relay(_) | Message::Agent { .. } => {}
+        }
+    }
+
+    pub(crate) fn store(&mut self, now: Time, up: bool) {
+        self.advance(now, if up { Event::StoreUp } else { Event::StoreDown });
+    }
+
+    pub(crate) fn objects(
+        &mut self,
+        now: Time,
+        after: Version,
+        through: Version,
+        objects: Vec<Object>,
+    ) {
+        if self.cache.adopt_since(after, through, objects) == 0 {
+            return;
+        }
+        let services: Vec<ServiceName> = self.cache.services().map(|(name, _)| name).collect();
+        self.tables.retain(|name, _| services.contains(name));
+        for service in services {
+            self.rebuild(now, &service);
+        }
+        let centre = self.centre.clone();
+        if let Some(fleet) = self.cache.fleet(centre.as_str()) {
+            self.advance(now, Event::Fleet { centre, fleet });
+        }
+        self.publish();
+        let revision = self.cache.complete();
+        let status = Status {
+            revision,
+            ..Status::default()
+        };
+        self.advance(now, Event::Status(status));
+    }
+
+    fn advance(&mut self, now: Time, event: Event) {
+        for action in self.membership.handle(now, event) {
+            match action {
+                Action::Beat { to, beat } => {
+                    let message = Message::Beat(beat);
+                    self.effects.extend(to.into_iter().map(|to| Effect::Send {
+                        to,
+                        message: message.clone(),
+                    }));
+                }
+                Action::Ack { to, ack } => {
+                    let message = Message::BeatAck(ack);
+                    self.effects.push(Effect::Send { to, message });
+                }
+                Action::Suspected { service, hosts } => {
+                    if let Some(table) = self.tables.get_mut(&service) {
+                        *table = Arc::new(table.with_suspected(&hosts));
+                    }
+                    self.suspected.insert(service, hosts);
+                    self.publish();
+                }
+                Action::Distrusted { .. } | Action::Propose(_) => {}
+            }
+        }
+    }
+
+    fn rebuild(&mut self, now: Time, service: &ServiceName) {
+        let Some(entry) = self.cache.service(service).cloned() else {
+            return;
+        };
+        let buckets = self
+            .cache
+            .profile(&entry.profile)
+            .map(|found| found.buckets);
+        let (Some(buckets), Some(roster)) = (buckets, self.cache.roster(service)) else {
+            return;
+        };
+        let known = self.tables.get(service);
+        let is_new = known.is_none_or(|table| {
+            (table.version(), table.generation()) != (roster.version, entry.generation)
+        });
+        if !is_new {
+            return;
+        }
+        let earlier: Vec<Roster> = roster.earlier.iter().map(PastRoster::to_roster).collect();
+        let rosters = std::iter::once(&*roster).chain(&earlier);
+        let table = Table::new(service.clone(), entry.generation, buckets, rosters);
+        let suspected = self.suspected.get(service).map_or(&[][..], Vec::as_slice);
+        let table = Arc::new(table.with_suspected(suspected));
+        self.tables.insert(service.clone(), table);
+        let service = service.clone();
+        self.advance(now, Event::Roster { service, roster });
+    }
+
+    fn publish(&mut self) {
+        let tables = self
+            .cache
+            .services()
+            .filter_map(|(name, entry)| Some((entry.address, Arc::clone(self.tables.get(&name)?))));
+        self.router = Router::new(tables);
+    }
+}
+
+impl BalancerNode {
+    /// Revision in force.
+    pub(crate) fn revision(&self) -> Version {
+        self.cache.complete()
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/effect.rs
@@ -0,0 +1,48 @@
+use std::net::SocketAddrV4;
+
+use usher_members::Proposal;
+use usher_types::{FlowId, Generation, HostId, Message, Packet, RequestId, ServiceName, Version};
+
+use crate::backend::Order;
+
+/// What a process asks of the world around it.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    Send {
+        to: SocketAddrV4,
+        message: Message,
+    },
+    Packet(Packet),
+    Run(Order),
+    CancelRun(RequestId),
+    HandOver {
+        to: HostId,
+        parcels: Parcels,
+    },
+    Propose {
+        proposal: Proposal,
+        unsettled: Option<Vec<Version>>,
+    },
+}
+
+/// What one agent hands to another.
+#[derive(Debug)]
+pub(crate) struct Parcels {
+    pub(crate) service: ServiceName,
+    pub(crate) generation: Generation,
+    pub(crate) content: Content,
+}
+
+/// Content of a handover.
+#[derive(Debug)]
+pub(crate) enum Content {
+    Flows(usher_flows::Parcel),
+    Records(usher_dedupe::Parcel),
+}
+
+/// Answer to a handover.
+#[derive(Debug)]
+pub(crate) enum Taken {
+    Flows(Vec<FlowId>),
+    Records(Version),
+}
--- /dev/null
+++ b/crates/scenario/src/expectation.rs
@@ -0,0 +1,47 @@
+use std::fmt;
+
+use usher_types::Span;
+
+/// One expected figure of a run.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Expectation {
+    /// Line of the statement.
+    pub(crate) line: usize,
+    /// Name of the figure.
+    pub(crate) name: String,
+    /// How the figure compares to the limit.
+    pub(crate) relation: Relation,
+    /// The limit.
+    pub(crate) limit: f64,
+    /// Time that must have passed before the figure counts.
+    pub(crate) after: Span,
+}
+
+/// How a figure compares to its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Relation {
+    Equal,
+    AtMost,
+    AtLeast,
+}
+
+impl Expectation {
+    pub(crate) fn holds(&self, figure: f64) -> bool {
+        match self.relation {
+            Relation::Equal => (figure - self.limit).abs() < f64::EPSILON,
+            Relation::AtMost => figure <= self.limit,
+            Relation::AtLeast => figure >= self.limit,
+        }
+    }
+}
+
+impl fmt::Display for Expectation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.relation {
+            Relation::Equal => "",
+            Relation::AtMost => "<= ",
+            Relation::AtLeast => ">= ",
+        };
+        write!(f, "{} {sign}{}", self.name, self.limit)
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/store.rs
@@ -0,0 +1,105 @@
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use usher_config::{Answer, Condition, Object, ObjectKey, Pending, Step, Write};
+use usher_types::Version;
+
+const MAX_STEPS: usize = 8;
+
+/// Why a conditional write has no version.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// Another write came first.
+    Conflict,
+    /// The store did not say what became of it.
+    NoAnswer,
+}
+
+/// The platform's store with its faults.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    pub(crate) down: bool,
+    pub(crate) lose_answers: u32,
+    last: Version,
+    objects: BTreeMap<ObjectKey, Object>,
+    // What a stale replica still shows.
+    replica: Option<(Version, BTreeMap<ObjectKey, Object>)>,
+}
+
+impl Store {
+    /// Lets half of the reads see the present state for as long as the replica is stale.
+    pub(crate) fn set_stale(&mut self, stale: bool) {
+        self.replica = stale.then(|| (self.last, self.objects.clone()));
+    }
+
+    pub(crate) fn get(&self, key: &ObjectKey, rng: &mut impl Rng) -> Option<Object> {
+        self.view(rng).1.get(key).cloned()
+    }
+
+    /// The object as it is, whatever replicas show.
+    pub(crate) fn latest(&self, key: &ObjectKey) -> Option<&Object> {
+        self.objects.get(key)
+    }
+
+    /// Objects above a version, and the version up to which they are complete.
+    pub(crate) fn since(&self, version: Version, rng: &mut impl Rng) -> (Version, Vec<Object>) {
+        let (last, objects) = self.view(rng);
+        let newer = objects.values().filter(|object| object.version > version);
+        (last, newer.cloned().collect())
+    }
+
+    /// Carries a write out and resolves lost answers as the platform client does.
+    pub(crate) fn put(&mut self, write: Write, rng: &mut impl Rng) -> Result<Version, Failure> {
+        let mut pending = Pending::new(write);
+        for _ in 0..MAX_STEPS {
+            let answer = self.transmit(pending.write());
+            let step = match pending.answered(answer) {
+                Step::ReadBack(lost) => {
+                    let read = self.get(&lost.write().change.key, rng);
+                    lost.read(read)
+                }
+                step => step,
+            };
+            match step {
+                Step::Done(version) => return Ok(version),
+                Step::Conflict(_) => return Err(Failure::Conflict),
+                Step::Retry(again) => pending = again,
+                Step::ReadBack(_) => break,
+            }
+        }
+        Err(Failure::NoAnswer)
+    }
+
+    fn view(&self, rng: &mut impl Rng) -> (Version, &BTreeMap<ObjectKey, Object>) {
+        match &self.replica {
+            Some((last, objects)) if rng.random_bool(0.5) => (*last, objects),
+            _ => (self.last, &self.objects),
+        }
+    }
+
+    fn transmit(&mut self, write: &Write) -> Answer {
+        let change = &write.change;
+        let current = self.objects.get(&change.key);
+        let holds = match change.condition {
+            Condition::Absent => current.is_none_or(|object| object.value.is_none()),
+            Condition::Version(version) => current.is_some_and(|object| object.version == version),
+        };
+        if !holds {
+            return Answer::Refused(current.cloned());
+        }
+        self.last = self.last.next();
+        let object = Object {
+            kind: change.key.kind,
+            name: change.key.name.clone(),
+            version: self.last,
+            write_id: write.id,
+            value: change.value.clone(),
+        };
+        self.objects.insert(change.key.clone(), object);
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            return Answer::Lost;
+        }
+        Answer::Written(self.last)
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world/operate.rs
@@ -0,0 +1,131 @@
+use usher_config::{Change, Condition, Kind, ObjectKey, Value, Write, WriteId, check};
+use usher_types::{Profile, ProfileName, Service, ServiceName, Span};
+
+use rand::Rng;
+
+use super::World;
+use crate::due::Due;
+use crate::store::Failure;
+
+// An operator's command reads, checks and writes within this time.
+const COMMAND: Span = Span::from_millis(20);
+const BETWEEN_COMMANDS: Span = Span::from_millis(500);
+
+impl World<'_> {
+    pub(super) fn set_profile(&mut self, name: &ProfileName, fields: &[String]) {
+        let cache = self.read_all();
+        let mut profile = cache.profile(name).cloned().unwrap_or(Profile {
+            buckets: super::BUCKETS,
+            ..Profile::default()
+        });
+        for field in fields {
+            set_field(&mut profile, field);
+        }
+        self.apply(vec![(profile_key(name), Some(profile.into()))]);
+    }
+
+    /// Both operators read before either of them writes.
+    pub(super) fn race(&mut self, name: &ProfileName, fields: &[String; 2]) {
+        for field in fields {
+            self.set_profile(name, std::slice::from_ref(field));
+        }
+    }
+
+    pub(super) fn delete_profile(&mut self, name: &ProfileName) {
+        self.apply(vec![(profile_key(name), None)]);
+    }
+
+    /// An address is in use at most once, so the first service moves to a free one in between.
+    pub(super) fn swap(&mut self, first: &ServiceName, second: &ServiceName) {
+        let (one, two) = (self.service_address(first), self.service_address(second));
+        let mut free = one;
+        free.set_port(one.port() + 1);
+        for (number, (name, address)) in [(first, free), (second, one), (first, two)]
+            .into_iter()
+            .enumerate()
+        {
+            let fault = crate::fault::Fault::Move(name.clone(), address);
+            self.push(BETWEEN_COMMANDS * number as u64, Due::Fault(fault));
+        }
+    }
+
+    pub(super) fn move_service(&mut self, name: &ServiceName, address: std::net::SocketAddrV4) {
+        let cache = self.read_all();
+        if let Some(service) = cache.service(name) {
+            let moved = Service {
+                address,
+                generation: usher_types::Generation::default(),
+                ..service.clone()
+            };
+            let key = ObjectKey::new(Kind::Service, name.into());
+            self.apply(vec![(key, Some(moved.into()))]);
+        }
+    }
+
+    // Checks changes as a whole and writes them after the operator's read.
+    fn apply(&mut self, values: Vec<(ObjectKey, Option<Value>)>) {
+        let cache = self.read_all();
+        let changes = values.into_iter().map(|(key, value)| Change {
+            condition: Condition::unchanged(cache.get(&key)),
+            key,
+            value,
+        });
+        let Ok(changes) = check(&cache, changes.collect()) else {
+            *self
+                .tally
+                .counts
+                .entry("operator refused".to_owned())
+                .or_default() += 1;
+            return;
+        };
+        let writes = changes.into_iter().map(|change| Write {
+            id: WriteId::new(self.rng.random()),
+            change,
+        });
+        let writes = writes.collect();
+        self.push(COMMAND, Due::Operator(writes));
+    }
+
+    pub(super) fn operate(&mut self, writes: Vec<Write>) {
+        for write in writes {
+            if self.store.down {
+                *self
+                    .tally
+                    .counts
+                    .entry("operator unavailable".to_owned())
+                    .or_default() += 1;
+                return;
+            }
+            match self.store.put(write, &mut self.rng) {
+                Ok(version) => {
+                    self.tally.accept(version, self.now);
+                    self.wake_watches();
+                }
+                Err(Failure::Conflict) => {
+                    self.tally.conflicts += 1;
+                    return;
+                }
+                Err(Failure::NoAnswer) => {
+                    *self
+                        .tally
+                        .counts
+                        .entry("operator unknown".to_owned())
+                        .or_default() += 1;
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn profile_key(name: &ProfileName) -> ObjectKey {
+    ObjectKey::new(Kind::Profile, name.into())
+}
+
+fn set_field(profile: &mut Profile, field: &str) {
+    match field.split_once('=') {
+        Some(("hunt", value)) => profile.hunt = value.parse().unwrap_or(profile.hunt),
+        Some(("deadline", value)) => profile.deadline = value.parse().unwrap_or(profile.deadline),
+        _ => {}
+    }
+}
