--- a/crates/scenario/src/world/carry.rs
+++ b/crates/scenario/src/world/carry.rs
@@ -18,6 +18,8 @@
 const WATCH_RETRY: Span = Span::from_millis(500);
 const JOIN_RETRY: Span = Span::from_millis(300);
 const CALL_TIMEOUT: Span = Span::from_secs(5);
+// Longer than the first read of the store, so that either may come first.
+const PEER_CALL: Span = Span::from_millis(200);
 const CALL_RETRY: Span = Span::from_millis(300);
 
 impl World<'_> {
@@ -82,7 +84,7 @@
         }
         let peer = running[self.rng.random_range(0..running.len())];
         let objects = peer.role.known();
-        let delay = self.network.delay() + self.network.delay();
+        let delay = between(&mut self.rng, Span::ZERO, PEER_CALL);
         self.push_on(delay, name, Local::PeerObjects(objects));
     }
 
