--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod hint_table;
 mod pool;
+mod quarantine;
 mod retry_budget;
 mod route;
 mod router;
@@ -12,6 +13,7 @@
 
 pub use forward::{DropReason, Forward};
 pub use hint_table::HintTable;
+pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use route::Route;
 pub use router::Router;
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -13,8 +13,7 @@
 use usher_members::{Action, Change, Event, Identity, Membership, Proposal, Status};
 use usher_platform::{Limits, Store};
 use usher_types::{
-    HostId, HostState, Incarnation, Member, Message, PastRoster, Peer, Roster, Span, Time, Version,
-    Weight,
+    HostId, HostState, Incarnation, Member, Message, Peer, Roster, Span, Time, Version, Weight,
 };
 
 use super::phase::Phase;
@@ -265,10 +264,7 @@
         let service = self.settings.service.clone();
         let unsettled = self.unsettled.clone();
         task::spawn(async move {
-            let edit = |current: &Roster| {
-                let changed = proposal.apply(current)?;
-                Some(with_history(current, changed, unsettled.as_deref()))
-            };
+            let edit = |current: &Roster| proposal.succeed(current, unsettled.as_deref());
             let written = edit_roster(&store, &service, edit).await;
             match (&written, &proposal.change) {
                 (Ok(Some(_)), Change::Remove { hosts }) => {
@@ -387,29 +383,6 @@
     }
 }
 
-// A roster lists the one it replaces and earlier ones that the writer does not know as settled.
-fn with_history(current: &Roster, mut changed: Roster, unsettled: Option<&[Version]>) -> Roster {
-    let is_open = |past: &PastRoster| unsettled.is_none_or(|open| open.contains(&past.version));
-    let mut earlier: Vec<PastRoster> = current
-        .earlier
-        .iter()
-        .filter(|p| is_open(p))
-        .cloned()
-        .collect();
-    if current.version > Version::default() && !current.members.is_empty() {
-        let members = current.members.clone();
-        earlier.insert(
-            0,
-            PastRoster {
-                version: current.version,
-                members,
-            },
-        );
-    }
-    changed.earlier = earlier;
-    changed
-}
-
 async fn pass_stop(stop: Receiver<()>, events: Sender<ControlEvent>) {
     while stop.recv().await.is_ok() {
         if events.send(ControlEvent::Stop).await.is_err() {
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -14,8 +14,10 @@
 use usher_config::{Entry, Kind, ObjectKey};
 use usher_members::{Action, Event, Identity, Membership, Status};
 use usher_platform::{Limits, Store};
-use usher_routing::{Router, Table};
-use usher_types::{HostId, Incarnation, Message, PastRoster, Peer, Roster, ServiceName, Version};
+use usher_routing::{Quarantine, Router, Table};
+use usher_types::{
+    HostId, Incarnation, Message, PastRoster, Peer, Roster, ServiceName, Time, Version,
+};
 
 use super::fleet_entry::FleetEntry;
 use crate::clock::now;
@@ -39,6 +41,8 @@
     catch_up: CatchUp,
     membership: Membership,
     tables: IndexMap<ServiceName, Arc<Table>>,
+    quarantine: Quarantine,
+    release: Option<Time>,
     suspected: IndexMap<ServiceName, Vec<HostId>>,
     was_listed: bool,
 }
@@ -71,6 +75,8 @@
             state: State::default(),
             catch_up: CatchUp::default(),
             tables: IndexMap::new(),
+            quarantine: Quarantine::default(),
+            release: None,
             suspected: IndexMap::new(),
             was_listed: false,
         }
@@ -104,18 +110,27 @@
 
     async fn work(&mut self, receiver: Receiver<ControlEvent>) {
         loop {
-            let due = self
-                .membership
-                .next_timer()
-                .map_or(IDLE, |due| Duration::from_micros((due - now()).as_micros()));
-            match future::timeout(due, receiver.recv()).await {
+            match future::timeout(self.wait(), receiver.recv()).await {
                 Ok(Ok(event)) => self.handle(event),
                 Ok(Err(_)) => return,
-                Err(_) => self.advance(Event::Tick),
+                Err(_) => self.tick(),
             }
         }
     }
 
+    fn wait(&self) -> Duration {
+        let timers = [self.membership.next_timer(), self.release];
+        let due = timers.into_iter().flatten().min();
+        due.map_or(IDLE, |due| Duration::from_micros((due - now()).as_micros()))
+    }
+
+    fn tick(&mut self) {
+        if self.release.is_some_and(|release| release <= now()) {
+            self.publish();
+        }
+        self.advance(Event::Tick);
+    }
+
     fn handle(&mut self, event: ControlEvent) {
         match event {
             ControlEvent::Objects {
@@ -274,8 +289,19 @@
         }
     }
 
-    fn publish(&self) {
-        let tables = self.state.services().filter_map(|entry| {
+    fn publish(&mut self) {
+        let time = now();
+        let entries = self.state.services();
+        self.quarantine.note(
+            time,
+            entries.map(|entry| (entry.service.address, &entry.name)),
+        );
+        self.release = self.quarantine.next_release(time);
+        let usable = self
+            .state
+            .services()
+            .filter(|entry| self.quarantine.admits(time, entry.service.address));
+        let tables = usable.filter_map(|entry| {
             Some((
                 entry.service.address,
                 Arc::clone(self.tables.get(&entry.name)?),
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -102,17 +102,11 @@
     }
 
     pub(crate) fn roster(&self, service: &ServiceName) -> Option<Arc<Roster>> {
-        match self.value(Kind::Roster, service.as_str())? {
-            Value::Roster(roster) => Some(Arc::new(roster.clone())),
-            _ => None,
-        }
+        self.cache.roster(service)
     }
 
     pub(crate) fn fleet(&self, centre: &str) -> Option<Arc<Fleet>> {
-        match self.value(Kind::Fleet, centre)? {
-            Value::Fleet(fleet) => Some(Arc::new(fleet.clone())),
-            _ => None,
-        }
+        self.cache.fleet(centre)
     }
 
     // Two racing operators can leave services that clash; the catalogue settles this everywhere alike.
@@ -124,11 +118,6 @@
             .map(|entry| (entry.name.clone(), entry))
             .collect();
     }
-
-    fn value(&self, kind: Kind, name: &str) -> Option<&Value> {
-        let key = ObjectKey::new(kind, name.parse().ok()?);
-        self.cache.get(&key)?.value.as_ref()
-    }
 }
 
 fn roster_of(object: &Object) -> Option<&Roster> {
