bench: measure retries and planned restarts; record tries

Two experiments were missing. retries counts calls of backend servers per request while one or all of them lose each run, next to nested retries. churn restarts two hosts with drain, handover, leave and join while processes adopt rosters at different times.

--- a/crates/bench/src/experiment/subjects.rs
+++ b/crates/bench/src/experiment/subjects.rs
@@ -1,4 +1,5 @@
 use usher_admission::{Policy, QueueOrder};
+use usher_types::Span;
 
 use crate::subject::{Choice, Kind, Options};
 
@@ -22,6 +23,14 @@
         ("system", system(|_| {})),
         ("system, measured weights", system(|o| o.weights = true)),
         ("system, no hunting", system(|o| o.hunt = None)),
+        (
+            "system, hunt 1 ms",
+            system(|o| o.hunt = Some(Span::from_millis(1))),
+        ),
+        (
+            "system, hunt 2 ms",
+            system(|o| o.hunt = Some(Span::from_millis(2))),
+        ),
         ("system, no offers", policy(|p| p.offers = false)),
         ("system, no reservation", policy(|p| p.reservation = false)),
         ("system, no classes", policy(|p| p.classes = false)),
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,7 +6,7 @@
 /// Measures the system and its baselines in virtual time.
 #[derive(FromArgs)]
 struct Args {
-    /// imbalance, crest, blocking or all
+    /// imbalance, crest, blocking, retries, churn or all
     #[argh(positional)]
     experiment: Experiment,
     /// number of seeds, from 1; default 5
--- a/crates/bench/src/model/mod.rs
+++ b/crates/bench/src/model/mod.rs
@@ -10,7 +10,7 @@
 pub use calendar::Calendar;
 pub use deployment::Deployment;
 pub use host::Host;
-pub(crate) use plan::SERVICE;
 pub use plan::{Arrival, Flow, Plan, Shape};
+pub(crate) use plan::{SERVICE, flow_number};
 pub use tally::{Ending, Tally};
 pub use work::Work;
--- a/crates/bench/src/model/plan.rs
+++ b/crates/bench/src/model/plan.rs
@@ -9,6 +9,7 @@
 /// Service address of the simulated service.
 pub(crate) const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 1), 80);
 const CALLERS: u32 = 0x0A00_0000;
+const FIRST_PORT: u16 = 10_000;
 const FLOWS_PER_ADDRESS: usize = 20_000;
 // Time between the planned opening of a flow and its first request.
 const OPENING: Span = Span::from_millis(100);
@@ -133,9 +134,15 @@
     }
 }
 
+/// Position of a flow in its plan.
+pub(crate) fn flow_number(id: &FlowId) -> usize {
+    let address = u32::from(*id.caller.ip()) - CALLERS;
+    address as usize * FLOWS_PER_ADDRESS + usize::from(id.caller.port() - FIRST_PORT)
+}
+
 fn flow_id(rng: &mut Pcg64, number: usize) -> FlowId {
     let address = Ipv4Addr::from(CALLERS + (number / FLOWS_PER_ADDRESS) as u32);
-    let port = 10_000 + (number % FLOWS_PER_ADDRESS) as u16;
+    let port = FIRST_PORT + (number % FLOWS_PER_ADDRESS) as u16;
     FlowId {
         caller: SocketAddrV4::new(address, port),
         service: SERVICE,
--- a/crates/bench/src/subject/agents.rs
+++ b/crates/bench/src/subject/agents.rs
@@ -1,21 +1,25 @@
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use usher_admission::Policy;
-use usher_agent::{Action, AgentState, Event};
-use usher_routing::{Forward, HintTable, Router, Table};
+use usher_agent::{Action, Event};
+use usher_routing::{HintTable, Router};
 use usher_types::{
-    ClassRule, Generation, Hint, HostId, Message, Packet, Profile, RequestId, Roster, ServiceName,
-    Span, Time, Version, Weight,
+    ClassRule, Hint, Incarnation, Message, MessageId, Packet, Profile, RequestId, Roster, Share,
+    Span, Time,
 };
 
+use super::node::{Life, Node};
+
 use crate::model::{Calendar, Deployment, Host, Plan, Tally};
 
 const HINTS: usize = 100_000;
 const DRAIN: Span = Span::from_secs(15);
+// A process that has left forwards packets of the flows that it handed over.
+const LINGER: Span = Span::from_secs(5);
 pub(crate) const BEAT: Span = Span::from_secs(1);
 
 /// Parts of the system that a run varies.
@@ -27,6 +31,14 @@
     pub hunt: Option<Span>,
     /// Rosters carry weights that hosts measure.
     pub weights: bool,
+    /// Hosts whose backend server loses each run, from the first one on.
+    pub down: usize,
+    /// Transmissions of a request by its caller, and whether they share one attempt budget.
+    pub caller: (u16, bool),
+    /// Share of successes that agents spend on retries.
+    pub retries: Share,
+    /// Time between planned restarts of one host after another.
+    pub restarts: Option<Span>,
 }
 
 impl Default for Options {
@@ -35,6 +47,10 @@
             policy: Policy::default(),
             hunt: Some(Profile::default().hunt),
             weights: false,
+            down: 0,
+            caller: (1, true),
+            retries: Profile::default().retries,
+            restarts: None,
         }
     }
 }
@@ -48,23 +64,24 @@
     pub(super) options: &'a Options,
     pub(super) calendar: Calendar<Step>,
     pub(super) nodes: Vec<Node>,
-    pub(super) router: Router,
+    pub(super) routers: Vec<Router>,
     pub(super) hints: Vec<HintTable>,
     pub(super) roster: Arc<Roster>,
     pub(super) rng: Pcg64,
     pub(super) sequences: Vec<u32>,
+    pub(super) opened: Vec<bool>,
+    /// Message number and transmissions of each arrival.
+    pub(super) sent: Vec<(MessageId, u16)>,
     pub(super) ids: HashMap<RequestId, usize>,
     pub(super) tally: Tally,
     end: Time,
 }
 
-/// An agent with the runs of its backend server.
-#[derive(Debug)]
-pub(super) struct Node {
-    pub(super) host: HostId,
-    pub(super) agent: AgentState,
-    pub(super) runs: HashMap<RequestId, Time>,
-    tick: Option<Time>,
+/// Content of a handover.
+#[derive(Debug, Clone)]
+pub(super) enum Parcel {
+    Flows(usher_flows::Parcel),
+    Records(usher_dedupe::Parcel),
 }
 
 #[derive(Debug)]
@@ -81,6 +98,15 @@
     Tick(usize),
     Beat(usize),
     Weigh(usize),
+    Resend(usize, Span),
+    Reopen(usize),
+    View(usize, Arc<Roster>),
+    Table(usize, Arc<Roster>),
+    Drain(usize),
+    Parcel(usize, usize, Parcel),
+    Reply(usize, Event),
+    Exit(usize),
+    Join(usize),
 }
 
 impl std::fmt::Debug for Agents<'_> {
@@ -116,13 +142,15 @@
             options,
             calendar: Calendar::default(),
             nodes: (0..site.speeds.len())
-                .map(|i| Node::new(site, options, i))
+                .map(|i| Node::new(site, options, i, Incarnation::new(1)))
                 .collect(),
-            router: Router::default(),
+            routers: vec![Router::default(); site.balancers],
             hints: (0..site.balancers).map(|_| HintTable::new(HINTS)).collect(),
             roster: Arc::default(),
             rng: Pcg64::seed_from_u64(seed),
             sequences: vec![0; plan.flows.len()],
+            opened: vec![false; plan.flows.len()],
+            sent: vec![(MessageId::new(0), 0); plan.arrivals.len()],
             ids: HashMap::new(),
             tally: Tally::new(plan, hosts, end - Time::ZERO),
             end,
@@ -132,16 +160,15 @@
     }
 
     fn start(&mut self) {
-        let weights = vec![Weight::NOMINAL; self.nodes.len()];
         // The flow table keeps the threshold of the first profile; the scheduler follows later ones.
         if self.options.hunt.is_none() {
             let off = Profile {
                 hunt: Span::from_secs(3_600),
                 ..self.profile()
             };
-            self.adopt(Time::ZERO, &weights, off);
+            self.adopt(Time::ZERO, &off);
         }
-        self.adopt(Time::ZERO, &weights, self.profile());
+        self.adopt(Time::ZERO, &self.profile());
         for node in 0..self.nodes.len() {
             let offset = BEAT.scale(node as f64 / self.nodes.len() as f64);
             self.calendar.add(Time::ZERO + offset, Step::Beat(node));
@@ -150,6 +177,12 @@
                     .add(Time::ZERO + BEAT * 10 + offset, Step::Weigh(node));
             }
         }
+        if let Some(gap) = self.options.restarts {
+            for node in 0..self.nodes.len() {
+                let at = Time::ZERO + gap * (node as u64 + 1);
+                self.calendar.add(at, Step::Drain(node));
+            }
+        }
         for (number, flow) in self.plan.flows.iter().enumerate() {
             self.calendar.add(flow.opens, Step::Open(number));
             if let Some(at) = flow.closes {
@@ -186,10 +219,22 @@
             Step::Tick(node) => self.tick(now, node),
             Step::Beat(node) => self.beat(now, node),
             Step::Weigh(node) => self.weigh(now, node),
+            Step::Resend(number, delay) => self.resend(now, number, delay),
+            Step::Reopen(flow) => self.reopen(now, flow),
+            Step::View(node, roster) => self.view(now, node, roster),
+            Step::Table(balancer, roster) => self.table(balancer, &roster),
+            Step::Drain(node) => self.drain(now, node),
+            Step::Parcel(to, from, parcel) => self.take_parcel(now, to, from, parcel),
+            Step::Reply(node, event) => self.feed(now, node, event),
+            Step::Exit(node) => self.exit(now, node),
+            Step::Join(node) => self.join(now, node),
         }
     }
 
     pub(super) fn feed(&mut self, now: Time, node: usize, event: Event) {
+        if self.nodes[node].life == Life::Gone {
+            return;
+        }
         let actions = self.nodes[node].agent.handle(now, event);
         for action in actions {
             self.carry_out(now, node, action);
@@ -197,7 +242,7 @@
         self.arm(node);
     }
 
-    fn arm(&mut self, node: usize) {
+    pub(super) fn arm(&mut self, node: usize) {
         let due = self.nodes[node].agent.next_timer();
         if let Some(due) = due
             && self.nodes[node].tick.is_none_or(|planned| due < planned)
@@ -223,7 +268,7 @@
         }
     }
 
-    fn carry_out(&mut self, now: Time, node: usize, action: Action) {
+    pub(super) fn carry_out(&mut self, now: Time, node: usize, action: Action) {
         match action {
             Action::Send { to, message } => self.send(now, node, to, message),
             Action::Packet(packet) => {
@@ -236,6 +281,7 @@
                 id, body, start_by, ..
             } => {
                 let number = super::agents_callers::number(&body);
+                self.tally.runs += 1;
                 if now > start_by || !self.tally.hosts[node].has_free() {
                     return self.feed(now, node, Event::Refused(id));
                 }
@@ -243,58 +289,18 @@
                 self.tally.hosts[node].begin();
             }
             Action::CancelRun(id) => self.cancel(now, node, id),
+            Action::HandOverFlows { to, parcel } => {
+                self.hand_over(now, node, &to, Parcel::Flows(parcel));
+            }
+            Action::HandOverRecords { to, parcel } => {
+                self.hand_over(now, node, &to, Parcel::Records(parcel));
+            }
+            Action::Drained => self.leave(now, node),
+            Action::RecordsDrained => self.calendar.add(now + LINGER, Step::Exit(node)),
             _ => {}
         }
     }
 
-    fn forward(&mut self, now: Time, balancer: usize, packet: Packet) {
-        let address = balancer_address(balancer);
-        let forward = self
-            .router
-            .forward(packet, &mut self.hints[balancer], address);
-        if let Forward::Send { to, relay } = forward {
-            let node = node_at(to);
-            let step = Step::Message(node, address, Message::Relay(relay));
-            self.calendar.add(now + self.site.inner, step);
-        }
-    }
-
-    /// A random balancer, as the fabric sprays packets.
-    pub(super) fn spray(&mut self, now: Time, packet: Packet) {
-        let balancer = self.rng.random_range(0..self.hints.len());
-        let step = Step::ToBalancer(balancer, packet);
-        self.calendar.add(now + self.site.edge, step);
-    }
-
-    /// Puts a roster with these weights in force in all processes at once.
-    pub(super) fn adopt(&mut self, now: Time, weights: &[Weight], profile: Profile) {
-        self.roster = Arc::new(super::agents_hosts::next_roster(
-            &self.roster,
-            &self.nodes,
-            weights,
-        ));
-        let earlier: Vec<Roster> = self
-            .roster
-            .earlier
-            .iter()
-            .map(usher_types::PastRoster::to_roster)
-            .collect();
-        let rosters = std::iter::once(&*self.roster).chain(&earlier);
-        let table = Table::new(service(), Generation::new(1), profile.buckets, rosters);
-        self.router = Router::new([(crate::model::SERVICE, Arc::new(table))]);
-        let profile = Arc::new(profile);
-        for node in 0..self.nodes.len() {
-            let view = usher_agent::View {
-                generation: Generation::new(1),
-                profile: Arc::clone(&profile),
-                roster: Arc::clone(&self.roster),
-                revision: Version::new(1),
-                created: true,
-            };
-            self.feed(now, node, Event::View(view));
-        }
-    }
-
     pub(super) fn profile(&self) -> Profile {
         let rule = |work: &crate::model::Work| {
             let rule = ClassRule {
@@ -307,51 +313,8 @@
         Profile {
             methods: self.site.mix.iter().map(rule).collect(),
             hunt: self.options.hunt.unwrap_or(standard.hunt),
+            retries: self.options.retries,
             ..standard
         }
     }
 }
-
-impl Node {
-    fn new(site: &Deployment, options: &Options, index: usize) -> Self {
-        let host = host(index);
-        let settings = usher_agent::Settings {
-            host: host.clone(),
-            incarnation: usher_types::Incarnation::new(1),
-            service: service(),
-            address: agent_address(index),
-            slots: usher_types::Slots::new(site.slots),
-            policy: options.policy,
-        };
-        Self {
-            host,
-            agent: AgentState::new(settings),
-            runs: HashMap::new(),
-            tick: None,
-        }
-    }
-}
-
-pub(super) fn service() -> ServiceName {
-    "desk"
-        .parse()
-        .unwrap_or_else(|_| unreachable!("a valid name"))
-}
-
-fn host(index: usize) -> HostId {
-    format!("host-{index}")
-        .parse()
-        .unwrap_or_else(|_| unreachable!("a valid name"))
-}
-
-pub(super) fn agent_address(index: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 200, 0, index as u8), 7_000)
-}
-
-pub(super) fn balancer_address(index: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 201, 0, index as u8), 9_000)
-}
-
-pub(super) fn node_at(address: SocketAddrV4) -> usize {
-    usize::from(address.ip().octets()[3])
-}
--- a/crates/bench/src/subject/agents_hosts.rs
+++ b/crates/bench/src/subject/agents_hosts.rs
@@ -4,20 +4,23 @@
 
 use usher_agent::Event;
 use usher_types::{
-    Beat, BeatAck, HostState, Incarnation, Member, Message, Outcome, PastRoster, Payload, Peer,
-    RequestId, Roster, Span, Time, Version, Weight,
+    Beat, BeatAck, HostState, Member, Message, Outcome, PastRoster, Payload, Peer, RequestId,
+    Roster, Span, Time, Version,
 };
 use usher_wire::encode_message;
 
 use super::Agents;
-use super::agents::{BEAT, Node, Step, agent_address, balancer_address, node_at};
+use super::agents::{BEAT, Step};
+use super::node::{Node, agent_address, balancer_address, node_at};
 
 // A backend server notices a cancellation between two steps of its work.
 const CANCEL: Span = Span::from_millis(50);
+// A connection to a dead backend server ends at once.
+const FAULT: Span = Span::from_millis(1);
 const WEIGH: Span = Span::from_secs(10);
 const HYSTERESIS: f64 = 0.1;
 // A write keeps the rosters that may not have settled yet.
-const MAX_EARLIER: usize = 2;
+const MAX_EARLIER: usize = 8;
 
 impl Agents<'_> {
     pub(super) fn send(&mut self, now: Time, node: usize, to: SocketAddrV4, message: Message) {
@@ -51,7 +54,7 @@
         if let Some(sent) = beat {
             let ack = BeatAck {
                 from: Peer::Host(self.nodes[node].host.clone()),
-                roster: self.roster.version,
+                roster: self.adopted(node),
                 revision: Version::new(1),
                 sent,
             };
@@ -66,10 +69,10 @@
         };
         let beat = Beat {
             from: Peer::Host(self.nodes[node].host.clone()),
-            incarnation: Incarnation::new(1),
-            roster: self.roster.version,
+            incarnation: self.nodes[node].incarnation,
+            roster: self.adopted(node),
             revision: Version::new(1),
-            state: HostState::Serving,
+            state: self.nodes[node].state.unwrap_or(HostState::Draining),
             wait: summary.wait,
             weight: summary.weight,
             sent: now,
@@ -83,24 +86,34 @@
         }
     }
 
+    fn adopted(&self, node: usize) -> Version {
+        let view = self.nodes[node].agent.view();
+        view.map_or(Version::default(), |view| view.roster.version)
+    }
+
     /// Puts the host's measured weight into the roster when it differs enough.
     pub(super) fn weigh(&mut self, now: Time, node: usize) {
         self.calendar.add(now + WEIGH, Step::Weigh(node));
         let Some(summary) = self.nodes[node].agent.summary(now) else {
             return;
         };
-        let mut weights: Vec<Weight> = self.roster.members.values().map(|m| m.weight).collect();
-        let change = f64::from(summary.weight.get()) / f64::from(weights[node].get()) - 1.0;
+        let weight = self.nodes[node].weight;
+        let change = f64::from(summary.weight.get()) / f64::from(weight.get()) - 1.0;
         if change.abs() > HYSTERESIS {
-            weights[node] = summary.weight;
-            self.adopt(now, &weights, self.profile());
+            self.nodes[node].weight = summary.weight;
+            self.adopt(now, &self.profile());
         }
     }
 
     pub(super) fn start_run(&mut self, now: Time, node: usize, id: RequestId, number: usize) {
         let work = self.plan.arrivals[number].work;
-        let end = now + self.tally.hosts[node].length(now, work);
-        self.tally.runs += 1;
+        let length = self.tally.hosts[node].length(now, work);
+        let length = if node < self.options.down {
+            FAULT
+        } else {
+            length
+        };
+        let end = now + length;
         self.nodes[node].runs.insert(id, now);
         self.calendar.add(end, Step::RunEnd(node, id, now));
     }
@@ -111,6 +124,9 @@
         }
         self.nodes[node].runs.remove(&id);
         self.tally.hosts[node].end(started, now);
+        if node < self.options.down {
+            return self.feed(now, node, Event::Lost(id));
+        }
         let outcome = Outcome::Answered(Payload::default());
         self.feed(now, node, Event::Finished { id, outcome });
     }
@@ -123,23 +139,23 @@
     }
 }
 
-/// The roster after the current one.
-pub(super) fn next_roster(current: &Roster, nodes: &[Node], weights: &[Weight]) -> Roster {
+/// The roster after the current one, from what the nodes want to be listed as.
+pub(super) fn next_roster(current: &Roster, nodes: &[Node]) -> Roster {
     let member = |(index, node): (usize, &Node)| {
         let agent = agent_address(index);
         let mut admin = agent;
         admin.set_port(agent.port() + 1);
         let member = Member {
-            incarnation: Incarnation::new(1),
+            incarnation: node.incarnation,
             agent,
             admin,
             centre: "centre-1"
                 .parse()
                 .unwrap_or_else(|_| unreachable!("a valid name")),
-            weight: weights[index],
-            state: HostState::Serving,
+            weight: node.weight,
+            state: node.state?,
         };
-        (node.host.clone(), member)
+        Some((node.host.clone(), member))
     };
     let past = PastRoster {
         version: current.version,
@@ -149,7 +165,7 @@
     let earlier = known.into_iter().chain(current.earlier.iter().cloned());
     Roster {
         version: current.version.next(),
-        members: nodes.iter().enumerate().map(member).collect(),
+        members: nodes.iter().enumerate().filter_map(member).collect(),
         earlier: earlier.take(MAX_EARLIER).collect(),
     }
 }
--- a/crates/bench/src/subject/mod.rs
+++ b/crates/bench/src/subject/mod.rs
@@ -3,8 +3,11 @@
 mod agents;
 mod agents_callers;
 mod agents_hosts;
+mod agents_network;
+mod agents_restart;
 mod baseline;
 mod kind;
+mod node;
 mod oracle;
 
 pub use agents::{Agents, Options};
