--- a/crates/bench/src/experiment/imbalance.rs
+++ b/crates/bench/src/experiment/imbalance.rs
@@ -2,7 +2,7 @@
 
 use super::subjects::subjects;
 use super::table::{Figures, Row, Table, row};
-use crate::model::{Deployment, Plan, Shape, Tally};
+use crate::model::{Deployment, Ending, Plan, Shape, Tally};
 
 const FLOWS: usize = 2_000;
 const RAMP: Span = Span::from_secs(60);
@@ -51,6 +51,11 @@
     let missed = (0..plan.arrivals.len())
         .filter(|number| tally.latency(site, plan, *number).is_none())
         .count();
+    let unknown = tally
+        .endings
+        .iter()
+        .filter(|ending| matches!(ending, Some((_, Ending::Failed))));
+    let unknown = unknown.count();
     let control = tally.control.iter().copied().max().unwrap_or_default();
     vec![
         (
@@ -62,6 +67,10 @@
             "missed, % of requests",
             100.0 * missed as f64 / plan.arrivals.len() as f64,
         ),
+        (
+            "unknown, % of requests",
+            100.0 * unknown as f64 / plan.arrivals.len() as f64,
+        ),
         ("broken flows", tally.broken as f64),
         (
             "control B/s per agent",
--- a/crates/bench/src/experiment/subjects.rs
+++ b/crates/bench/src/experiment/subjects.rs
@@ -22,6 +22,13 @@
     let mut all = vec![
         ("system", system(|_| {})),
         ("system, measured weights", system(|o| o.weights = true)),
+        (
+            "system, measured weights, no offers",
+            system(|o| {
+                o.weights = true;
+                o.policy.offers = false;
+            }),
+        ),
         ("system, no hunting", system(|o| o.hunt = None)),
         (
             "system, hunt 1 ms",
--- a/crates/bench/src/experiment/table.rs
+++ b/crates/bench/src/experiment/table.rs
@@ -89,6 +89,8 @@
 }
 
 fn number(value: f64) -> String {
+    // An empty sum is a negative zero.
+    let value = value + 0.0;
     if value.fract() == 0.0 || value.abs() >= 100.0 {
         format!("{value:.0}")
     } else if value.abs() >= 10.0 {
