One core for both control threads; a router is published once an event

Cause: both roles repeated the start, the feed of membership, heartbeats and catching up; a suspicion of many services published the router once for each, and a change of one service rebuilt the tables of all. Change: control::Core; a balancer publishes at most once an event and rebuilds the tables of the services that a change touches.

--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -6,23 +6,18 @@
 
 use async_std::channel::{self, Receiver, Sender};
 use async_std::{future, task};
-use rand::SeedableRng;
-use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use usher_agent::View;
-use usher_members::{Action, Change, Event, Identity, Membership, Proposal, Status};
-use usher_platform::{Limits, Store};
+use usher_members::{Action, Change, Event, Identity, Proposal, Status};
 use usher_types::{
-    HostId, HostState, Incarnation, Member, Message, Peer, Roster, Span, Time, Version, Weight,
+    HostId, HostState, Incarnation, Member, Peer, Roster, Span, Time, Version, Weight,
 };
 
 use super::phase::Phase;
 use super::worker_event::WorkerEvent;
 use crate::clock::now;
-use crate::control::{
-    Call, CatchUp, ControlEvent, State, edit_roster, follow, log_suspicion, serve,
-};
-use crate::{AgentSettings, RuntimeError, event, socket};
+use crate::control::{Call, ControlEvent, Core, edit_roster, log_suspicion};
+use crate::{AgentSettings, RuntimeError, event};
 
 const IDLE: Duration = Duration::from_secs(1);
 // Packets on their way to this agent are passed on for this long after it has left the roster.
@@ -33,13 +28,8 @@
 pub(crate) struct Control {
     settings: AgentSettings,
     incarnation: Incarnation,
-    socket: UdpSocket,
+    core: Core,
     worker: mpsc::Sender<WorkerEvent>,
-    events: Sender<ControlEvent>,
-    store: Store,
-    state: State,
-    catch_up: CatchUp,
-    membership: Membership,
     status: Status,
     unsettled: Option<Vec<Version>>,
     suspected: Vec<HostId>,
@@ -65,15 +55,10 @@
             incarnation,
         };
         Self {
-            store: Store::new(settings.common.store, Limits::default()),
-            membership: Membership::new(identity, Box::new(Pcg64::from_os_rng())),
+            core: Core::new(identity, settings.common.clone(), socket, events),
             settings,
             incarnation,
-            socket,
             worker,
-            events,
-            state: State::default(),
-            catch_up: CatchUp::default(),
             status: Status::default(),
             unsettled: None,
             suspected: Vec::new(),
@@ -90,11 +75,8 @@
         receiver: Receiver<ControlEvent>,
         stop: Receiver<()>,
     ) -> Result<(), RuntimeError> {
-        let _server = serve(self.settings.common.admin, self.events.clone()).await?;
-        task::spawn(follow(self.store.clone(), self.events.clone()));
-        let peers = self.settings.common.peers.clone();
-        CatchUp::at_start(peers, &self.events);
-        task::spawn(pass_stop(stop, self.events.clone()));
+        let _server = self.core.start().await?;
+        task::spawn(pass_stop(stop, self.core.events.clone()));
         self.advance(Event::Join(self.member()));
         while !self.is_finished() {
             match future::timeout(self.wait(), receiver.recv()).await {
@@ -121,7 +103,7 @@
 
     fn wait(&self) -> Duration {
         let due = self
-            .membership
+            .core
             .next_timer()
             .map_or(IDLE, |due| Duration::from_micros((due - now()).as_micros()));
         due.min(IDLE)
@@ -134,7 +116,7 @@
     }
 
     fn tick(&mut self) {
-        if self.membership.next_timer().is_some_and(|due| due <= now()) {
+        if self.core.next_timer().is_some_and(|due| due <= now()) {
             self.advance(Event::Tick);
         }
         if !self.phase.is_running() && now() >= self.next_report {
@@ -150,10 +132,9 @@
                 through,
                 objects,
             } => {
-                let before = self.state.complete();
-                let changed = self.state.adopt(after, through, objects);
-                if !changed.is_empty() || self.state.complete() > before {
-                    self.catch_up.advanced();
+                let before = self.core.state.complete();
+                let changed = self.core.adopt(after, through, objects);
+                if !changed.is_empty() || self.core.state.complete() > before {
                     self.apply();
                 }
             }
@@ -198,30 +179,23 @@
 
     // Peers may hold newer configuration while the store is down or serves old answers.
     fn compare(&mut self, peer: &Peer, revision: Version) {
-        let peer = (peer, Some(&self.settings.service));
-        self.catch_up
-            .note(now(), &self.state, peer, revision, &self.events);
+        let service = Some(&self.settings.service);
+        self.core.compare(peer, service, revision);
     }
 
     fn advance(&mut self, event: Event) {
-        for action in self.membership.handle(now(), event) {
+        for action in self.core.advance(event) {
             match action {
-                Action::Beat { to, beat } => {
-                    let message = Message::Beat(beat);
-                    for to in to {
-                        socket::send(&self.socket, to, &message);
-                    }
-                }
-                Action::Ack { to, ack } => {
-                    socket::send(&self.socket, to, &Message::BeatAck(ack));
-                }
                 Action::Suspected { service, hosts } => {
                     log_suspicion(&service, &self.suspected, &hosts);
                     self.suspected = hosts;
                 }
-                // Balancers write their fleet.
-                Action::Distrusted { .. } | Action::ProposeFleet(_) => {}
                 Action::Propose(proposal) => self.propose(proposal),
+                // The core sends heartbeats; balancers write their fleet.
+                Action::Beat { .. }
+                | Action::Ack { .. }
+                | Action::Distrusted { .. }
+                | Action::ProposeFleet(_) => {}
             }
         }
     }
@@ -230,10 +204,10 @@
     fn apply(&mut self) {
         let service = self.settings.service.clone();
         let centre = self.settings.common.centre.clone();
-        if let Some(fleet) = self.state.fleet(centre.as_str()) {
+        if let Some(fleet) = self.core.state.fleet(centre.as_str()) {
             self.advance(Event::Fleet { centre, fleet });
         }
-        let roster = self.state.roster(&service).unwrap_or_default();
+        let roster = self.core.state.roster(&service).unwrap_or_default();
         if let Some(view) = self.view(&roster) {
             let _ = self.worker.send(WorkerEvent::View(view));
         }
@@ -243,7 +217,7 @@
 
     // A process that has left still needs the roster that replaced it, to hand its records over.
     fn view(&mut self, roster: &Arc<Roster>) -> Option<View> {
-        let entry = self.state.service(&self.settings.service)?;
+        let entry = self.core.state.service(&self.settings.service)?;
         let own = roster.members.get(&self.settings.host);
         let is_own = own.is_some_and(|member| member.incarnation == self.incarnation);
         self.was_member |= is_own;
@@ -253,14 +227,14 @@
             generation: entry.service.generation,
             profile: Arc::new(entry.profile.clone()),
             roster: Arc::clone(roster),
-            revision: self.state.complete(),
+            revision: self.core.state.complete(),
             created: self.created,
         })
     }
 
     // The conditional write runs beside the control thread; its result comes back as an event.
     fn propose(&self, proposal: Proposal) {
-        let (store, events) = (self.store.clone(), self.events.clone());
+        let (store, events) = (self.core.store.clone(), self.core.events.clone());
         let service = self.settings.service.clone();
         let unsettled = self.unsettled.clone();
         task::spawn(async move {
@@ -292,6 +266,7 @@
     // A planned stop ends when the roster no longer lists this agent and its records are kept by others.
     fn check_left(&mut self) {
         let roster = self
+            .core
             .state
             .roster(&self.settings.service)
             .unwrap_or_default();
@@ -336,14 +311,14 @@
         match call {
             Call::Status(reply) => self.answer_status(reply),
             Call::Since(version, reply) => {
-                let _ = reply.try_send(self.state.since(version));
+                let _ = reply.try_send(self.core.state.since(version));
             }
             Call::Drain(reply) => {
                 self.begin_drain(false);
                 let _ = reply.try_send(true);
             }
             Call::Parcel(parcels, reply) => {
-                let own = self.state.service(&self.settings.service);
+                let own = self.core.state.service(&self.settings.service);
                 let is_current =
                     own.is_some_and(|entry| parcels.generation >= entry.service.generation);
                 if parcels.service == self.settings.service && is_current {
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -8,22 +8,17 @@
 use async_std::prelude::FutureExt;
 use async_std::{future, task};
 use indexmap::IndexMap;
-use rand::SeedableRng;
-use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use usher_config::{Entry, Kind, ObjectKey};
-use usher_members::{Action, Event, Identity, Membership, Status};
-use usher_platform::{Limits, Store};
+use usher_members::{Action, Event, Identity, Status};
 use usher_routing::{Quarantine, Router, Table};
-use usher_types::{
-    HostId, Incarnation, Message, PastRoster, Peer, Roster, ServiceName, Time, Version,
-};
+use usher_types::{HostId, Incarnation, PastRoster, Peer, Roster, ServiceName, Time, Version};
 
 use super::fleet_entry::FleetEntry;
 use crate::clock::now;
-use crate::control::{Call, CatchUp, ControlEvent, State, follow, log_suspicion, serve};
+use crate::control::{Call, ControlEvent, Core, log_suspicion};
 use crate::metrics::Metrics;
-use crate::{BalancerSettings, RuntimeError, event, metric, socket};
+use crate::{BalancerSettings, RuntimeError, event, metric};
 
 const IDLE: Duration = Duration::from_secs(1);
 
@@ -31,20 +26,17 @@
 pub(crate) struct Control {
     settings: BalancerSettings,
     incarnation: Incarnation,
-    socket: UdpSocket,
+    core: Core,
     router: Arc<ArcSwap<Router>>,
     metrics: Metrics,
-    events: Sender<ControlEvent>,
-    store: Store,
     entry: FleetEntry,
-    state: State,
-    catch_up: CatchUp,
-    membership: Membership,
     tables: IndexMap<ServiceName, Arc<Table>>,
     quarantine: Quarantine,
     release: Option<Time>,
     suspected: IndexMap<ServiceName, Vec<HostId>>,
     was_listed: bool,
+    // The router is out of date; it is published once for all that one event changes.
+    outdated: bool,
 }
 
 impl Control {
@@ -56,29 +48,25 @@
         events: Sender<ControlEvent>,
     ) -> Self {
         let incarnation = incarnation();
-        let store = Store::new(settings.common.store, Limits::default());
         let identity = Identity::Balancer {
             instance: settings.instance.clone(),
             centre: settings.common.centre.clone(),
             incarnation,
         };
+        let core = Core::new(identity, settings.common.clone(), socket, events);
         Self {
-            entry: FleetEntry::new(store.clone(), &settings, incarnation),
-            store,
-            membership: Membership::new(identity, Box::new(Pcg64::from_os_rng())),
+            entry: FleetEntry::new(core.store.clone(), &settings, incarnation),
+            core,
             settings,
             incarnation,
-            socket,
             router,
             metrics,
-            events,
-            state: State::default(),
-            catch_up: CatchUp::default(),
             tables: IndexMap::new(),
             quarantine: Quarantine::default(),
             release: None,
             suspected: IndexMap::new(),
             was_listed: false,
+            outdated: false,
         }
     }
 
@@ -87,10 +75,7 @@
         receiver: Receiver<ControlEvent>,
         stop: Receiver<()>,
     ) -> Result<(), RuntimeError> {
-        let _server = serve(self.settings.common.admin, self.events.clone()).await?;
-        task::spawn(follow(self.store.clone(), self.events.clone()));
-        let peers = self.settings.common.peers.clone();
-        CatchUp::at_start(peers, &self.events);
+        let _server = self.core.start().await?;
         self.join();
         let stop = async {
             // A closed channel means that nobody can ask for a stop.
@@ -115,19 +100,20 @@
                 Ok(Err(_)) => return,
                 Err(_) => self.tick(),
             }
+            if self.outdated {
+                self.publish();
+            }
         }
     }
 
     fn wait(&self) -> Duration {
-        let timers = [self.membership.next_timer(), self.release];
+        let timers = [self.core.next_timer(), self.release];
         let due = timers.into_iter().flatten().min();
         due.map_or(IDLE, |due| Duration::from_micros((due - now()).as_micros()))
     }
 
     fn tick(&mut self) {
-        if self.release.is_some_and(|release| release <= now()) {
-            self.publish();
-        }
+        self.outdated |= self.release.is_some_and(|release| release <= now());
         self.advance(Event::Tick);
     }
 
@@ -138,8 +124,7 @@
                 through,
                 objects,
             } => {
-                let changed = self.state.adopt(after, through, objects);
-                self.catch_up.advanced();
+                let changed = self.core.adopt(after, through, objects);
                 self.apply(&changed);
                 self.report_revision();
             }
@@ -166,28 +151,21 @@
 
     // Peers may hold newer configuration while the store is down or serves old answers.
     fn compare(&mut self, peer: &Peer, revision: Version) {
-        self.catch_up
-            .note(now(), &self.state, (peer, None), revision, &self.events);
+        self.core.compare(peer, None, revision);
     }
 
     fn advance(&mut self, event: Event) {
-        for action in self.membership.handle(now(), event) {
+        for action in self.core.advance(event) {
             match action {
-                Action::Beat { to, beat } => {
-                    let message = Message::Beat(beat);
-                    for to in to {
-                        socket::send(&self.socket, to, &message);
-                    }
-                }
-                Action::Ack { to, ack } => {
-                    socket::send(&self.socket, to, &Message::BeatAck(ack));
-                }
                 Action::Suspected { service, hosts } => self.suspect(service, hosts),
-                // Agents write rosters; balancers only watch them.
-                Action::Distrusted { .. } | Action::Propose(_) => {}
                 Action::ProposeFleet(proposal) => {
                     task::spawn(self.entry.clone().remove(proposal));
                 }
+                // The core sends heartbeats; agents write rosters.
+                Action::Beat { .. }
+                | Action::Ack { .. }
+                | Action::Distrusted { .. }
+                | Action::Propose(_) => {}
             }
         }
     }
@@ -199,7 +177,7 @@
             *table = Arc::new(table.with_suspected(&hosts));
         }
         self.suspected.insert(service, hosts);
-        self.publish();
+        self.outdated = true;
     }
 
     // Rebuilds the tables that a change of configuration touches.
@@ -213,11 +191,11 @@
             self.rebuild(&entry);
         }
         self.watch_fleet(changed);
-        self.publish();
+        self.outdated = true;
     }
 
     fn report_revision(&mut self) {
-        let revision = self.state.complete();
+        let revision = self.core.state.complete();
         let status = Status {
             revision,
             ..Status::default()
@@ -227,7 +205,7 @@
     }
 
     fn forget_deleted(&mut self) {
-        let is_deleted = |service: &&ServiceName| self.state.service(service).is_none();
+        let is_deleted = |service: &&ServiceName| self.core.state.service(service).is_none();
         let deleted: Vec<_> = self.tables.keys().filter(is_deleted).cloned().collect();
         for service in deleted {
             self.tables.shift_remove(&service);
@@ -237,10 +215,13 @@
     }
 
     fn touched(&self, changed: &BTreeSet<ObjectKey>) -> impl Iterator<Item = &Entry> {
-        self.state.services().filter(move |entry| {
+        self.core.state.services().filter(move |entry| {
             changed.iter().any(|key| match key.kind {
-                // A change of one service can give or take the address of another.
-                Kind::Service => true,
+                // A service that clashed with the changed one comes back without a table.
+                Kind::Service => {
+                    let is_named = key.name.as_str() == entry.name.as_str();
+                    is_named || !self.tables.contains_key(&entry.name)
+                }
                 Kind::Roster => key.name.as_str() == entry.name.as_str(),
                 Kind::Profile => key.name.as_str() == entry.service.profile.as_str(),
                 Kind::Fleet | Kind::Lease => false,
@@ -250,7 +231,7 @@
 
     fn rebuild(&mut self, entry: &Entry) {
         let service = &entry.name;
-        let Some(roster) = self.state.roster(service) else {
+        let Some(roster) = self.core.state.roster(service) else {
             return;
         };
         let earlier: Vec<Roster> = roster.earlier.iter().map(PastRoster::to_roster).collect();
@@ -277,7 +258,7 @@
         {
             return;
         }
-        if let Some(fleet) = self.state.fleet(centre.as_str()) {
+        if let Some(fleet) = self.core.state.fleet(centre.as_str()) {
             let is_listed = fleet.balancers.contains_key(&self.settings.instance);
             self.advance(Event::Fleet { centre, fleet });
             // Others removed this balancer while they did not hear it.
@@ -290,14 +271,16 @@
     }
 
     fn publish(&mut self) {
+        self.outdated = false;
         let time = now();
-        let entries = self.state.services();
+        let entries = self.core.state.services();
         self.quarantine.note(
             time,
             entries.map(|entry| (entry.service.address, &entry.name)),
         );
         self.release = self.quarantine.next_release(time);
         let usable = self
+            .core
             .state
             .services()
             .filter(|entry| self.quarantine.admits(time, entry.service.address));
@@ -316,7 +299,7 @@
                 let _ = reply.try_send(self.status());
             }
             Call::Since(version, reply) => {
-                let _ = reply.try_send(self.state.since(version));
+                let _ = reply.try_send(self.core.state.since(version));
             }
             Call::Drain(reply) => {
                 let _ = reply.try_send(false);
@@ -333,7 +316,7 @@
             "name": self.settings.instance,
             "centre": self.settings.common.centre,
             "incarnation": self.incarnation,
-            "revision": self.state.complete(),
+            "revision": self.core.state.complete(),
             "state": "serving",
             "services": self.tables.len(),
             "suspected": self.suspected.values().flatten().collect::<Vec<_>>(),
--- a/crates/runtime/src/control/mod.rs
+++ b/crates/runtime/src/control/mod.rs
@@ -2,12 +2,14 @@
 
 mod call;
 mod catch_up;
+mod core;
 mod event;
 mod feed;
 mod state;
 mod suspicion;
 mod writer;
 
+pub(crate) use self::core::Core;
 pub(crate) use call::{Call, Content, Page, Parcels, serve};
 pub(crate) use catch_up::CatchUp;
 pub(crate) use event::ControlEvent;
