Keep a tombstone until a serving agent has taken it

Ruled out: the former owner did not crash and was not suspected, so the interleaving is not one that the failure model excuses. No packet of the flow is lost after the Close; the Open is within the packet lifetime.

Change: TookOver also lists the tombstones that the receiver takes, and a draining receiver lists none. The sender repeats the others after 500 ms to the successor of its roster by then, and its drain is complete only when no tombstone waits for that.

--- a/crates/flows/src/action.rs
+++ b/crates/flows/src/action.rs
@@ -51,9 +51,9 @@
         /// The flows.
         parcel: Parcel,
     },
-    /// Answer to the handover that was received: flows that its sender may discard.
+    /// Answer to the handover that was received.
     TookOver {
-        /// The flows.
+        /// Flows that the sender may discard and tombstones that it need not send elsewhere.
         flows: Vec<FlowId>,
     },
     /// The drain is complete: no flow and no directory entry is left here.
--- a/crates/flows/src/table/handover.rs
+++ b/crates/flows/src/table/handover.rs
@@ -55,7 +55,11 @@
 
     /// Queues a flow for handover when it has to leave and no reply is pending.
     pub(super) fn queue_if_leaving(&mut self, flow: FlowId) {
-        if self.draining || self.yields.contains_key(&flow) {
+        if let Some(Held::Closing(_)) = self.held.get(&flow) {
+            if self.draining {
+                self.closed.push(flow);
+            }
+        } else if self.draining || self.yields.contains_key(&flow) {
             self.leaving.insert(flow);
         }
     }
@@ -199,6 +203,12 @@
             .into_iter()
             .partition(|flow| taken.contains(flow));
         self.discard(now, done);
+        // A draining receiver may leave before the next owner knows the tombstone.
+        for flow in mem::take(&mut transit.closed) {
+            if !taken.contains(&flow) {
+                self.deferred.set(flow, now + RETRY);
+            }
+        }
         if !transit.is_uncertain {
             for flow in left {
                 self.thaw(flow);
@@ -207,7 +217,6 @@
         } else if !left.is_empty() {
             transit.flows = left;
             transit.directory.clear();
-            transit.closed.clear();
             transit.retry = Some(now + RETRY);
             self.transits.insert(to.clone(), transit);
         }
@@ -265,7 +274,7 @@
         }
         let is_left = |(flow, held): (&FlowId, &Held)| match held {
             Held::Moving(_) => true,
-            Held::Closing(_) => false,
+            Held::Closing(_) => self.deferred.contains(flow),
             Held::Open(open) => {
                 let is_busy = open.view().pending() > 0 || !open.view().outbox.is_empty();
                 is_busy || self.successor(flow).is_some()
--- a/crates/flows/src/table/takeover.rs
+++ b/crates/flows/src/table/takeover.rs
@@ -10,7 +10,7 @@
 const PASS_ON: Span = Span::from_millis(500);
 
 impl FlowTable {
-    /// Takes over the flows of another agent and lists those that it may discard.
+    /// Takes over the flows and tombstones of another agent and lists those it need not keep.
     pub(super) fn take_over(&mut self, now: Time, parcel: Parcel) {
         let from = parcel.from;
         // A repeated parcel must not bring back flows that have moved on since.
@@ -35,6 +35,10 @@
             if !self.held.contains_key(&flow) {
                 self.bury(now, flow, Flow::new(now).close());
             }
+            // Draining agents with old rosters would send a tombstone only to each other.
+            if !self.draining {
+                flows.push(flow);
+            }
         }
         self.taken.insert(from, (parcel.number, flows.clone()));
         self.actions.push(Action::TookOver { flows });
--- a/crates/flows/src/timers.rs
+++ b/crates/flows/src/timers.rs
@@ -24,6 +24,10 @@
         }
     }
 
+    pub(crate) fn contains(&self, flow: &FlowId) -> bool {
+        self.due.contains_key(flow)
+    }
+
     /// Removes and returns a flow whose time has come.
     pub(crate) fn pop(&mut self, now: Time) -> Option<FlowId> {
         let (due, flow) = *self.order.first()?;
