--- a/crates/flows/src/table/receive.rs
+++ b/crates/flows/src/table/receive.rs
@@ -55,11 +55,12 @@
 
     /// Whether a directory entry overrides the mode of a relay.
     ///
-    /// An owner that hunts has asked the earlier owners before, so their notes yield to it.
+    /// An owner that hunts has asked the earlier owners before, so their notes yield to it, but
+    /// not the note of a later owner to an earlier owner's hunt that arrives late.
     fn applies(&self, entry: &Entry, relay: &Relay) -> bool {
         match entry.basis {
             Basis::Confirmed => entry.holder != self.settings.agent,
-            Basis::Hunted => relay.mode != RelayMode::Hunt,
+            Basis::Hunted => relay.mode != RelayMode::Hunt || relay.roster < entry.roster,
             Basis::Probed => relay.mode == RelayMode::Owner && relay.roster < entry.roster,
         }
     }
@@ -278,7 +279,10 @@
         }
         relay.hop = hop as u8;
         relay.mode = RelayMode::Hunt;
-        relay.roster = relay.roster.max(self.membership.version());
+        // A former owner that follows its note does not decide under its newer roster.
+        if self.owner_of(&relay.packet.flow) == Some(self.settings.agent) {
+            relay.roster = relay.roster.max(self.membership.version());
+        }
         self.forward(to, relay);
     }
 
