--- a/crates/flows/src/directory.rs
+++ b/crates/flows/src/directory.rs
@@ -76,9 +76,27 @@
     }
 
     /// Drops entries of holders that have left under a roster version.
-    pub(crate) fn retain(&mut self, roster: Version, remains: impl Fn(SocketAddrV4) -> bool) {
-        self.entries
-            .retain(|_, entry| entry.roster > roster || remains(entry.holder));
+    ///
+    /// A draining agent passes a hunted `Open` on to the next candidate and leaves before that one
+    /// registers, so a note of a hunt names the next candidate instead.
+    pub(crate) fn retain(
+        &mut self,
+        roster: Version,
+        remains: impl Fn(SocketAddrV4) -> bool,
+        next: impl Fn(&FlowId) -> Option<SocketAddrV4>,
+    ) {
+        self.entries.retain(|flow, entry| {
+            if entry.roster > roster || remains(entry.holder) {
+                return true;
+            }
+            match next(flow) {
+                Some(holder) if entry.basis == Basis::Hunted => {
+                    entry.holder = holder;
+                    true
+                }
+                _ => false,
+            }
+        });
     }
 
     pub(crate) fn sweep(&mut self, now: Time) {
--- a/crates/flows/src/table/handover.rs
+++ b/crates/flows/src/table/handover.rs
@@ -22,7 +22,9 @@
         };
         let membership = &self.membership;
         let remains = |agent| membership.remains(&before, agent);
-        self.directory.retain(roster.version, remains);
+        let (buckets, own) = (self.settings.buckets, &self.settings.host);
+        let next = |flow: &FlowId| Some(membership.successor(flow, buckets, own)?.1.agent);
+        self.directory.retain(roster.version, remains, next);
         self.yields.retain(|_, holder| remains(*holder));
         let gone: Vec<HostId> = self
             .transits
