--- a/crates/flows/src/table/receive.rs
+++ b/crates/flows/src/table/receive.rs
@@ -56,11 +56,16 @@
     /// Whether a directory entry overrides the mode of a relay.
     ///
     /// An owner that hunts has asked the earlier owners before, so their notes yield to it, but
-    /// not the note of a later owner to an earlier owner's hunt that arrives late.
+    /// not the note of a later owner to an earlier owner's hunt that arrives late. The current
+    /// owner's note prevails also when an earlier owner hunts for it in answer to a probe.
     fn applies(&self, entry: &Entry, relay: &Relay) -> bool {
         match entry.basis {
             Basis::Confirmed => entry.holder != self.settings.agent,
-            Basis::Hunted => relay.mode != RelayMode::Hunt || relay.roster < entry.roster,
+            Basis::Hunted => {
+                let is_owner = self.owner_of(&relay.packet.flow) == Some(self.settings.agent);
+                let is_decided_here = is_owner && relay.roster <= self.membership.version();
+                relay.mode != RelayMode::Hunt || is_decided_here || relay.roster < entry.roster
+            }
             Basis::Probed => relay.mode == RelayMode::Owner && relay.roster < entry.roster,
         }
     }
@@ -73,11 +78,16 @@
                 self.forward_hunt(entry.holder, relay);
             }
             Basis::Probed => {
+                // The owner's own probe may not have reached the other earlier owners yet.
                 let mut relay = relay;
-                relay.route = vec![entry.holder];
+                let place = usize::from(relay.current).min(relay.route.len());
+                let mut route = relay.route.split_off(place);
+                route.retain(|agent| ![self.settings.agent, entry.holder].contains(agent));
+                route.insert(0, entry.holder);
+                relay.route = route;
                 relay.current = 1;
                 relay.hop = 0;
-                relay.mode = RelayMode::Probed;
+                relay.mode = RelayMode::Owner;
                 self.forward(entry.holder, relay);
             }
             Basis::Hunted | Basis::Confirmed => {
