--- a/crates/flows/src/directory.rs
+++ b/crates/flows/src/directory.rs
@@ -11,6 +11,8 @@
     pub(crate) holder: SocketAddrV4,
     pub(crate) basis: Basis,
     pub(crate) roster: Version,
+    /// To whom the candidate of a hunted `Open` passes it on while draining.
+    next: Option<SocketAddrV4>,
     until: Time,
 }
 
@@ -50,11 +52,19 @@
             holder,
             basis,
             roster,
+            next: None,
             until,
         };
         self.entries.insert(flow, entry);
     }
 
+    /// Names the candidate that follows the holder of a hunted flow.
+    pub(crate) fn set_next(&mut self, flow: &FlowId, next: Option<SocketAddrV4>) {
+        if let Some(entry) = self.entries.get_mut(flow) {
+            entry.next = next;
+        }
+    }
+
     /// Extends an entry that is in use.
     pub(crate) fn touch(&mut self, flow: &FlowId, until: Time) {
         if let Some(entry) = self.entries.get_mut(flow) {
@@ -89,7 +99,8 @@
             if entry.roster > roster || remains(entry.holder) {
                 return true;
             }
-            match next(flow) {
+            let passed_on = entry.next.take().filter(|agent| remains(*agent));
+            match passed_on.or_else(|| next(flow)) {
                 Some(holder) if entry.basis == Basis::Hunted => {
                     entry.holder = holder;
                     true
--- a/crates/flows/src/table/receive.rs
+++ b/crates/flows/src/table/receive.rs
@@ -230,6 +230,8 @@
         let flow = relay.packet.flow;
         self.directory
             .set(flow, second, Basis::Hunted, relay.roster, until);
+        let next = Self::candidate_after(&relay, second);
+        self.directory.set_next(&flow, next);
         self.count(Counter::Hunted);
         self.forward_hunt(second, relay);
     }
@@ -249,12 +251,14 @@
 
     /// The current candidate that follows this agent in the route.
     fn next_candidate(&self, relay: &Relay) -> Option<SocketAddrV4> {
+        Self::candidate_after(relay, self.settings.agent)
+    }
+
+    fn candidate_after(relay: &Relay, agent: SocketAddrV4) -> Option<SocketAddrV4> {
         let current = usize::from(relay.current).min(relay.route.len());
         let candidates = &relay.route[..current];
-        let own = candidates
-            .iter()
-            .position(|agent| *agent == self.settings.agent)?;
-        candidates.get(own + 1).copied()
+        let place = candidates.iter().position(|known| *known == agent)?;
+        candidates.get(place + 1).copied()
     }
 
     fn accept(&mut self, now: Time, relay: &Relay) {
