--- a/crates/flows/src/table/receive.rs
+++ b/crates/flows/src/table/receive.rs
@@ -55,11 +55,17 @@
 
     /// Whether a directory entry overrides the mode of a relay.
     ///
-    /// An owner that hunts has asked the earlier owners before, so their notes yield to it.
+    /// An owner that hunts has asked the earlier owners before, so their notes yield to it, but
+    /// not the note of a later owner to an earlier owner's hunt that arrives late. The current
+    /// owner's note prevails also when an earlier owner hunts for it in answer to a probe.
     fn applies(&self, entry: &Entry, relay: &Relay) -> bool {
         match entry.basis {
             Basis::Confirmed => entry.holder != self.settings.agent,
-            Basis::Hunted => relay.mode != RelayMode::Hunt,
+            Basis::Hunted => {
+                let is_owner = self.owner_of(&relay.packet.flow) == Some(self.settings.agent);
+                let is_decided_here = is_owner && relay.roster <= self.membership.version();
+                relay.mode != RelayMode::Hunt || is_decided_here || relay.roster < entry.roster
+            }
             Basis::Probed => relay.mode == RelayMode::Owner && relay.roster < entry.roster,
         }
     }
@@ -72,11 +78,16 @@
                 self.forward_hunt(entry.holder, relay);
             }
             Basis::Probed => {
+                // The owner's own probe may not have reached the other earlier owners yet.
                 let mut relay = relay;
-                relay.route = vec![entry.holder];
+                let place = usize::from(relay.current).min(relay.route.len());
+                let mut route = relay.route.split_off(place);
+                route.retain(|agent| ![self.settings.agent, entry.holder].contains(agent));
+                route.insert(0, entry.holder);
+                relay.route = route;
                 relay.current = 1;
                 relay.hop = 0;
-                relay.mode = RelayMode::Probed;
+                relay.mode = RelayMode::Owner;
                 self.forward(entry.holder, relay);
             }
             Basis::Hunted | Basis::Confirmed => {
@@ -219,6 +230,8 @@
         let flow = relay.packet.flow;
         self.directory
             .set(flow, second, Basis::Hunted, relay.roster, until);
+        let next = Self::candidate_after(&relay, second);
+        self.directory.set_next(&flow, next);
         self.count(Counter::Hunted);
         self.forward_hunt(second, relay);
     }
@@ -238,12 +251,14 @@
 
     /// The current candidate that follows this agent in the route.
     fn next_candidate(&self, relay: &Relay) -> Option<SocketAddrV4> {
+        Self::candidate_after(relay, self.settings.agent)
+    }
+
+    fn candidate_after(relay: &Relay, agent: SocketAddrV4) -> Option<SocketAddrV4> {
         let current = usize::from(relay.current).min(relay.route.len());
         let candidates = &relay.route[..current];
-        let own = candidates
-            .iter()
-            .position(|agent| *agent == self.settings.agent)?;
-        candidates.get(own + 1).copied()
+        let place = candidates.iter().position(|known| *known == agent)?;
+        candidates.get(place + 1).copied()
     }
 
     fn accept(&mut self, now: Time, relay: &Relay) {
@@ -278,7 +293,10 @@
         }
         relay.hop = hop as u8;
         relay.mode = RelayMode::Hunt;
-        relay.roster = relay.roster.max(self.membership.version());
+        // A former owner that follows its note does not decide under its newer roster.
+        if self.owner_of(&relay.packet.flow) == Some(self.settings.agent) {
+            relay.roster = relay.roster.max(self.membership.version());
+        }
         self.forward(to, relay);
     }
 
