One retry budget; the scenario world's store and handover in files of their own

Change: RetryBudget lives in types and admission uses it; its test moved with it and states the limits of the one that is in use (10 saved up, as admission had). carry.rs is split. Conclusion: no change of behaviour.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -19,7 +19,6 @@
 mod policy;
 mod queue;
 mod recent;
-mod retry;
 mod running;
 mod runs;
 mod scheduler;
--- a/crates/admission/src/running.rs
+++ b/crates/admission/src/running.rs
@@ -96,7 +96,7 @@
         };
         self.end_run(now, &job.task, ending);
         self.backoff = Span::ZERO;
-        self.retries.succeed(self.profile.retries);
+        self.retries.on_success(self.profile.retries);
         // A dispatched request is never reported as "not run" through this event.
         let outcome = match outcome {
             Outcome::NotRun { .. } => Outcome::Unknown,
@@ -148,7 +148,7 @@
     }
 
     fn may_retry(&mut self, task: &Task) -> bool {
-        let allowed = task.request.budget.get() > 0 && self.retries.spend();
+        let allowed = task.request.budget.get() > 0 && self.retries.try_retry();
         self.count(if allowed {
             Counter::Retried
         } else {
--- a/crates/admission/src/scheduler.rs
+++ b/crates/admission/src/scheduler.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use usher_types::{Profile, RequestId, RequestKey, Slots, Span, Time, Weight};
+use usher_types::{Profile, RequestId, RequestKey, RetryBudget, Slots, Span, Time, Weight};
 
 use crate::class::Class;
 use crate::estimate::Estimates;
@@ -10,7 +10,6 @@
 use crate::outlook::Outlook;
 use crate::peers::Peers;
 use crate::recent::Recent;
-use crate::retry::RetryBudget;
 use crate::runs::Runs;
 use crate::table::Table;
 use crate::{Action, Counter, Event, Policy};
@@ -73,7 +72,7 @@
             runs: Runs::new(slots),
             estimates: Estimates::default(),
             meter: Meter::default(),
-            retries: RetryBudget::new(),
+            retries: RetryBudget::default(),
             peers: Peers::default(),
             recent: Recent::default(),
             releases: HashMap::new(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,4 +1,4 @@
-//! Routing decisions of the balancer: tables, routes, hints and the retry budget.
+//! Routing decisions of the balancer: tables, routes and hints.
 //!
 //! Tables and routers are immutable; a change builds new ones, and threads share them in an `Arc`.
 
@@ -6,7 +6,6 @@
 mod hint_table;
 mod pool;
 mod quarantine;
-mod retry_budget;
 mod route;
 mod router;
 mod table;
@@ -14,7 +13,6 @@
 pub use forward::{DropReason, Forward};
 pub use hint_table::HintTable;
 pub use quarantine::Quarantine;
-pub use retry_budget::RetryBudget;
 pub use route::Route;
 pub use router::Router;
 pub use table::Table;
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -7,8 +7,8 @@
 
 use assert_matches::assert_matches;
 use common::{agent, flow, host, roster, table};
-use usher_routing::{DropReason, Forward, HintTable, RetryBudget, Router};
-use usher_types::{Body, HostState, Packet, Relay, RelayMode, Roster, Sequence, Share};
+use usher_routing::{DropReason, Forward, HintTable, Router};
+use usher_types::{Body, HostState, Packet, Relay, RelayMode, Roster, Sequence};
 
 const ADDRESS: &str = "192.0.2.1:80";
 
@@ -117,22 +117,3 @@
     hints.forget(&flow(ADDRESS, 0));
     assert_eq!(hints.holder(&flow(ADDRESS, 0)), None);
 }
-
-/// Guards against retries that multiply calls under failure, or that save up for a burst.
-#[test]
-fn retries_stay_within_a_share_of_successes() {
-    let share = Share::new(0.1).unwrap();
-    let mut budget = RetryBudget::new(share);
-    let mut retries = 0;
-    for _ in 0..1_000 {
-        budget.on_success();
-        while budget.try_retry() {
-            retries += 1;
-        }
-    }
-    assert!((102..=103).contains(&retries), "{retries}");
-    for _ in 0..1_000_000 {
-        budget.on_success();
-    }
-    assert_eq!(budget.left(), 100);
-}
--- a/crates/scenario/src/world/carry.rs
+++ b/crates/scenario/src/world/carry.rs
@@ -1,26 +1,20 @@
 use usher_agent::{Event, Settings};
-use usher_config::{Condition, Kind, Object, ObjectKey, Value};
-use usher_members::Proposal;
-use usher_types::{Balancer, Fleet, Incarnation, Packet, Peer, Roster, Span, Time, Version};
+use usher_types::{Incarnation, Packet, Peer, Roster, Span, Version};
 
 use rand::Rng;
 
-use super::{World, roster_key};
+use super::World;
 use crate::agent_node::AgentNode;
 use crate::backend::{Order, Start};
 use crate::balancer_node::BalancerNode;
 use crate::due::{Due, Local, Name, RunResult};
-use crate::effect::{Effect, Parcels, Taken};
+use crate::effect::Effect;
 use crate::machine::{Process, Role};
 use crate::network::between;
 
 const LOOPBACK: Span = Span::from_micros(50);
-const WATCH_RETRY: Span = Span::from_millis(500);
-const JOIN_RETRY: Span = Span::from_millis(300);
-const CALL_TIMEOUT: Span = Span::from_secs(5);
 // Longer than the first read of the store, so that either may come first.
 const PEER_CALL: Span = Span::from_millis(200);
-const CALL_RETRY: Span = Span::from_millis(300);
 
 impl World<'_> {
     /// Starts a new process on a machine.
@@ -251,107 +245,6 @@
         }
     }
 
-    fn is_store_cut(&self, name: &str) -> bool {
-        self.store.down || self.network.is_cut(self.now, name, "store")
-    }
-
-    fn poll(&mut self, name: &str) {
-        let up = !self.is_store_cut(name);
-        let machine = &mut self.machines[name];
-        let now = machine.clock.read(self.now);
-        let Some(process) = &mut machine.process else {
-            return;
-        };
-        process.polling = false;
-        if process.store_up != Some(up) {
-            process.store_up = Some(up);
-            process.role.store(now, up);
-        }
-        if !up {
-            process.polling = true;
-            return self.push_on(WATCH_RETRY, name, Local::Poll);
-        }
-        let after = process.since;
-        let (through, objects) = self.store.since(after, &mut self.rng);
-        process.since = process.since.max(through);
-        self.adopt(name, after, through, objects);
-    }
-
-    fn adopt(&mut self, name: &str, after: Version, through: Version, objects: Vec<Object>) {
-        let machine = &mut self.machines[name];
-        let now = machine.clock.read(self.now);
-        let incarnation = machine.incarnation;
-        if let Some(process) = &mut machine.process {
-            process.role.objects(now, after, through, objects);
-            let known = process.role.known();
-            self.tally.note_objects(name, incarnation, &known);
-        }
-        self.note_revisions();
-    }
-
-    /// Every watch answers after its own delay.
-    pub(super) fn wake_watches(&mut self) {
-        let names: Vec<Name> = self.machines.keys().cloned().collect();
-        for name in names {
-            let (least, greatest) = self.settings.watch;
-            let delay = between(&mut self.rng, least, greatest);
-            if let Some(process) = &mut self.machines[&name].process
-                && !process.polling
-            {
-                process.polling = true;
-                self.push_on(delay, &name, Local::Poll);
-            }
-        }
-    }
-
-    fn join_fleet(&mut self, name: &str) {
-        if self.is_store_cut(name) {
-            return self.push_on(JOIN_RETRY, name, Local::JoinFleet);
-        }
-        let machine = &self.machines[name];
-        let Peer::Instance(instance) = machine.peer() else {
-            return;
-        };
-        let entry = Balancer {
-            incarnation: Incarnation::new(machine.incarnation),
-            control: machine.address,
-            admin: machine.address,
-        };
-        let key = ObjectKey::new(Kind::Fleet, (&machine.centre).into());
-        let current = self.store.get(&key, &mut self.rng);
-        let mut fleet = match current.as_ref().and_then(|object| object.value.clone()) {
-            Some(Value::Fleet(fleet)) => fleet,
-            _ => Fleet::default(),
-        };
-        fleet.balancers.insert(instance, entry);
-        let write = self.write(key, condition(current.as_ref()), Some(fleet.into()));
-        match self.store.put(write, &mut self.rng) {
-            Ok(_) => self.wake_watches(),
-            Err(_) => self.push_on(JOIN_RETRY, name, Local::JoinFleet),
-        }
-    }
-
-    fn read_roster(&mut self, name: &str, proposal: &Proposal, unsettled: Option<&[Version]>) {
-        if self.is_store_cut(name) {
-            return;
-        }
-        let key = roster_key(&proposal.service);
-        let current = self.store.get(&key, &mut self.rng);
-        let mut roster = match current.as_ref().and_then(|object| object.value.clone()) {
-            Some(Value::Roster(roster)) => roster,
-            _ => Roster::default(),
-        };
-        let version = current.as_ref().map(|object| object.version);
-        roster.version = version.unwrap_or_default();
-        let Some(changed) = proposal.succeed(&roster, unsettled) else {
-            return;
-        };
-        let value = Some(Value::Roster(changed.clone()));
-        let write = self.write(key, condition(current.as_ref()), value);
-        let delay = self.network.delay() + self.network.delay();
-        self.push_on(delay, name, Local::WriteRoster(write, changed));
-    }
-
     fn on_backend(&mut self, name: &str, local: Local) {
         let Some(backend) = self.backends.get_mut(name) else {
             return;
@@ -384,77 +277,4 @@
         let takes = takes.scale(self.rng.random_range(0.5..1.5));
         self.push_on(takes, name, Local::EndRun(order));
     }
-
-    fn hand_over(&mut self, name: &str, to: &str, parcels: Parcels) {
-        self.sequence += 1;
-        let call = self.sequence;
-        let incarnation = self.machines[name].incarnation;
-        let entry = (name.to_owned(), incarnation, to.to_owned());
-        self.handovers.insert(call, entry);
-        self.push(CALL_TIMEOUT, Due::TimedOut(call));
-        if !self.network.is_cut(self.now, name, to) {
-            let delay = self.network.delay();
-            self.push_on(delay, to, Local::Handover(call, name.to_owned(), parcels));
-        }
-    }
-
-    fn take_over(&mut self, name: &str, call: u64, from: &str, parcels: Parcels) {
-        let machine = &mut self.machines[name];
-        let now = machine.clock.read(self.now);
-        let taken = machine
-            .agent()
-            .and_then(|agent| agent.take_over(now, parcels));
-        if self.network.is_cut(self.now, name, from) {
-            return;
-        }
-        // A sender that gave up takes no answer.
-        if let Some((sender, incarnation, to)) = self.handovers.remove(&call) {
-            let delay = match taken {
-                Some(_) => self.network.delay(),
-                None => CALL_RETRY,
-            };
-            let local = Local::HandedOver(to, taken);
-            self.push(delay, Due::On(sender, incarnation, local));
-        }
-    }
-
-    fn handed_over(&mut self, name: &str, to: &str, taken: Option<Taken>) {
-        let machine = &mut self.machines[name];
-        let now = machine.clock.read(self.now);
-        let (Some(agent), Ok(host)) = (machine.agent(), to.parse()) else {
-            return;
-        };
-        let event = match taken {
-            Some(Taken::Flows(flows)) => Event::FlowsTaken {
-                to: host,
-                flows: Some(flows),
-            },
-            Some(Taken::Records(roster)) => Event::RecordsTaken { from: host, roster },
-            None => Event::FlowsTaken {
-                to: host,
-                flows: None,
-            },
-        };
-        agent.feed(now, event);
-    }
-
-    pub(super) fn note_revisions(&mut self) {
-        let now: Time = self.now;
-        let live: Vec<(Peer, u64, Version)> = self
-            .machines
-            .values()
-            .filter_map(|machine| {
-                let revision = machine.process.as_ref()?.role.revision()?;
-                Some((machine.peer(), machine.incarnation, revision))
-            })
-            .collect();
-        self.tally.note_revisions(now, &live);
-    }
-}
-
-// A tombstone is replaced on condition of its version, like a value.
-fn condition(current: Option<&Object>) -> Condition {
-    current.map_or(Condition::Absent, |object| {
-        Condition::Version(object.version)
-    })
 }
--- a/crates/scenario/src/world/mod.rs
+++ b/crates/scenario/src/world/mod.rs
@@ -1,7 +1,9 @@
 mod carry;
+mod handover;
 mod inject;
 mod measure;
 mod operate;
+mod watch;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
