A host without its backend server offers no slot

Change: the agent sets its slots to none while there is no connection, so its wait is an hour and requests are offered to other hosts at once.

--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -124,6 +124,10 @@
             }
             Event::Refused(id) => self.scheduler(admission::Event::Refused { id }),
             Event::Lost(id) => self.scheduler(admission::Event::Lost { id }),
+            Event::Slots(slots) => {
+                self.settings.slots = slots;
+                self.scheduler(admission::Event::Slots(slots));
+            }
             Event::Cancel(id) => self.scheduler(admission::Event::Cancel { id }),
             Event::TakeFlows(parcel) => self.flows(flows::Event::Handover(parcel)),
             Event::TakeRecords(parcel) => self.ledger(LedgerEvent::Takeover(parcel)),
--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddrV4;
 
-use usher_types::{FlowId, HostId, Message, Outcome, Request, RequestId, Version};
+use usher_types::{FlowId, HostId, Message, Outcome, Request, RequestId, Slots, Version};
 
 use crate::View;
 
@@ -36,6 +36,8 @@
     Refused(RequestId),
     /// A run may have taken place, but its answer is lost.
     Lost(RequestId),
+    /// The number of slots of the backend server changed; none while it cannot be reached.
+    Slots(Slots),
     /// The caller no longer waits.
     Cancel(RequestId),
     /// Another agent hands over flows; answered by `Action::TookFlows`.
--- a/crates/daemon/tests/processes/deployment.rs
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -131,6 +131,11 @@
         self.launch(&name, "balancer", port, &section);
     }
 
+    /// Stops the backend server that was started as the given one, counted from 1.
+    pub fn stop_backend(&self, number: usize) {
+        self.handles[number - 1].stop().unwrap();
+    }
+
     /// Starts a backend server and its agent.
     pub fn add_host(&mut self, service: &str, number: u16) {
         let backend = self.address(host_port(service, number) + 2);
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Scenarios against the real processes: kill, stop and continue, restart, store down, faulty fabric.
 
 mod answers;
+mod backend_down;
 mod balancers;
 mod datagrams;
 mod deployment;
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -8,7 +8,7 @@
 use usher_agent::{Action, AgentState, Event};
 use usher_burn::Burn;
 use usher_types::{
-    AgentMessage, HostId, Message, Outcome, Payload, RequestId, RequestKey, Span, Time,
+    AgentMessage, HostId, Message, Outcome, Payload, RequestId, RequestKey, Slots, Span, Time,
 };
 use usher_wire::{RunRequest, encode_packet};
 
@@ -248,10 +248,21 @@
             }
             Report::NotStarted { run } => self.end_run(run, Event::Refused),
             Report::Lost { run } => self.end_run(run, Event::Lost),
+            Report::Connected(is_connected) => self.set_slots(is_connected),
             Report::Leaving => self.tell(ControlEvent::Leaving),
         }
     }
 
+    // Without a backend server there is no slot, so requests go to other hosts at once.
+    fn set_slots(&mut self, is_connected: bool) {
+        let slots = if is_connected {
+            self.settings.slots
+        } else {
+            Slots::default()
+        };
+        self.feed(Event::Slots(slots));
+    }
+
     fn end_run(&mut self, run: u64, event: impl FnOnce(RequestId) -> Event) {
         if let Some(id) = self.runs.end(run) {
             self.feed(event(id));
--- a/crates/runtime/src/backend.rs
+++ b/crates/runtime/src/backend.rs
@@ -53,6 +53,8 @@
     NotStarted { run: u64 },
     /// The run may have started; its outcome is lost.
     Lost { run: u64 },
+    /// The connection was made or lost.
+    Connected(bool),
     /// The backend server says that it is leaving.
     Leaving,
 }
@@ -67,12 +69,14 @@
             return;
         };
         event::BACKEND_UP.log(&[("backend", &address)]);
+        report(Report::Connected(true));
         let open = {
             let health = watch_health(Arc::clone(&client), report.clone());
             let commands = forward(&client, &commands, &report);
             commands.race(health).await
         };
         event::BACKEND_DOWN.log(&[("backend", &address)]);
+        report(Report::Connected(false));
         if !open {
             return;
         }
