marigoldusher check reads the settings of a process as well

Cause: settings could be checked only with the daemon. Change: check takes an INI file of a balancer or agent. Conclusion: settings and objects can be checked on an operator's machine.

--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -3,13 +3,14 @@
 use argh::FromArgs;
 use serde_json::json;
 use usher_config::{Cache, check};
+use usher_daemon::Settings;
 
 use crate::document::Document;
 use crate::error::CliError;
 use crate::output::Output;
 use crate::session::change;
 
-/// Checks a file for `apply` without a store.
+/// Checks a file for `apply`, or the settings of a process, without a store.
 #[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
@@ -18,7 +19,7 @@
     note = "The file has to be complete in itself: profiles that its services select have to be in it. `apply` also checks it against the objects in the store."
 )]
 pub(crate) struct Check {
-    /// JSON file with profiles and services
+    /// JSON file with profiles and services, or INI file of a balancer or agent
     #[argh(positional)]
     file: PathBuf,
 
@@ -29,6 +30,9 @@
 
 impl Check {
     pub(crate) fn run(self) -> Result<Output, CliError> {
+        if self.file.extension().is_some_and(|extension| extension == "ini") {
+            return self.settings();
+        }
         let values = Document::read(&self.file)?.into_values();
         let changes = values
             .into_iter()
@@ -39,4 +43,12 @@
             json: json!({ "objects": checked.len(), "faults": [] }),
         })
     }
+
+    fn settings(&self) -> Result<Output, CliError> {
+        Settings::load(&self.file)?;
+        Ok(Output {
+            text: format!("{}: settings are valid\n", self.file.display()),
+            json: json!({ "settings": self.file, "faults": [] }),
+        })
+    }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 use thiserror::Error;
 use usher_config::{ConfigError, ObjectKey, RolloutState};
+use usher_daemon::SettingsError;
 use usher_platform::PlatformError;
 use usher_types::{HostId, InstanceId, Peer, Version};
 
@@ -92,6 +93,10 @@
     #[diagnostic(help("check whether the process runs; nothing was changed"))]
     NoAnswer { peer: Peer, cause: String },
 
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] SettingsError),
+
     #[error(transparent)]
     #[diagnostic(help("check the address of the store and whether it is up"))]
     Platform(#[from] PlatformError),
