--- a/crates/admission/src/arrival.rs
+++ b/crates/admission/src/arrival.rs
@@ -152,15 +152,15 @@
             return None;
         }
         let queue = self.table.queue(task.class);
-        let outlook = self.outlook(now, task.class);
-        let idle = outlook.wait(queue.work()) == Span::ZERO;
+        let forecast = self.forecast(now, task.class);
+        let idle = forecast.wait(queue.work()) == Span::ZERO;
         if idle || !self.policy.refusal {
             return Some(Vec::new());
         }
         if self.policy.shedding {
-            return queue.make_room(now, task, &outlook);
+            return queue.make_room(now, task, &forecast);
         }
-        let wait = outlook.wait(queue.work_before(task.rank));
+        let wait = forecast.wait(queue.work_before(task.rank));
         (wait + task.cost <= task.room(now)).then(Vec::new)
     }
 
--- a/crates/admission/src/claiming.rs
+++ b/crates/admission/src/claiming.rs
@@ -40,12 +40,12 @@
     }
 
     fn claims_due(&mut self, now: Time, class: Class) -> Vec<RequestId> {
-        let outlook = self.outlook(now, class);
+        let forecast = self.forecast(now, class);
         let places = usize::from(self.runs.slots.get()) * CLAIMS_PER_SLOT;
         let mut ahead = Span::ZERO;
         let mut due = Vec::new();
         for (position, waiting) in self.table.queue(class).iter().take(places).enumerate() {
-            let wait = outlook.wait(ahead);
+            let wait = forecast.wait(ahead);
             ahead = ahead + waiting.cost;
             if waiting.readiness != Readiness::Unclaimed {
                 continue;
--- a/crates/admission/src/counter.rs
+++ b/crates/admission/src/counter.rs
@@ -18,7 +18,7 @@
     /// A request was offered to a peer.
     Offered,
     /// A peer took a request.
-    Lent,
+    Delegated,
     /// A peer did not reply to an offer.
     OfferLost,
     /// A peer did not report an outcome in time.
@@ -38,7 +38,7 @@
             Self::RetryDenied => "retry-denied",
             Self::ClaimLapsed => "claim-lapsed",
             Self::Offered => "offered",
-            Self::Lent => "lent",
+            Self::Delegated => "delegated",
             Self::OfferLost => "offer-lost",
             Self::OutcomeLost => "outcome-lost",
             Self::Aged => "aged",
--- a/crates/admission/src/entry.rs
+++ b/crates/admission/src/entry.rs
@@ -1,6 +1,6 @@
 use usher_types::{Span, Time};
 
-use crate::job::{Claimed, Dispatched, Finished, Job, Lent, Offered, Queued, Refusing};
+use crate::job::{Claimed, Delegated, Dispatched, Finished, Job, Offered, Queued, Refusing};
 use crate::queue::{Readiness, Waiting};
 use crate::task::Task;
 
@@ -12,7 +12,7 @@
     Dispatched(Job<Dispatched>),
     Refusing(Job<Refusing>),
     Offered(Job<Offered>),
-    Lent(Job<Lent>),
+    Delegated(Job<Delegated>),
     Finished(Job<Finished>),
 }
 
@@ -27,7 +27,7 @@
             Self::Dispatched(job) => &job.task,
             Self::Refusing(job) => &job.task,
             Self::Offered(job) => &job.task,
-            Self::Lent(job) => &job.task,
+            Self::Delegated(job) => &job.task,
             Self::Finished(job) => &job.task,
         }
     }
@@ -39,7 +39,7 @@
             Self::Dispatched(job) => &mut job.task,
             Self::Refusing(job) => &mut job.task,
             Self::Offered(job) => &mut job.task,
-            Self::Lent(job) => &mut job.task,
+            Self::Delegated(job) => &mut job.task,
             Self::Finished(job) => &mut job.task,
         }
     }
@@ -56,7 +56,7 @@
             Self::Dispatched(job) => job.state.check,
             Self::Refusing(job) => Some(job.task.request.deadline),
             Self::Offered(job) => Some(job.state.resend),
-            Self::Lent(job) => Some(job.task.request.deadline + OUTCOME_GRACE),
+            Self::Delegated(job) => Some(job.task.request.deadline + OUTCOME_GRACE),
             Self::Finished(job) => Some(job.state.resend),
         }
     }
--- a/crates/admission/src/expiry.rs
+++ b/crates/admission/src/expiry.rs
@@ -31,7 +31,7 @@
                 self.finish(now, job, Outcome::Unknown);
             }
             Entry::Offered(job) => self.resend_offer(now, job),
-            Entry::Lent(job) => {
+            Entry::Delegated(job) => {
                 self.count(Counter::OutcomeLost);
                 self.finish(now, job, Outcome::Unknown);
             }
--- a/crates/admission/src/outlook.rs
+++ b/crates/admission/src/forecast.rs
@@ -8,7 +8,7 @@
 /// Queued work is treated as a fluid that fills the slots as they become free, so one slow run
 /// does not make the other slots appear slow.
 #[derive(Debug)]
-pub(crate) struct Outlook {
+pub(crate) struct Forecast {
     /// Remaining running time of each slot, ascending.
     slots: Vec<Span>,
     /// Queued work that goes first in any case.
@@ -17,7 +17,7 @@
     limit: Option<Vec<Span>>,
 }
 
-impl Outlook {
+impl Forecast {
     pub(crate) fn new(slots: Vec<Span>) -> Self {
         Self {
             slots,
--- a/crates/admission/src/job.rs
+++ b/crates/admission/src/job.rs
@@ -51,7 +51,7 @@
 
 /// Taken by a peer that has not reported the outcome.
 #[derive(Debug)]
-pub(crate) struct Lent;
+pub(crate) struct Delegated;
 
 /// Has an outcome that the peer which offered the request has not acknowledged.
 #[derive(Debug)]
@@ -142,8 +142,8 @@
 }
 
 impl Job<Offered> {
-    pub(crate) fn taken(self) -> Job<Lent> {
-        self.with(Lent)
+    pub(crate) fn taken(self) -> Job<Delegated> {
+        self.with(Delegated)
     }
 
     pub(crate) fn declined(self) -> Job<Queued> {
@@ -157,7 +157,7 @@
     }
 }
 
-impl Job<Lent> {
+impl Job<Delegated> {
     /// The peer no longer holds the request.
     pub(crate) fn returned(self) -> Job<Queued> {
         self.with(Queued { claim: None })
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -2,7 +2,7 @@
 
 use usher_types::{Priority, RequestId, Span, Time};
 
-use crate::outlook::Outlook;
+use crate::forecast::Forecast;
 use crate::task::Task;
 
 /// Position in a queue: by deadline, then by arrival.
@@ -81,10 +81,10 @@
         &self,
         now: Time,
         task: &Task,
-        outlook: &Outlook,
+        forecast: &Forecast,
     ) -> Option<Vec<RequestId>> {
         let mut shed = BTreeSet::new();
-        while let Some(missed) = self.first_missed(now, task, outlook, &shed) {
+        while let Some(missed) = self.first_missed(now, task, forecast, &shed) {
             let (rank, _) = self
                 .order
                 .range(..=missed)
@@ -100,19 +100,19 @@
         &self,
         now: Time,
         task: &Task,
-        outlook: &Outlook,
+        forecast: &Forecast,
         shed: &BTreeSet<Rank>,
     ) -> Option<Rank> {
         let kept = |rank: &Rank| !shed.contains(rank);
         let before = self.order.range(..task.rank);
         let mut ahead = sum(before.filter(|(r, _)| kept(r)).map(|(_, w)| w.cost));
-        if outlook.wait(ahead) + task.cost > task.room(now) {
+        if forecast.wait(ahead) + task.cost > task.room(now) {
             return Some(task.rank);
         }
         for (rank, waiting) in self.order.range(task.rank..).filter(|(r, _)| kept(r)) {
             let left = waiting.goal.since(now);
-            let met = outlook.wait(ahead) + waiting.cost <= left;
-            if met && outlook.wait(ahead + task.cost) + waiting.cost > left {
+            let met = forecast.wait(ahead) + waiting.cost <= left;
+            if met && forecast.wait(ahead + task.cost) + waiting.cost > left {
                 return Some(*rank);
             }
             ahead = ahead + waiting.cost;
--- a/crates/admission/src/scheduler.rs
+++ b/crates/admission/src/scheduler.rs
@@ -6,8 +6,8 @@
 
 use crate::class::Class;
 use crate::estimate::Estimates;
+use crate::forecast::Forecast;
 use crate::meter::Meter;
-use crate::outlook::Outlook;
 use crate::peers::Peers;
 use crate::recent::Recent;
 use crate::runs::Runs;
@@ -194,17 +194,17 @@
 
     pub(crate) fn class_wait(&self, now: Time, class: Class) -> Span {
         let work = self.table.queue(class).work();
-        self.outlook(now, class).wait(work)
+        self.forecast(now, class).wait(work)
     }
 
-    pub(crate) fn outlook(&self, now: Time, class: Class) -> Outlook {
-        let outlook = Outlook::new(self.runs.remaining(now));
+    pub(crate) fn forecast(&self, now: Time, class: Class) -> Forecast {
+        let forecast = Forecast::new(self.runs.remaining(now));
         if class == Class::Short {
-            return outlook;
+            return forecast;
         }
         let long = self.runs.remaining_long(now, self.long_limit());
         let short = self.table.queue(Class::Short).work();
-        outlook.behind(short).limited(long)
+        forecast.behind(short).limited(long)
     }
 
     /// Slots that long work may hold.
--- a/crates/admission/src/sharing.rs
+++ b/crates/admission/src/sharing.rs
@@ -41,7 +41,7 @@
     }
 
     fn class_offer(&self, now: Time, class: Class) -> Option<(RequestId, SocketAddrV4)> {
-        let outlook = self.outlook(now, class);
+        let forecast = self.forecast(now, class);
         let queue = self.table.queue(class);
         let mut ahead = queue.work();
         for waiting in queue.iter().rev().take(OFFER_DEPTH) {
@@ -53,7 +53,7 @@
             let Some((peer, wait)) = self.peers.shortest(&task.offers) else {
                 continue;
             };
-            let worth = outlook.wait(ahead) > wait + self.profile.hunt;
+            let worth = forecast.wait(ahead) > wait + self.profile.hunt;
             if worth || self.draining.is_some() {
                 return Some((waiting.id, peer));
             }
@@ -125,8 +125,8 @@
         match self.table.take(&reply.id) {
             Some(Entry::Offered(job)) if job.state.to == from => {
                 if reply.taken {
-                    self.count(Counter::Lent);
-                    self.table.insert(Entry::Lent(job.taken()));
+                    self.count(Counter::Delegated);
+                    self.table.insert(Entry::Delegated(job.taken()));
                 } else {
                     self.place(now, job.declined());
                 }
@@ -144,9 +144,9 @@
         let done = OfferDone { id };
         self.out.push(Action::OfferDone { to: reply, done });
         match self.table.take(&id) {
-            Some(Entry::Lent(job)) => self.end_lent(now, job.returned(), outcome),
+            Some(Entry::Delegated(job)) => self.end_delegated(now, job.returned(), outcome),
             Some(Entry::Offered(job)) if job.state.to == reply => {
-                self.end_lent(now, job.declined(), outcome);
+                self.end_delegated(now, job.declined(), outcome);
             }
             // The offer was given up, but the peer had taken it.
             Some(Entry::Queued(job)) if has_run(&outcome) => {
@@ -164,7 +164,7 @@
     }
 
     /// A peer's "not run" covers its own copy; an earlier attempt is resolved here.
-    fn end_lent(&mut self, now: Time, job: Job<Queued>, outcome: Outcome) {
+    fn end_delegated(&mut self, now: Time, job: Job<Queued>, outcome: Outcome) {
         match outcome {
             Outcome::NotRun { refusal, .. } if job.task.doubt > Doubt::None => {
                 self.refuse(now, job, refusal);
--- a/crates/admission/tests/admission/world/environment.rs
+++ b/crates/admission/tests/admission/world/environment.rs
@@ -130,9 +130,9 @@
         };
         let place = (port, id);
         self.sent.remove(&place);
-        let taken = self.lent.contains(&place) || (taken && !self.declined.contains(&place));
+        let taken = self.delegated.contains(&place) || (taken && !self.declined.contains(&place));
         if taken {
-            self.lent.insert(place);
+            self.delegated.insert(place);
         } else {
             self.declined.insert(place);
         }
@@ -146,7 +146,7 @@
 
     /// A peer ends a request that it took; it needs a grant to run a once request.
     pub(super) fn peer_outcome(&mut self, which: usize, kind: u8) {
-        let Some((port, id)) = pick(which, self.lent.iter().copied()) else {
+        let Some((port, id)) = pick(which, self.delegated.iter().copied()) else {
             return;
         };
         let request = &self.requests[&id];
@@ -161,7 +161,7 @@
             1 => not_run(),
             _ => Outcome::Unknown,
         };
-        self.lent.remove(&(port, id));
+        self.delegated.remove(&(port, id));
         // Copies that are still on their way are declined.
         self.declined.insert((port, id));
         if !barred && !matches!(outcome, Outcome::NotRun { .. }) {
@@ -198,7 +198,7 @@
 
     /// Whether a copy of the request is at a peer, or may yet be taken by one.
     pub(super) fn is_away(&self, id: &RequestId) -> bool {
-        let open = self.sent.difference(&self.declined).chain(&self.lent);
+        let open = self.sent.difference(&self.declined).chain(&self.delegated);
         open.into_iter().any(|(_, away)| away == id)
     }
 }
--- a/crates/admission/tests/admission/world/mod.rs
+++ b/crates/admission/tests/admission/world/mod.rs
@@ -88,7 +88,7 @@
     ran: BTreeSet<RequestKey>,
     /// Offers on their way to a peer, held by it, or declined by it.
     sent: BTreeSet<(u16, RequestId)>,
-    lent: BTreeSet<(u16, RequestId)>,
+    delegated: BTreeSet<(u16, RequestId)>,
     declined: BTreeSet<(u16, RequestId)>,
     offered: Vec<Offer>,
     taken: BTreeMap<RequestId, bool>,
@@ -126,7 +126,7 @@
             running: BTreeMap::new(),
             ran: BTreeSet::new(),
             sent: BTreeSet::new(),
-            lent: BTreeSet::new(),
+            delegated: BTreeSet::new(),
             declined: BTreeSet::new(),
             offered: Vec::new(),
             taken: BTreeMap::new(),
--- a/crates/agent/src/action.rs
+++ b/crates/agent/src/action.rs
@@ -52,14 +52,14 @@
         /// The receiver.
         to: HostId,
         /// The flows.
-        parcel: usher_flows::Parcel,
+        transfer: usher_flows::Transfer,
     },
     /// Hands dedupe records over; answered by `Event::RecordsTaken` or repeated.
     HandOverRecords {
         /// The receiver.
         to: HostId,
         /// The records.
-        parcel: usher_dedupe::Parcel,
+        transfer: usher_dedupe::Transfer,
     },
     /// Flows that were taken over from another agent.
     TookFlows(Vec<FlowId>),
--- a/crates/agent/src/agent_state.rs
+++ b/crates/agent/src/agent_state.rs
@@ -129,8 +129,8 @@
                 self.scheduler(admission::Event::Slots(slots));
             }
             Event::Cancel(id) => self.scheduler(admission::Event::Cancel { id }),
-            Event::TakeFlows(parcel) => self.flows(flows::Event::Handover(parcel)),
-            Event::TakeRecords(parcel) => self.ledger(LedgerEvent::Takeover(parcel)),
+            Event::TakeFlows(transfer) => self.flows(flows::Event::Handover(transfer)),
+            Event::TakeRecords(transfer) => self.ledger(LedgerEvent::Takeover(transfer)),
             Event::FlowsTaken {
                 to,
                 flows: Some(flows),
--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -41,9 +41,9 @@
     /// The caller no longer waits.
     Cancel(RequestId),
     /// Another agent hands over flows; answered by `Action::TookFlows`.
-    TakeFlows(usher_flows::Parcel),
+    TakeFlows(usher_flows::Transfer),
     /// Another agent hands over dedupe records; answered by `Action::TookRecords`.
-    TakeRecords(usher_dedupe::Parcel),
+    TakeRecords(usher_dedupe::Transfer),
     /// A host has taken over flows; `None` when it did not answer.
     FlowsTaken {
         /// The host.
--- a/crates/agent/src/flow_actions.rs
+++ b/crates/agent/src/flow_actions.rs
@@ -35,8 +35,8 @@
             FlowAction::Registered { to, registered } => {
                 self.send(to, AgentMessage::Registered(registered));
             }
-            FlowAction::Handover { host, parcel } => {
-                self.out.push(Action::HandOverFlows { to: host, parcel });
+            FlowAction::Handover { host, transfer } => {
+                self.out.push(Action::HandOverFlows { to: host, transfer });
             }
             FlowAction::TookOver { flows } => self.out.push(Action::TookFlows(flows)),
             FlowAction::Drained => {
--- a/crates/agent/src/key_actions.rs
+++ b/crates/agent/src/key_actions.rs
@@ -54,8 +54,8 @@
             LedgerAction::Completed { to, completed } => {
                 self.send(to, AgentMessage::Completed(completed));
             }
-            LedgerAction::Handover { to, parcel } => {
-                self.out.push(Action::HandOverRecords { to, parcel });
+            LedgerAction::Handover { to, transfer } => {
+                self.out.push(Action::HandOverRecords { to, transfer });
             }
             LedgerAction::Acknowledge { roster, .. } => {
                 self.out.push(Action::TookRecords(roster));
--- a/crates/bench/src/subject/agents.rs
+++ b/crates/bench/src/subject/agents.rs
@@ -79,9 +79,9 @@
 
 /// Content of a handover.
 #[derive(Debug, Clone)]
-pub(super) enum Parcel {
-    Flows(usher_flows::Parcel),
-    Records(usher_dedupe::Parcel),
+pub(super) enum Transfer {
+    Flows(usher_flows::Transfer),
+    Records(usher_dedupe::Transfer),
 }
 
 #[derive(Debug)]
@@ -103,7 +103,7 @@
     View(usize, Arc<Roster>),
     Table(usize, Arc<Roster>),
     Drain(usize),
-    Parcel(usize, usize, Parcel),
+    Transfer(usize, usize, Transfer),
     Reply(usize, Event),
     Exit(usize),
     Join(usize),
@@ -224,7 +224,7 @@
             Step::View(node, roster) => self.view(now, node, roster),
             Step::Table(balancer, roster) => self.table(balancer, &roster),
             Step::Drain(node) => self.drain(now, node),
-            Step::Parcel(to, from, parcel) => self.take_parcel(now, to, from, parcel),
+            Step::Transfer(to, from, transfer) => self.take_transfer(now, to, from, transfer),
             Step::Reply(node, event) => self.feed(now, node, event),
             Step::Exit(node) => self.exit(now, node),
             Step::Join(node) => self.join(now, node),
@@ -289,11 +289,11 @@
                 self.tally.hosts[node].begin();
             }
             Action::CancelRun(id) => self.cancel(now, node, id),
-            Action::HandOverFlows { to, parcel } => {
-                self.hand_over(now, node, &to, Parcel::Flows(parcel));
+            Action::HandOverFlows { to, transfer } => {
+                self.hand_over(now, node, &to, Transfer::Flows(transfer));
             }
-            Action::HandOverRecords { to, parcel } => {
-                self.hand_over(now, node, &to, Parcel::Records(parcel));
+            Action::HandOverRecords { to, transfer } => {
+                self.hand_over(now, node, &to, Transfer::Records(transfer));
             }
             Action::Drained => self.leave(now, node),
             Action::RecordsDrained => self.calendar.add(now + LINGER, Step::Exit(node)),
--- a/crates/bench/src/subject/agents_restart.rs
+++ b/crates/bench/src/subject/agents_restart.rs
@@ -4,7 +4,7 @@
 use usher_types::{HostId, HostState, Incarnation, Span, Time};
 
 use super::Agents;
-use super::agents::{Parcel, Step};
+use super::agents::{Step, Transfer};
 use super::node::{Life, Node};
 
 // From the end of a process to the start of the next one.
@@ -17,19 +17,19 @@
         self.feed(now, node, Event::Drain);
     }
 
-    pub(super) fn hand_over(&mut self, now: Time, node: usize, to: &HostId, parcel: Parcel) {
+    pub(super) fn hand_over(&mut self, now: Time, node: usize, to: &HostId, transfer: Transfer) {
         let receiver = self.nodes.iter().position(|other| other.host == *to);
         if let Some(receiver) = receiver {
-            let step = Step::Parcel(receiver, node, parcel);
+            let step = Step::Transfer(receiver, node, transfer);
             self.calendar.add(now + self.site.inner, step);
         }
     }
 
-    pub(super) fn take_parcel(&mut self, now: Time, to: usize, from: usize, parcel: Parcel) {
-        let is_flows = matches!(parcel, Parcel::Flows(_));
-        let event = match parcel {
-            Parcel::Flows(parcel) => Event::TakeFlows(parcel),
-            Parcel::Records(parcel) => Event::TakeRecords(parcel),
+    pub(super) fn take_transfer(&mut self, now: Time, to: usize, from: usize, transfer: Transfer) {
+        let is_flows = matches!(transfer, Transfer::Flows(_));
+        let event = match transfer {
+            Transfer::Flows(transfer) => Event::TakeFlows(transfer),
+            Transfer::Records(transfer) => Event::TakeRecords(transfer),
         };
         let host = self.nodes[to].host.clone();
         let mut answer = is_flows.then(|| Event::FlowsTaken {
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -30,7 +30,11 @@
 
 impl Check {
     pub(crate) fn run(self) -> Result<Output, CliError> {
-        if self.file.extension().is_some_and(|extension| extension == "ini") {
+        if self
+            .file
+            .extension()
+            .is_some_and(|extension| extension == "ini")
+        {
             return self.settings();
         }
         let values = Document::read(&self.file)?.into_values();
--- a/crates/dedupe/src/action.rs
+++ b/crates/dedupe/src/action.rs
@@ -4,7 +4,7 @@
     Claim, Complete, Completed, HostId, Outcome, RequestKey, Time, Verdict, Version,
 };
 
-use crate::Parcel;
+use crate::Transfer;
 
 /// What a `Ledger` wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,13 +28,13 @@
         /// Host that receives them.
         to: HostId,
         /// The records.
-        parcel: Parcel,
+        transfer: Transfer,
     },
-    /// Acknowledge a parcel to its sender as `TakeoverAcked`.
+    /// Acknowledge a transfer to its sender as `TakeoverAcked`.
     Acknowledge {
         /// Host that sent it.
         to: HostId,
-        /// `roster` of the parcel.
+        /// `roster` of the transfer.
         roster: Version,
     },
     /// The agent has left the roster and every record has been taken over.
--- a/crates/dedupe/src/event.rs
+++ b/crates/dedupe/src/event.rs
@@ -5,7 +5,7 @@
     Verdict, Version,
 };
 
-use crate::Parcel;
+use crate::Transfer;
 
 /// A newly adopted roster with the earlier ones whose owners may still act.
 #[derive(Debug, Clone)]
@@ -40,12 +40,12 @@
     /// An operator confirms that the members of rosters up to this version run no more.
     Confirmed(Version),
     /// Another agent hands over records.
-    Takeover(Parcel),
+    Takeover(Transfer),
     /// An agent has taken over the records sent to it.
     TakeoverAcked {
         /// The agent that has them.
         from: HostId,
-        /// `roster` of the parcel.
+        /// `roster` of the transfer.
         roster: Version,
     },
     /// This agent is about to leave; it owns its keys until a roster without it is adopted.
--- a/crates/dedupe/src/handover.rs
+++ b/crates/dedupe/src/handover.rs
@@ -3,16 +3,16 @@
 
 use crate::action::LedgerAction;
 use crate::limits::{RESEND, RESEND_MAX};
-use crate::parcel::Parcel;
+use crate::transfer::Transfer;
 
 #[derive(Debug)]
 struct Pending {
-    parcel: Parcel,
+    transfer: Transfer,
     due: Time,
     pause: Span,
 }
 
-/// Parcels that have not been acknowledged, by receiving host.
+/// Transfers that have not been acknowledged, by receiving host.
 #[derive(Debug, Default)]
 pub(crate) struct Handovers(IndexMap<HostId, Pending>);
 
@@ -29,15 +29,22 @@
         self.0.keys()
     }
 
-    pub(crate) fn send(&mut self, now: Time, parcel: Parcel) {
-        let host = parcel.to.host.clone();
+    pub(crate) fn send(&mut self, now: Time, transfer: Transfer) {
+        let host = transfer.to.host.clone();
         let due = now;
         let pause = RESEND;
-        self.0.insert(host, Pending { parcel, due, pause });
+        self.0.insert(
+            host,
+            Pending {
+                transfer,
+                due,
+                pause,
+            },
+        );
     }
 
     pub(crate) fn acknowledge(&mut self, host: &HostId, roster: Version) {
-        let sent = self.0.get(host).map(|pending| pending.parcel.roster);
+        let sent = self.0.get(host).map(|pending| pending.transfer.roster);
         if sent == Some(roster) {
             self.0.swap_remove(host);
         }
@@ -47,7 +54,7 @@
         self.0.values().map(|pending| pending.due).min()
     }
 
-    /// Parcels whose first transmission or retransmission is due.
+    /// Transfers whose first transmission or retransmission is due.
     ///
     /// A retransmission repeats times relative to the first one, which makes records live longer
     /// and `since` later: both lean towards refusal.
@@ -58,7 +65,7 @@
             pending.pause = (pending.pause * 2).min(RESEND_MAX);
             LedgerAction::Handover {
                 to: host.clone(),
-                parcel: pending.parcel.clone(),
+                transfer: pending.transfer.clone(),
             }
         })
         .collect()
--- a/crates/dedupe/src/history.rs
+++ b/crates/dedupe/src/history.rs
@@ -7,7 +7,7 @@
 use crate::ledger::Origin;
 use crate::limits::{FOLD_AFTER, LEASE, longer, shorter};
 use crate::ownership::{Agent, activation_quorum, is_member, owner_of};
-use crate::parcel::{Cover, Parcel};
+use crate::transfer::{Cover, Transfer};
 
 /// Whether earlier owners of a key can still grant it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,31 +103,31 @@
         }
     }
 
-    /// Notes what a parcel covers; false when it is ahead of the adopted roster.
-    pub(crate) fn receive(&mut self, now: Time, parcel: &Parcel) -> bool {
-        if parcel.roster > self.version() {
+    /// Notes what a transfer covers; false when it is ahead of the adopted roster.
+    pub(crate) fn receive(&mut self, now: Time, transfer: &Transfer) -> bool {
+        if transfer.roster > self.version() {
             return false;
         }
-        for cover in &parcel.covers {
+        for cover in &transfer.covers {
             if cover.roster > self.folded {
                 self.note_cover(cover);
             }
         }
         // A folded roster counts only in the own floor, which must then stay.
-        for past in &parcel.rosters {
+        for past in &transfer.rosters {
             self.remember(Arc::new(past.to_roster()));
         }
         self.observe(now);
         let known = |past: &PastRoster| self.roster(past.version).is_some();
-        if self.complete && parcel.rosters.iter().all(known) {
-            let floor = parcel.since.map(|span| now - shorter(span));
+        if self.complete && transfer.rosters.iter().all(known) {
+            let floor = transfer.since.map(|span| now - shorter(span));
             self.floor = self.floor.min(floor);
         }
         true
     }
 
-    /// What a parcel to `to` under the current roster may state, without its records.
-    pub(crate) fn parcel(&self, now: Time, to: Agent) -> Parcel {
+    /// What a transfer to `to` under the current roster may state, without its records.
+    pub(crate) fn transfer(&self, now: Time, to: Agent) -> Transfer {
         let step = (self.version(), to.clone());
         let own = self
             .own_rosters()
@@ -146,7 +146,7 @@
             cover
         });
         let covers = own.chain(passed).collect();
-        Parcel {
+        Transfer {
             from: self.agent.clone(),
             to,
             roster: self.version(),
@@ -228,7 +228,7 @@
     }
 
     // A process that skipped rosters does not know when they stopped, only that those missing
-    // from a complete lineage have. A parcel from a member that saw them moves the floor back.
+    // from a complete lineage have. A transfer from a member that saw them moves the floor back.
     fn link(&mut self, now: Time, newly: bool, lineage: &Lineage) {
         let newest = lineage.earlier.iter().map(|roster| roster.version).max();
         let linked = match &self.current {
--- a/crates/dedupe/src/ledger.rs
+++ b/crates/dedupe/src/ledger.rs
@@ -13,9 +13,9 @@
 use crate::history::History;
 use crate::lease::{Lease, Renewal};
 use crate::ownership::{Agent, owner_of};
-use crate::parcel::Parcel;
 use crate::record::State;
 use crate::table::Table;
+use crate::transfer::Transfer;
 
 /// How a process came to its first roster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,7 +88,7 @@
             }
             LedgerEvent::Adopted { host, roster } => self.history.adopted(now, host, roster),
             LedgerEvent::Confirmed(version) => self.history.confirm(now, version),
-            LedgerEvent::Takeover(parcel) => actions.extend(self.take_over(now, parcel)),
+            LedgerEvent::Takeover(transfer) => actions.extend(self.take_over(now, transfer)),
             LedgerEvent::TakeoverAcked { from, roster } => {
                 self.handovers.acknowledge(&from, roster);
             }
@@ -197,9 +197,9 @@
             };
             let records = records.swap_remove(host).unwrap_or_default();
             if to != self.agent && (self.history.may_gain(&to) || !records.is_empty()) {
-                let mut parcel = self.history.parcel(now, to);
-                parcel.records = records;
-                self.handovers.send(now, parcel);
+                let mut transfer = self.history.transfer(now, to);
+                transfer.records = records;
+                self.handovers.send(now, transfer);
             }
         }
     }
@@ -337,17 +337,17 @@
         }
     }
 
-    // A parcel ahead of the adopted roster is not acknowledged, so it comes again.
-    fn take_over(&mut self, now: Time, parcel: Parcel) -> Option<LedgerAction> {
-        if parcel.to != self.agent || !self.history.receive(now, &parcel) {
+    // A transfer ahead of the adopted roster is not acknowledged, so it comes again.
+    fn take_over(&mut self, now: Time, transfer: Transfer) -> Option<LedgerAction> {
+        if transfer.to != self.agent || !self.history.receive(now, &transfer) {
             return None;
         }
-        for (key, record) in parcel.records {
+        for (key, record) in transfer.records {
             self.table.merge(now, key, record);
         }
         Some(LedgerAction::Acknowledge {
-            to: parcel.from.host,
-            roster: parcel.roster,
+            to: transfer.from.host,
+            roster: transfer.roster,
         })
     }
 
--- a/crates/dedupe/src/lib.rs
+++ b/crates/dedupe/src/lib.rs
@@ -36,10 +36,10 @@
 mod ledger;
 mod limits;
 mod ownership;
-mod parcel;
 mod record;
 mod stall;
 mod table;
+mod transfer;
 
 pub use action::{ClaimantAction, Counter, LedgerAction};
 pub use claimant::Claimant;
@@ -48,5 +48,5 @@
 pub use ledger::{Ledger, Origin};
 pub use limits::{LEASE, PACKET_LIFETIME, RETENTION, RUN_LIMIT};
 pub use ownership::{Agent, owner_of};
-pub use parcel::{Cover, Parcel};
 pub use record::{Record, State};
+pub use transfer::{Cover, Transfer};
--- a/crates/dedupe/src/parcel.rs
+++ b/crates/dedupe/src/transfer.rs
@@ -18,14 +18,14 @@
 
 /// Records handed to the agent that owns their keys under a newer roster.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Parcel {
+pub struct Transfer {
     /// The agent that hands over.
     pub from: Agent,
     /// The agent that receives.
     pub to: Agent,
     /// Roster that the sender has adopted and that makes the receiver the owner.
     pub roster: Version,
-    /// Earlier owners whose records are complete in this parcel.
+    /// Earlier owners whose records are complete in this transfer.
     pub covers: Vec<Cover>,
     /// Earlier rosters that the sender still distinguishes; the receiver may have skipped some.
     pub rosters: Vec<PastRoster>,
--- a/crates/dedupe/tests/dedupe/ledger.rs
+++ b/crates/dedupe/tests/dedupe/ledger.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 use usher_dedupe::{
-    Cover, Ledger, LedgerAction, LedgerEvent, Lineage, Origin, Parcel, Record, State, owner_of,
+    Cover, Ledger, LedgerAction, LedgerEvent, Lineage, Origin, Record, State, Transfer, owner_of,
 };
 use usher_types::{
     Attempt, BeatAck, Claim, Complete, Decision, HostId, Outcome, PastRoster, Peer, RequestKey,
@@ -192,7 +192,7 @@
                         },
                     )
                 });
-                LedgerEvent::Takeover(Parcel {
+                LedgerEvent::Takeover(Transfer {
                     from: agent(from),
                     to: to.clone(),
                     roster: version,
@@ -224,8 +224,8 @@
             Decision::NotOwner(version) => format!("not owner {version}"),
         },
         LedgerAction::Completed { .. } => "completed".to_owned(),
-        LedgerAction::Handover { to, parcel } => {
-            format!("handover {to} {} records", parcel.records.len())
+        LedgerAction::Handover { to, transfer } => {
+            format!("handover {to} {} records", transfer.records.len())
         }
         LedgerAction::Acknowledge { to, .. } => format!("acknowledge {to}"),
         LedgerAction::Drained => "drained".to_owned(),
--- a/crates/dedupe/tests/dedupe/world.rs
+++ b/crates/dedupe/tests/dedupe/world.rs
@@ -286,8 +286,8 @@
                     index(to),
                     Task::Claimant(ClaimantEvent::Completed(completed)),
                 ),
-                LedgerAction::Handover { to, parcel } => {
-                    (index_of(&to), Task::Ledger(LedgerEvent::Takeover(parcel)))
+                LedgerAction::Handover { to, transfer } => {
+                    (index_of(&to), Task::Ledger(LedgerEvent::Takeover(transfer)))
                 }
                 LedgerAction::Acknowledge { to, roster } => {
                     let from = host_id(host);
--- a/crates/flows/src/action.rs
+++ b/crates/flows/src/action.rs
@@ -2,7 +2,7 @@
 
 use usher_types::{FlowId, Hint, HostId, Packet, Register, Registered, Relay, RequestId};
 
-use crate::{Counter, Parcel};
+use crate::{Counter, Transfer};
 
 /// Output of the flow table.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -49,7 +49,7 @@
         /// The receiver.
         host: HostId,
         /// The flows.
-        parcel: Parcel,
+        transfer: Transfer,
     },
     /// Answer to the handover that was received.
     TookOver {
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -5,7 +5,7 @@
     FlowId, Generation, HostId, Register, Registered, Relay, RequestId, Roster, Span, Version,
 };
 
-use crate::Parcel;
+use crate::Transfer;
 
 /// Input of the flow table.
 #[derive(Debug, Clone, PartialEq)]
@@ -44,17 +44,17 @@
         registered: Registered,
     },
     /// Another agent hands over flows; answered by `Action::TookOver`.
-    Handover(Parcel),
+    Handover(Transfer),
     /// A host acknowledged the flows of a handover.
     HandedOver {
-        /// Receiver of the parcel.
+        /// Receiver of the transfer.
         to: HostId,
         /// Flows listed in its `TookOver`.
         flows: Vec<FlowId>,
     },
-    /// No acknowledgement came; the receiver may or may not have the parcel.
+    /// No acknowledgement came; the receiver may or may not have the transfer.
     HandoverFailed {
-        /// Receiver of the parcel.
+        /// Receiver of the transfer.
         to: HostId,
     },
     /// A planned stop or drain begins.
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -11,11 +11,11 @@
 mod flow;
 mod inbox;
 mod outbox;
-mod parcel;
 mod ranges;
 mod settings;
 mod table;
 mod timers;
+mod transfer;
 mod transit;
 
 pub use action::Action;
@@ -24,10 +24,10 @@
 pub use event::Event;
 pub use inbox::{Inbox, Receipt};
 pub use outbox::{Outbox, Output};
-pub use parcel::{FlowState, Located, Parcel};
 pub use ranges::Ranges;
 pub use settings::Settings;
 pub use table::{FLOW_BYTES, FlowTable};
+pub use transfer::{FlowState, Located, Transfer};
 
 use usher_types::Span;
 
--- a/crates/flows/src/table/handover.rs
+++ b/crates/flows/src/table/handover.rs
@@ -9,10 +9,10 @@
 use crate::directory::Basis;
 use crate::flow::Held;
 use crate::transit::Transit;
-use crate::{Action, Counter, Parcel};
+use crate::{Action, Counter, Transfer};
 
 const RETRY: Span = Span::from_millis(500);
-// Keeps a parcel of idle flows near 64 KB.
+// Keeps a transfer of idle flows near 64 KB.
 const PARCEL_FLOWS: usize = 256;
 
 impl FlowTable {
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Sends what is queued to hosts that have no parcel under way.
+    /// Sends what is queued to hosts that have no transfer under way.
     pub(super) fn dispatch(&mut self, now: Time) {
         if self.leaving.is_empty() && self.located.is_empty() && self.closed.is_empty() {
             return;
@@ -102,8 +102,8 @@
         }
         for (host, mut transit) in transits {
             // Grows across restarts of the process too.
-            self.parcels = now.as_micros().max(self.parcels + 1);
-            transit.number = self.parcels;
+            self.transfers = now.as_micros().max(self.transfers + 1);
+            transit.number = self.transfers;
             self.start_transit(host, transit);
         }
     }
@@ -150,23 +150,23 @@
                 self.held.insert(*flow, Held::Moving(open.freeze(to)));
             }
         }
-        self.send_parcel(host.clone(), &transit);
+        self.send_transfer(host.clone(), &transit);
         self.transits.insert(host, transit);
     }
 
-    fn send_parcel(&mut self, host: HostId, transit: &Transit) {
+    fn send_transfer(&mut self, host: HostId, transit: &Transit) {
         let state = |flow: &FlowId| match self.held.get(flow) {
             Some(Held::Moving(moving)) => Some(moving.export(*flow)),
             _ => None,
         };
-        let parcel = Parcel {
+        let transfer = Transfer {
             from: self.settings.agent,
             number: transit.number,
             flows: transit.flows.iter().filter_map(state).collect(),
             directory: transit.directory.clone(),
             closed: transit.closed.clone(),
         };
-        self.actions.push(Action::Handover { host, parcel });
+        self.actions.push(Action::Handover { host, transfer });
     }
 
     pub(super) fn handover_failed(&mut self, now: Time, to: &HostId) {
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Repeats parcels to the same hosts: a receiver may hold the flows although no
+    /// Repeats transfers to the same hosts: a receiver may hold the flows although no
     /// acknowledgement came, so no other agent may get them.
     pub(super) fn retry_transits(&mut self, now: Time) {
         let due = |transit: &Transit| transit.retry.is_some_and(|retry| retry <= now);
@@ -189,7 +189,7 @@
         for host in hosts {
             if let Some(mut transit) = self.transits.swap_remove(&host) {
                 transit.retry = None;
-                self.send_parcel(host.clone(), &transit);
+                self.send_transfer(host.clone(), &transit);
                 self.transits.insert(host, transit);
             }
         }
@@ -242,7 +242,7 @@
         }
     }
 
-    /// Serves the flows of a parcel here again because its receiver has left.
+    /// Serves the flows of a transfer here again because its receiver has left.
     fn cancel_transit(&mut self, host: &HostId) {
         let Some(transit) = self.transits.swap_remove(host) else {
             return;
--- a/crates/flows/src/table/takeover.rs
+++ b/crates/flows/src/table/takeover.rs
@@ -5,33 +5,33 @@
 use super::{FlowTable, SWEEPS_PER_IDLE};
 use crate::directory::Basis;
 use crate::flow::{Flow, Held};
-use crate::{Action, Counter, FlowState, Located, Parcel};
+use crate::{Action, Counter, FlowState, Located, Transfer};
 
 const PASS_ON: Span = Span::from_millis(500);
 
 impl FlowTable {
     /// Takes over the flows and tombstones of another agent and lists those it need not keep.
-    pub(super) fn take_over(&mut self, now: Time, parcel: Parcel) {
-        let from = parcel.from;
-        // A repeated parcel must not bring back flows that have moved on since.
+    pub(super) fn take_over(&mut self, now: Time, transfer: Transfer) {
+        let from = transfer.from;
+        // A repeated transfer must not bring back flows that have moved on since.
         if let Some((number, flows)) = self.taken.get(&from)
-            && *number == parcel.number
+            && *number == transfer.number
         {
             let flows = flows.clone();
             return self.actions.push(Action::TookOver { flows });
         }
-        let mut flows = Vec::with_capacity(parcel.flows.len());
-        for state in parcel.flows {
+        let mut flows = Vec::with_capacity(transfer.flows.len());
+        for state in transfer.flows {
             let flow = state.flow;
             // A drained agent may exit at any time.
             if !self.drained && self.take_flow(now, from, state) {
                 flows.push(flow);
             }
         }
-        for located in parcel.directory {
+        for located in transfer.directory {
             self.take_located(now, located);
         }
-        for flow in parcel.closed {
+        for flow in transfer.closed {
             if !self.held.contains_key(&flow) {
                 self.bury(now, flow, Flow::new(now).close());
             }
@@ -40,7 +40,7 @@
                 flows.push(flow);
             }
         }
-        self.taken.insert(from, (parcel.number, flows.clone()));
+        self.taken.insert(from, (transfer.number, flows.clone()));
         self.actions.push(Action::TookOver { flows });
     }
 
@@ -67,7 +67,7 @@
     }
 
     fn adopt_flow(&mut self, now: Time, from: SocketAddrV4, flow: FlowId) {
-        // A repeated parcel may come after this agent has passed the flow on.
+        // A repeated transfer may come after this agent has passed the flow on.
         if let Some(entry) = self.directory.find(now, &flow)
             && entry.basis == Basis::Confirmed
             && entry.holder != from
--- a/crates/flows/src/parcel.rs
+++ b/crates/flows/src/transfer.rs
@@ -31,10 +31,10 @@
 
 /// Flows and directory entries that one agent hands to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Parcel {
+pub struct Transfer {
     /// Address of the sending agent.
     pub from: SocketAddrV4,
-    /// Number of the parcel; a repeated one has the same number.
+    /// Number of the transfer; a repeated one has the same number.
     pub number: u64,
     /// Flows; the receiver holds them from now on.
     pub flows: Vec<FlowState>,
--- a/crates/flows/src/transit.rs
+++ b/crates/flows/src/transit.rs
@@ -2,7 +2,7 @@
 
 use crate::Located;
 
-/// A parcel that its receiver has not acknowledged.
+/// A transfer that its receiver has not acknowledged.
 #[derive(Debug, Default)]
 pub(crate) struct Transit {
     pub(crate) number: u64,
--- a/crates/flows/tests/net/mod.rs
+++ b/crates/flows/tests/net/mod.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
-use usher_flows::{Action, Counter, Event, FlowTable, Inbox, Outbox, Parcel, Receipt, Settings};
+use usher_flows::{Action, Counter, Event, FlowTable, Inbox, Outbox, Receipt, Settings, Transfer};
 use usher_placement::{bucket_of, rank};
 use usher_types::{
     Body, Buckets, FlowId, Generation, HostId, HostState, Incarnation, Member, MessageId, Packet,
@@ -23,7 +23,7 @@
     Caller(Packet),
     Register(usize, SocketAddrV4, Register),
     Registered(usize, SocketAddrV4, Registered),
-    Handover(usize, HostId, usize, Parcel),
+    Handover(usize, HostId, usize, Transfer),
     TookOver(usize, HostId, Vec<FlowId>),
     Failed(usize, HostId),
 }
@@ -156,8 +156,8 @@
             return;
         };
         let mut receiver = None;
-        if let Event::Handover(parcel) = &event {
-            receiver = Some(index_of(parcel.from));
+        if let Event::Handover(transfer) = &event {
+            receiver = Some(index_of(transfer.from));
         }
         for action in table.handle(now, event) {
             match action {
@@ -183,11 +183,11 @@
                         registered,
                     ));
                 }
-                Action::Handover { host, parcel } => {
+                Action::Handover { host, transfer } => {
                     let name = host.as_str();
                     let to = name[1..].parse().unwrap();
                     self.wire
-                        .push_back(Message::Handover(to, host, index, parcel));
+                        .push_back(Message::Handover(to, host, index, transfer));
                 }
                 Action::TookOver { flows } => {
                     let to = receiver.expect("only a handover is answered");
@@ -303,11 +303,11 @@
             Message::Registered(to, from, registered) => {
                 self.event(to, Event::Registered { from, registered });
             }
-            Message::Handover(to, host, from, parcel) => {
+            Message::Handover(to, host, from, transfer) => {
                 if self.tables[to].is_none() {
                     return self.event(from, Event::HandoverFailed { to: host });
                 }
-                self.event(to, Event::Handover(parcel));
+                self.event(to, Event::Handover(transfer));
             }
             Message::TookOver(to, host, flows) => {
                 self.event(to, Event::HandedOver { to: host, flows });
--- a/crates/members/src/fleet_watch.rs
+++ b/crates/members/src/fleet_watch.rs
@@ -4,7 +4,7 @@
 use usher_types::{Beat, DataCentre, Fleet, Incarnation, InstanceId, Peer, Time};
 
 use crate::balancers::Balancers;
-use crate::sighting::{REPORTERS, Sighting};
+use crate::liveness::{Liveness, REPORTERS};
 use crate::watch::{REMOVAL, REMOVAL_RETRY};
 use crate::{FleetProposal, Identity};
 
@@ -12,7 +12,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetWatch {
     fleet: Arc<Fleet>,
-    sightings: IndexMap<InstanceId, Sighting>,
+    liveness: IndexMap<InstanceId, Liveness>,
     distrusted: bool,
     next_removal: Time,
 }
@@ -28,19 +28,19 @@
     ) {
         let earlier = std::mem::replace(&mut self.fleet, fleet);
         let fleet = Arc::clone(&self.fleet);
-        self.sightings
+        self.liveness
             .retain(|name, _| fleet.balancers.contains_key(name));
         for (name, entry) in fleet.balancers.iter().filter(|(name, _)| *name != own) {
             let hearers = balancers.hearers(centre, name);
             let observed = hearers.iter().any(|hearer| hearer == own);
-            let sighting = self
-                .sightings
+            let liveness = self
+                .liveness
                 .entry(name.clone())
-                .or_insert_with(|| Sighting::new(now, observed));
-            sighting.observe(now, observed);
+                .or_insert_with(|| Liveness::new(now, observed));
+            liveness.observe(now, observed);
             let known = earlier.balancers.get(name);
             if known.is_some_and(|known| known.incarnation < entry.incarnation) {
-                sighting.renew(now);
+                liveness.renew(now);
             }
         }
         self.next_removal = now;
@@ -52,54 +52,54 @@
         if listed.is_none_or(|listed| listed.incarnation > beat.incarnation) {
             return;
         }
-        if let Some(sighting) = self.sightings.get_mut(from) {
-            sighting.on_beat(now, beat);
+        if let Some(liveness) = self.liveness.get_mut(from) {
+            liveness.on_beat(now, beat);
         }
         for suspect in &beat.suspects {
             if let Peer::Instance(name) = suspect
-                && let Some(sighting) = self.sightings.get_mut(name)
+                && let Some(liveness) = self.liveness.get_mut(name)
             {
-                sighting.on_report(now, &beat.from);
+                liveness.on_report(now, &beat.from);
             }
         }
     }
 
     pub(crate) fn alive_at(&mut self, name: &InstanceId, time: Time) {
-        if let Some(sighting) = self.sightings.get_mut(name) {
-            sighting.alive_at(time);
+        if let Some(liveness) = self.liveness.get_mut(name) {
+            liveness.alive_at(time);
         }
     }
 
     /// Treats all balancers as heard now; used after this process was paused.
     pub(crate) fn excuse(&mut self, now: Time) {
-        for sighting in self.sightings.values_mut() {
-            sighting.alive_at(now);
+        for liveness in self.liveness.values_mut() {
+            liveness.alive_at(now);
         }
     }
 
     /// Re-evaluates all balancers.
     pub(crate) fn update(&mut self, now: Time) {
         let dead = self
-            .sightings
+            .liveness
             .values()
-            .filter(|sighting| sighting.looks_dead(now))
+            .filter(|liveness| liveness.looks_dead(now))
             .count();
         self.distrusted = dead * 2 > self.fleet.balancers.len();
         // Of two balancers only one is left to report.
-        let reporters = REPORTERS.min(self.sightings.len());
-        for sighting in self.sightings.values_mut() {
-            sighting.update(now, !self.distrusted, reporters);
+        let reporters = REPORTERS.min(self.liveness.len());
+        for liveness in self.liveness.values_mut() {
+            liveness.update(now, !self.distrusted, reporters);
         }
     }
 
     /// Balancers that this one reports as silent; a distrusted view reports nothing new.
     pub(crate) fn silent(&self, now: Time) -> impl Iterator<Item = &InstanceId> {
-        let reported = move |sighting: &Sighting| {
-            sighting.is_silent(now) && (!self.distrusted || sighting.is_suspected())
+        let reported = move |liveness: &Liveness| {
+            liveness.is_silent(now) && (!self.distrusted || liveness.is_suspected())
         };
-        self.sightings
+        self.liveness
             .iter()
-            .filter(move |(_, sighting)| reported(sighting))
+            .filter(move |(_, liveness)| reported(liveness))
             .map(|(name, _)| name)
     }
 
@@ -116,9 +116,9 @@
             return None;
         }
         let due: Vec<(InstanceId, Incarnation)> = self
-            .sightings
+            .liveness
             .iter()
-            .filter_map(|(name, sighting)| Some((name, sighting.suspected_since()?)))
+            .filter_map(|(name, liveness)| Some((name, liveness.suspected_since()?)))
             .filter(|(name, since)| {
                 let turn = self.turn(instance, &balancers.hearers(centre, name));
                 turn.is_some_and(|turn| now.since(*since) >= REMOVAL + REMOVAL_RETRY * turn)
@@ -143,8 +143,8 @@
     /// Each later one waits longer, in case the first cannot reach the store.
     fn turn(&self, own: &InstanceId, hearers: &[InstanceId]) -> Option<u64> {
         let is_live = |name: &&InstanceId| {
-            let sighting = self.sightings.get(*name);
-            sighting.is_none_or(|sighting| !sighting.is_suspected())
+            let liveness = self.liveness.get(*name);
+            liveness.is_none_or(|liveness| !liveness.is_suspected())
         };
         let place = hearers
             .iter()
--- a/crates/members/src/heartbeats.rs
+++ b/crates/members/src/heartbeats.rs
@@ -9,7 +9,7 @@
 /// Reported hosts and balancers per heartbeat, which bounds its size.
 const MAX_SUSPECTS: usize = 32;
 /// Members of a service that a balancer tells of a silent one.
-const TOLD: usize = 16;
+const MAX_NOTIFIED: usize = 16;
 
 impl Membership {
     pub(crate) fn beats(&self, now: Time) -> Vec<Action> {
@@ -33,11 +33,14 @@
                 let silent = self.services.iter().flat_map(|watch| watch.silent(now));
                 let silent = balancers.chain(hosts(silent));
                 let to = self.fleet_targets(now, instance, centre);
-                let told = self
+                let notified = self
                     .services
                     .iter()
-                    .filter_map(|watch| self.tell(now, watch));
-                self.beat(now, to, silent).into_iter().chain(told).collect()
+                    .filter_map(|watch| self.notify_members(now, watch));
+                self.beat(now, to, silent)
+                    .into_iter()
+                    .chain(notified)
+                    .collect()
             }
         }
     }
@@ -93,13 +96,16 @@
     }
 
     /// A balancer's report to live members, which in small services lack a second reporter.
-    fn tell(&self, now: Time, watch: &Watch) -> Option<Action> {
+    fn notify_members(&self, now: Time, watch: &Watch) -> Option<Action> {
         watch.silent(now).next()?;
         let members = &watch.roster().members;
-        let told = watch.live().filter_map(|host| members.get(host)).take(TOLD);
+        let notified = watch
+            .live()
+            .filter_map(|host| members.get(host))
+            .take(MAX_NOTIFIED);
         self.beat(
             now,
-            told.map(|member| member.agent).collect(),
+            notified.map(|member| member.agent).collect(),
             hosts(watch.silent(now)),
         )
     }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -12,11 +12,11 @@
 mod host;
 mod host_life;
 mod identity;
+mod liveness;
 mod membership;
 mod own_host;
 mod proposal;
 mod services;
-mod sighting;
 mod status;
 mod watch;
 
--- a/crates/members/src/sighting.rs
+++ b/crates/members/src/liveness.rs
@@ -12,7 +12,7 @@
 
 /// What this process knows about the life of one member.
 #[derive(Debug)]
-pub(crate) struct Sighting {
+pub(crate) struct Liveness {
     observed: bool,
     heard: Time,
     latest: (Incarnation, Time),
@@ -29,7 +29,7 @@
     Returning { until: Time },
 }
 
-impl Sighting {
+impl Liveness {
     /// A member that was just listed; it counts as heard now.
     pub(crate) fn new(now: Time, observed: bool) -> Self {
         Self {
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -10,9 +10,9 @@
 
 use crate::balancers::Balancers;
 use crate::fleet_watch::{FleetWatch, balancer};
+use crate::liveness::SILENCE;
 use crate::own_host::OwnHost;
 use crate::services::Services;
-use crate::sighting::SILENCE;
 use crate::watch::Watch;
 use crate::{Action, Change, Event, HostLife, Identity, Proposal, Status};
 
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -5,7 +5,7 @@
 use usher_types::{Beat, HostId, Incarnation, Peer, Roster, Span, Time, Weight};
 
 use crate::balancers::Balancers;
-use crate::sighting::{REPORTERS, Sighting};
+use crate::liveness::{Liveness, REPORTERS};
 use crate::{Change, Identity};
 
 /// Suspicion after which a member is removed from the roster.
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct Watch {
     roster: Arc<Roster>,
-    sightings: IndexMap<HostId, Sighting>,
+    liveness: IndexMap<HostId, Liveness>,
     distrusted: bool,
     next_removal: Time,
 }
@@ -26,7 +26,7 @@
     pub(crate) fn new() -> Self {
         Self {
             roster: Arc::default(),
-            sightings: IndexMap::new(),
+            liveness: IndexMap::new(),
             distrusted: false,
             next_removal: Time::ZERO,
         }
@@ -46,21 +46,21 @@
     ) {
         let earlier = std::mem::replace(&mut self.roster, roster);
         let roster = Arc::clone(&self.roster);
-        self.sightings
+        self.liveness
             .retain(|host, _| roster.members.contains_key(host));
         for (host, member) in &roster.members {
             if Some(host) == identity.host() {
                 continue;
             }
             let observed = balancers.hears(identity, &member.centre, host);
-            let sighting = self
-                .sightings
+            let liveness = self
+                .liveness
                 .entry(host.clone())
-                .or_insert_with(|| Sighting::new(now, observed));
-            sighting.observe(now, observed);
+                .or_insert_with(|| Liveness::new(now, observed));
+            liveness.observe(now, observed);
             let known = earlier.members.get(host);
             if known.is_some_and(|known| known.incarnation < member.incarnation) {
-                sighting.renew(now);
+                liveness.renew(now);
             }
         }
         self.next_removal = now;
@@ -70,45 +70,45 @@
     pub(crate) fn on_beat(&mut self, now: Time, host: &HostId, beat: &Beat) -> bool {
         let listed = self.roster.members.get(host);
         let current = listed.is_some_and(|member| member.incarnation <= beat.incarnation);
-        let sighting = self.sightings.get_mut(host).filter(|_| current);
-        sighting.is_some_and(|sighting| sighting.on_beat(now, beat))
+        let liveness = self.liveness.get_mut(host).filter(|_| current);
+        liveness.is_some_and(|liveness| liveness.on_beat(now, beat))
     }
 
     pub(crate) fn alive_at(&mut self, host: &HostId, time: Time) {
-        if let Some(sighting) = self.sightings.get_mut(host) {
-            sighting.alive_at(time);
+        if let Some(liveness) = self.liveness.get_mut(host) {
+            liveness.alive_at(time);
         }
     }
 
     /// Counts that another process no longer hears a member.
     pub(crate) fn on_report(&mut self, now: Time, from: &Peer, suspect: &HostId) {
-        if let Some(sighting) = self.sightings.get_mut(suspect) {
-            sighting.on_report(now, from);
+        if let Some(liveness) = self.liveness.get_mut(suspect) {
+            liveness.on_report(now, from);
         }
     }
 
     /// Treats all members as heard now; used after this process was paused.
     pub(crate) fn excuse(&mut self, now: Time) {
-        for sighting in self.sightings.values_mut() {
-            sighting.alive_at(now);
+        for liveness in self.liveness.values_mut() {
+            liveness.alive_at(now);
         }
     }
 
     /// Re-evaluates all members; returns whether suspicion or trust changed.
     pub(crate) fn update(&mut self, now: Time) -> (bool, bool) {
         let dead = self
-            .sightings
+            .liveness
             .values()
-            .filter(|sighting| sighting.looks_dead(now))
+            .filter(|liveness| liveness.looks_dead(now))
             .count();
         let distrusted = dead * 2 > self.roster.members.len();
         let trust_changed = distrusted != self.distrusted;
         self.distrusted = distrusted;
         let mut suspicion_changed = false;
-        for sighting in self.sightings.values_mut() {
-            let before = sighting.is_suspected();
-            sighting.update(now, !distrusted, REPORTERS);
-            suspicion_changed |= sighting.is_suspected() != before;
+        for liveness in self.liveness.values_mut() {
+            let before = liveness.is_suspected();
+            liveness.update(now, !distrusted, REPORTERS);
+            suspicion_changed |= liveness.is_suspected() != before;
         }
         (suspicion_changed, trust_changed)
     }
@@ -118,26 +118,26 @@
     }
 
     pub(crate) fn suspected(&self) -> Vec<HostId> {
-        let suspected = self.sightings.iter().filter(|(_, s)| s.is_suspected());
+        let suspected = self.liveness.iter().filter(|(_, s)| s.is_suspected());
         suspected.map(|(host, _)| host.clone()).collect()
     }
 
     /// Members that this process reports as silent; a distrusted view reports nothing new.
     pub(crate) fn silent(&self, now: Time) -> impl Iterator<Item = &HostId> {
-        let reported = move |sighting: &Sighting| {
-            sighting.is_silent(now) && (!self.distrusted || sighting.is_suspected())
+        let reported = move |liveness: &Liveness| {
+            liveness.is_silent(now) && (!self.distrusted || liveness.is_suspected())
         };
-        self.sightings
+        self.liveness
             .iter()
-            .filter(move |(_, sighting)| reported(sighting))
+            .filter(move |(_, liveness)| reported(liveness))
             .map(|(host, _)| host)
     }
 
     /// Members that are not suspected, without this process's own host.
     pub(crate) fn live(&self) -> impl Iterator<Item = &HostId> {
-        self.sightings
+        self.liveness
             .iter()
-            .filter(|(_, sighting)| !sighting.is_suspected())
+            .filter(|(_, liveness)| !liveness.is_suspected())
             .map(|(host, _)| host)
     }
 
@@ -160,14 +160,14 @@
     }
 
     fn overdue(&self, now: Time) -> Vec<(HostId, Incarnation)> {
-        let due = |sighting: &Sighting| {
-            sighting
+        let due = |liveness: &Liveness| {
+            liveness
                 .suspected_since()
                 .is_some_and(|since| now.since(since) >= REMOVAL)
         };
-        self.sightings
+        self.liveness
             .iter()
-            .filter(|(_, sighting)| due(sighting))
+            .filter(|(_, liveness)| due(liveness))
             .filter_map(|(host, _)| {
                 Some((host.clone(), self.roster.members.get(host)?.incarnation))
             })
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -317,12 +317,12 @@
                 self.begin_drain(false);
                 let _ = reply.try_send(true);
             }
-            Call::Parcel(parcels, reply) => {
+            Call::Transfer(request, reply) => {
                 let own = self.core.state.service(&self.settings.service);
                 let is_current =
-                    own.is_some_and(|entry| parcels.generation >= entry.service.generation);
-                if parcels.service == self.settings.service && is_current {
-                    let content = parcels.content;
+                    own.is_some_and(|entry| request.generation >= entry.service.generation);
+                if request.service == self.settings.service && is_current {
+                    let content = request.content;
                     let _ = self.worker.send(WorkerEvent::Handover { content, reply });
                 } else {
                     let _ = reply.try_send(None);
--- a/crates/runtime/src/agent/handover.rs
+++ b/crates/runtime/src/agent/handover.rs
@@ -11,7 +11,7 @@
 use usher_types::HostId;
 
 use super::worker_event::WorkerEvent;
-use crate::control::Parcels;
+use crate::control::HandoverRequest;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const RETRY: Duration = Duration::from_millis(300);
@@ -21,11 +21,11 @@
 pub(crate) fn send_flows(
     host: HostId,
     admin: SocketAddrV4,
-    parcels: Parcels,
+    request: HandoverRequest,
     reports: mpsc::Sender<WorkerEvent>,
 ) {
     task::spawn(async move {
-        let flows = call(admin, &parcels).await.ok();
+        let flows = call(admin, &request).await.ok();
         if flows.is_none() {
             task::sleep(RETRY).await;
         }
@@ -38,28 +38,28 @@
 pub(crate) fn send_records(
     host: HostId,
     admin: SocketAddrV4,
-    parcels: Parcels,
+    request: HandoverRequest,
     reports: mpsc::Sender<WorkerEvent>,
 ) {
     task::spawn(async move {
-        if let Ok(roster) = call(admin, &parcels).await {
+        if let Ok(roster) = call(admin, &request).await {
             let _ = reports.send(WorkerEvent::RecordsTaken { from: host, roster });
         }
     });
 }
 
 /// Sends a message that is too large for a datagram; its sender repeats what gets no answer.
-pub(crate) fn send_message(admin: SocketAddrV4, parcels: Parcels) {
-    task::spawn(async move { call::<bool>(admin, &parcels).await });
+pub(crate) fn send_message(admin: SocketAddrV4, request: HandoverRequest) {
+    task::spawn(async move { call::<bool>(admin, &request).await });
 }
 
 async fn call<T: DeserializeOwned>(
     admin: SocketAddrV4,
-    parcels: &Parcels,
+    request: &HandoverRequest,
 ) -> Result<T, ClientError> {
     let client = HttpClientBuilder::default()
         .request_timeout(TIMEOUT)
         .max_request_size(MAX_BODY_BYTES)
         .build(format!("http://{admin}"))?;
-    client.request("handover", rpc_params![parcels]).await
+    client.request("handover", rpc_params![request]).await
 }
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -19,7 +19,7 @@
 use super::{deliver, handover};
 use crate::backend::{Command, Report};
 use crate::clock::now;
-use crate::control::{Content, ControlEvent, Parcels};
+use crate::control::{Content, ControlEvent, HandoverRequest};
 use crate::metrics::Metrics;
 use crate::{AgentSettings, event, metric, socket};
 
@@ -157,13 +157,13 @@
                     self.command(Command::Cancel(run));
                 }
             }
-            Action::HandOverFlows { to, parcel } => self.hand_over_flows(to, parcel),
-            Action::HandOverRecords { to, parcel } => self.hand_over_records(to, parcel),
+            Action::HandOverFlows { to, transfer } => self.hand_over_flows(to, transfer),
+            Action::HandOverRecords { to, transfer } => self.hand_over_records(to, transfer),
             // Collected by `take_over`.
             Action::TookFlows(_) | Action::TookRecords(_) => {}
-            Action::InForce(revision) => self.tell(ControlEvent::InForce(revision)),
-            Action::Drained => self.tell(ControlEvent::Drained),
-            Action::RecordsDrained => self.tell(ControlEvent::RecordsDrained),
+            Action::InForce(revision) => self.notify_control(ControlEvent::InForce(revision)),
+            Action::Drained => self.notify_control(ControlEvent::Drained),
+            Action::RecordsDrained => self.notify_control(ControlEvent::RecordsDrained),
             Action::Count { part, name } => self.counts.add(part, name),
         }
     }
@@ -180,9 +180,9 @@
         let from = self.settings.listen;
         let content = Content::Message { from, message };
         if let Some((host, _)) = receiver
-            && let Some((admin, parcels)) = self.parcels(host, content)
+            && let Some((admin, request)) = self.request(host, content)
         {
-            handover::send_message(admin, parcels);
+            handover::send_message(admin, request);
         }
     }
 
@@ -249,7 +249,7 @@
             Report::NotStarted { run } => self.end_run(run, Event::Refused),
             Report::Lost { run } => self.end_run(run, Event::Lost),
             Report::Connected(is_connected) => self.set_slots(is_connected),
-            Report::Leaving => self.tell(ControlEvent::Leaving),
+            Report::Leaving => self.notify_control(ControlEvent::Leaving),
         }
     }
 
@@ -271,8 +271,8 @@
 
     fn take_over(&mut self, content: Content) -> Option<Value> {
         let event = match content {
-            Content::Flows(parcel) => Event::TakeFlows(parcel),
-            Content::Records(parcel) => Event::TakeRecords(parcel),
+            Content::Flows(transfer) => Event::TakeFlows(transfer),
+            Content::Records(transfer) => Event::TakeRecords(transfer),
             Content::Message { from, message } => {
                 self.feed(Event::Message { from, message });
                 return Some(json!(true));
@@ -290,10 +290,10 @@
         answer
     }
 
-    fn hand_over_flows(&self, host: HostId, parcel: usher_flows::Parcel) {
+    fn hand_over_flows(&self, host: HostId, transfer: usher_flows::Transfer) {
         let own = self.links.own.clone();
-        match self.parcels(&host, Content::Flows(parcel)) {
-            Some((admin, parcels)) => handover::send_flows(host, admin, parcels, own),
+        match self.request(&host, Content::Flows(transfer)) {
+            Some((admin, request)) => handover::send_flows(host, admin, request, own),
             // The roster no longer lists the receiver; the flow table picks another one.
             None => {
                 let _ = own.send(WorkerEvent::FlowsTaken {
@@ -304,20 +304,20 @@
         }
     }
 
-    fn hand_over_records(&self, host: HostId, parcel: usher_dedupe::Parcel) {
+    fn hand_over_records(&self, host: HostId, transfer: usher_dedupe::Transfer) {
         let own = self.links.own.clone();
-        if let Some((admin, parcels)) = self.parcels(&host, Content::Records(parcel)) {
-            handover::send_records(host, admin, parcels, own);
+        if let Some((admin, request)) = self.request(&host, Content::Records(transfer)) {
+            handover::send_records(host, admin, request, own);
         }
     }
 
-    fn parcels(&self, host: &HostId, content: Content) -> Option<(SocketAddrV4, Parcels)> {
+    fn request(&self, host: &HostId, content: Content) -> Option<(SocketAddrV4, HandoverRequest)> {
         let view = self.agent.view()?;
         let admin = view.roster.members.get(host)?.admin;
         let service = self.settings.service.clone();
         Some((
             admin,
-            Parcels {
+            HandoverRequest {
                 service,
                 generation: view.generation,
                 content,
@@ -340,7 +340,7 @@
         self.links
             .metrics
             .gauge(&metric::RECORDS, summary.records as u64);
-        self.tell(ControlEvent::Load {
+        self.notify_control(ControlEvent::Load {
             wait: summary.wait,
             weight: summary.weight,
             unsettled: summary.unsettled,
@@ -372,7 +372,7 @@
         }
     }
 
-    fn tell(&self, event: ControlEvent) {
+    fn notify_control(&self, event: ControlEvent) {
         // The process is ending when the control thread has gone.
         let _ = self.links.events.try_send(event);
     }
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -304,7 +304,7 @@
             Call::Drain(reply) => {
                 let _ = reply.try_send(false);
             }
-            Call::Parcel(_, reply) => {
+            Call::Transfer(_, reply) => {
                 let _ = reply.try_send(None);
             }
         }
--- a/crates/runtime/src/control/call.rs
+++ b/crates/runtime/src/control/call.rs
@@ -27,7 +27,7 @@
     /// Begins a drain; the process goes on running.
     Drain(Sender<bool>),
     /// State of another agent, to be taken over by this one.
-    Parcel(Parcels, Sender<Option<Value>>),
+    Transfer(HandoverRequest, Sender<Option<Value>>),
 }
 
 /// Objects that a process holds above a version.
@@ -41,7 +41,7 @@
 
 /// What one agent hands to another over the administration RPC.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Parcels {
+pub(crate) struct HandoverRequest {
     /// Service of the sender.
     pub(crate) service: ServiceName,
     /// Generation of the service's address that the sender knows.
@@ -54,9 +54,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Content {
     /// Flows and directory entries; answered by the flows taken over.
-    Flows(usher_flows::Parcel),
-    /// Dedupe records; answered by the roster version of the parcel.
-    Records(usher_dedupe::Parcel),
+    Flows(usher_flows::Transfer),
+    /// Dedupe records; answered by the roster version of the transfer.
+    Records(usher_dedupe::Transfer),
     /// A message that is too large for a datagram; answered by `true`.
     Message {
         from: SocketAddrV4,
@@ -100,8 +100,8 @@
         ask(&events, Call::Drain).await
     })?;
     module.register_async_method("handover", |params, events, _| async move {
-        let parcels: Parcels = params.one()?;
-        let taken = ask(&events, |reply| Call::Parcel(parcels, reply)).await?;
+        let request: HandoverRequest = params.one()?;
+        let taken = ask(&events, |reply| Call::Transfer(request, reply)).await?;
         taken.ok_or_else(|| error(WRONG_SERVICE, "MU-6005: not taken over"))
     })?;
     Ok(module)
--- a/crates/runtime/src/control/mod.rs
+++ b/crates/runtime/src/control/mod.rs
@@ -10,7 +10,7 @@
 mod writer;
 
 pub(crate) use self::core::Core;
-pub(crate) use call::{Call, Content, Page, Parcels, serve};
+pub(crate) use call::{Call, Content, HandoverRequest, Page, serve};
 pub(crate) use catch_up::CatchUp;
 pub(crate) use event::ControlEvent;
 pub(crate) use feed::{fetch_from_peers, follow};
--- a/crates/runtime/src/metric.rs
+++ b/crates/runtime/src/metric.rs
@@ -87,7 +87,7 @@
     counter(AGENT, "requests.retry_denied", "runs"),
     counter(AGENT, "requests.claim_lapsed", "requests"),
     counter(AGENT, "requests.offered", "requests"),
-    counter(AGENT, "requests.lent", "requests"),
+    counter(AGENT, "requests.delegated", "requests"),
     counter(AGENT, "requests.offer_lost", "offers"),
     counter(AGENT, "requests.outcome_lost", "requests"),
     counter(AGENT, "requests.aged", "requests"),
--- a/crates/scenario/src/agent_node.rs
+++ b/crates/scenario/src/agent_node.rs
@@ -16,7 +16,7 @@
 use usher_wire::{RequestMessage, ResponseMessage};
 
 use crate::backend::Order;
-use crate::effect::{Content, Effect, Parcels, Taken};
+use crate::effect::{Content, Effect, Taken, Transfers};
 
 const REPORT: Span = Span::from_millis(500);
 // Packets on their way to this agent are passed on for this long after it has left the roster.
@@ -184,15 +184,15 @@
     }
 
     /// Takes state over from another agent, if it is of the same service.
-    pub(crate) fn take_over(&mut self, now: Time, parcels: Parcels) -> Option<Taken> {
+    pub(crate) fn take_over(&mut self, now: Time, transfers: Transfers) -> Option<Taken> {
         let own = self.cache.service(&self.settings.service);
-        let is_current = own.is_some_and(|entry| parcels.generation >= entry.generation);
-        if parcels.service != self.settings.service || !is_current {
+        let is_current = own.is_some_and(|entry| transfers.generation >= entry.generation);
+        if transfers.service != self.settings.service || !is_current {
             return None;
         }
-        let event = match parcels.content {
-            Content::Flows(parcel) => Event::TakeFlows(parcel),
-            Content::Records(parcel) => Event::TakeRecords(parcel),
+        let event = match transfers.content {
+            Content::Flows(transfer) => Event::TakeFlows(transfer),
+            Content::Records(transfer) => Event::TakeRecords(transfer),
         };
         let mut taken = None;
         for action in self.agent.handle(now, event) {
@@ -236,13 +236,13 @@
                 }));
             }
             Action::CancelRun(id) => self.effects.push(Effect::CancelRun(id)),
-            Action::HandOverFlows { to, parcel } => {
-                if !self.hand_over(&to, Content::Flows(parcel)) {
+            Action::HandOverFlows { to, transfer } => {
+                if !self.hand_over(&to, Content::Flows(transfer)) {
                     self.feed(now, Event::FlowsTaken { to, flows: None });
                 }
             }
-            Action::HandOverRecords { to, parcel } => {
-                self.hand_over(&to, Content::Records(parcel));
+            Action::HandOverRecords { to, transfer } => {
+                self.hand_over(&to, Content::Records(transfer));
             }
             Action::TookFlows(_) | Action::TookRecords(_) => {}
             Action::InForce(revision) => {
@@ -264,7 +264,7 @@
         let Some(view) = self.agent.view() else {
             return false;
         };
-        let parcels = Parcels {
+        let transfers = Transfers {
             service: self.settings.service.clone(),
             generation: view.generation,
             content,
@@ -272,7 +272,7 @@
         let listed = view.roster.members.contains_key(to);
         if listed {
             let to = to.clone();
-            self.effects.push(Effect::HandOver { to, parcels });
+            self.effects.push(Effect::HandOver { to, transfers });
         }
         listed
     }
--- a/crates/scenario/src/due.rs
+++ b/crates/scenario/src/due.rs
@@ -5,7 +5,7 @@
 use usher_types::{Message, Outcome, Packet, RequestId, RequestKey, Roster, Version};
 
 use crate::backend::Order;
-use crate::effect::{Parcels, Taken};
+use crate::effect::{Taken, Transfers};
 use crate::fault::Fault;
 
 /// Name of a machine.
@@ -55,7 +55,7 @@
     Start(Order),
     EndRun(Order),
     Result(RequestId, RunResult),
-    Handover(u64, Name, Parcels),
+    Handover(u64, Name, Transfers),
     HandedOver(Name, Option<Taken>),
 }
 
--- a/crates/scenario/src/effect.rs
+++ b/crates/scenario/src/effect.rs
@@ -17,7 +17,7 @@
     CancelRun(RequestId),
     HandOver {
         to: HostId,
-        parcels: Parcels,
+        transfers: Transfers,
     },
     Propose {
         proposal: Proposal,
@@ -27,7 +27,7 @@
 
 /// What one agent hands to another.
 #[derive(Debug)]
-pub(crate) struct Parcels {
+pub(crate) struct Transfers {
     pub(crate) service: ServiceName,
     pub(crate) generation: Generation,
     pub(crate) content: Content,
@@ -36,8 +36,8 @@
 /// Content of a handover.
 #[derive(Debug)]
 pub(crate) enum Content {
-    Flows(usher_flows::Parcel),
-    Records(usher_dedupe::Parcel),
+    Flows(usher_flows::Transfer),
+    Records(usher_dedupe::Transfer),
 }
 
 /// Answer to a handover.
--- a/crates/scenario/src/world/carry.rs
+++ b/crates/scenario/src/world/carry.rs
@@ -152,7 +152,7 @@
                     agent.feed(now, event);
                 }
             }
-            Local::Handover(call, from, parcels) => self.take_over(name, call, &from, parcels),
+            Local::Handover(call, from, transfers) => self.take_over(name, call, &from, transfers),
             Local::HandedOver(to, taken) => self.handed_over(name, &to, taken),
             Local::Timer | Local::Start(_) | Local::EndRun(_) => {}
         }
@@ -219,7 +219,7 @@
                     backend.cancel(id);
                 }
             }
-            Effect::HandOver { to, parcels } => self.hand_over(name, to.as_str(), parcels),
+            Effect::HandOver { to, transfers } => self.hand_over(name, to.as_str(), transfers),
             Effect::Propose {
                 proposal,
                 unsettled,
--- a/crates/scenario/src/world/handover.rs
+++ b/crates/scenario/src/world/handover.rs
@@ -3,13 +3,13 @@
 
 use super::World;
 use crate::due::{Due, Local};
-use crate::effect::{Parcels, Taken};
+use crate::effect::{Taken, Transfers};
 
 const CALL_TIMEOUT: Span = Span::from_secs(5);
 const CALL_RETRY: Span = Span::from_millis(300);
 
 impl World<'_> {
-    pub(super) fn hand_over(&mut self, name: &str, to: &str, parcels: Parcels) {
+    pub(super) fn hand_over(&mut self, name: &str, to: &str, transfers: Transfers) {
         self.sequence += 1;
         let call = self.sequence;
         let incarnation = self.machines[name].incarnation;
@@ -18,16 +18,16 @@
         self.push(CALL_TIMEOUT, Due::TimedOut(call));
         if !self.network.is_cut(self.now, name, to) {
             let delay = self.network.delay();
-            self.push_on(delay, to, Local::Handover(call, name.to_owned(), parcels));
+            self.push_on(delay, to, Local::Handover(call, name.to_owned(), transfers));
         }
     }
 
-    pub(super) fn take_over(&mut self, name: &str, call: u64, from: &str, parcels: Parcels) {
+    pub(super) fn take_over(&mut self, name: &str, call: u64, from: &str, transfers: Transfers) {
         let machine = &mut self.machines[name];
         let now = machine.clock.read(self.now);
         let taken = machine
             .agent()
-            .and_then(|agent| agent.take_over(now, parcels));
+            .and_then(|agent| agent.take_over(now, transfers));
         if self.network.is_cut(self.now, name, from) {
             return;
         }
