--- a/crates/bench/src/experiment/blocking.rs
+++ b/crates/bench/src/experiment/blocking.rs
@@ -4,7 +4,7 @@
 use super::table::{Figures, Row, Table, row};
 use crate::model::{Deployment, Plan, Shape, Tally};
 
-// Placement does not change while requests are measured, so fewer flows give the same result.
+// Fewer than the 2,000 connections of a host keep the run short.
 const FLOWS: usize = 500;
 const RAMP: Span = Span::from_secs(20);
 const FROM: Span = Span::from_secs(40);
@@ -13,8 +13,7 @@
 
 /// Short requests with and without long ones among them; the short ones are the same.
 pub(super) fn run(seeds: u64, subject: &str) -> Vec<Table> {
-    let sites = [Deployment::riga(), Deployment::bengal()];
-    sites
+    Deployment::all()
         .iter()
         .map(|site| table(site, seeds, subject))
         .collect()
--- a/crates/bench/src/experiment/churn.rs
+++ b/crates/bench/src/experiment/churn.rs
@@ -13,8 +13,10 @@
 
 /// Planned restarts of two hosts, one after the other, while flows come and go.
 pub(super) fn run(seeds: u64) -> Vec<Table> {
-    let sites = [Deployment::riga(), Deployment::bengal()];
-    sites.iter().map(|site| table(site, seeds)).collect()
+    Deployment::all()
+        .iter()
+        .map(|site| table(site, seeds))
+        .collect()
 }
 
 fn table(site: &Deployment, seeds: u64) -> Table {
--- a/crates/bench/src/experiment/crest.rs
+++ b/crates/bench/src/experiment/crest.rs
@@ -16,8 +16,7 @@
 
 /// A rush of four times the capacity for four seconds; callers do not repeat requests.
 pub(super) fn run(seeds: u64, subject: &str) -> Vec<Table> {
-    let sites = [Deployment::riga(), Deployment::bengal()];
-    sites
+    Deployment::all()
         .iter()
         .map(|site| table(&site.clone().without_long(), seeds, subject))
         .collect()
--- a/crates/bench/src/experiment/imbalance.rs
+++ b/crates/bench/src/experiment/imbalance.rs
@@ -11,8 +11,7 @@
 
 /// Steady load; half of the flows are long-lived, the others last 20 s on average.
 pub(super) fn run(seeds: u64, subject: &str) -> Vec<Table> {
-    let sites = [Deployment::riga(), Deployment::bengal()];
-    sites
+    Deployment::all()
         .iter()
         .map(|site| table(site, seeds, subject))
         .collect()
--- a/crates/bench/src/experiment/retries.rs
+++ b/crates/bench/src/experiment/retries.rs
@@ -16,9 +16,8 @@
 
 /// Calls of backend servers per request while one or all of them lose each run.
 pub(super) fn run(seeds: u64) -> Vec<Table> {
-    let sites = [Deployment::riga(), Deployment::bengal()];
     let mut tables = Vec::new();
-    for site in sites {
+    for site in Deployment::all() {
         let site = site.without_long();
         for down in [1, site.speeds.len()] {
             tables.push(table(&site, down, seeds));
--- a/crates/bench/src/model/deployment.rs
+++ b/crates/bench/src/model/deployment.rs
@@ -26,6 +26,11 @@
 }
 
 impl Deployment {
+    /// Both deployments.
+    pub fn all() -> [Self; 2] {
+        [Self::riga(), Self::bengal()]
+    }
+
     /// Riga's booking desk: 7 hosts of slightly different speed with 3 slots.
     pub fn riga() -> Self {
         Self {
--- a/crates/flows/tests/net/mod.rs
+++ b/crates/flows/tests/net/mod.rs
@@ -1,47 +1,24 @@
 //! Flow tables connected in memory, with balancers and callers.
 
+mod message;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
-use usher_flows::{Action, Counter, Event, FlowTable, Inbox, Outbox, Receipt, Settings, Transfer};
+use usher_flows::{Action, Counter, Event, FlowTable, Inbox, Outbox, Receipt, Settings};
 use usher_placement::{bucket_of, rank};
 use usher_types::{
     Body, Buckets, FlowId, Generation, HostId, HostState, Incarnation, Member, MessageId, Packet,
-    Register, Registered, Relay, RelayMode, RequestId, Roster, Sequence, Span, Time, Version,
-    Weight,
+    Relay, RelayMode, RequestId, Roster, Sequence, Span, Time, Version, Weight,
 };
 
+pub use message::Message;
+
 pub const BUCKETS: Buckets = Buckets::new(64);
 pub const GENERATION: Generation = Generation::new(2);
 const REOPEN: Span = Span::from_millis(300);
 
-/// One message on its way.
-#[derive(Debug, Clone)]
-pub enum Message {
-    Relay(usize, Relay),
-    Caller(Packet),
-    Register(usize, SocketAddrV4, Register),
-    Registered(usize, SocketAddrV4, Registered),
-    Handover(usize, HostId, usize, Transfer),
-    TookOver(usize, HostId, Vec<FlowId>),
-    Failed(usize, HostId),
-}
-
-impl Message {
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Self::Relay(..) => "relay",
-            Self::Caller(_) => "caller",
-            Self::Register(..) => "register",
-            Self::Registered(..) => "registered",
-            Self::Handover(..) => "handover",
-            Self::TookOver(..) => "took-over",
-            Self::Failed(..) => "failed",
-        }
-    }
-}
-
 /// One balancer: the rosters that it routes by, newest first, and its hints.
 #[derive(Debug, Default)]
 pub struct Balancer {
--- a/crates/scenario/src/agent_node.rs
+++ b/crates/scenario/src/agent_node.rs
@@ -297,11 +297,7 @@
         for action in self.membership.handle(now, event) {
             match action {
                 MemberAction::Beat { to, beat } => {
-                    let message = Message::Beat(beat);
-                    self.effects.extend(to.into_iter().map(|to| Effect::Send {
-                        to,
-                        message: message.clone(),
-                    }));
+                    self.effects.extend(Effect::beats(to, beat));
                 }
                 MemberAction::Ack { to, ack } => {
                     let message = Message::BeatAck(ack);
--- a/crates/scenario/src/balancer_node.rs
+++ b/crates/scenario/src/balancer_node.rs
@@ -134,11 +134,7 @@
         for action in self.membership.handle(now, event) {
             match action {
                 Action::Beat { to, beat } => {
-                    let message = Message::Beat(beat);
-                    self.effects.extend(to.into_iter().map(|to| Effect::Send {
-                        to,
-                        message: message.clone(),
-                    }));
+                    self.effects.extend(Effect::beats(to, beat));
                 }
                 Action::Ack { to, ack } => {
                     let message = Message::BeatAck(ack);
--- a/crates/scenario/src/effect.rs
+++ b/crates/scenario/src/effect.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddrV4;
 
 use usher_members::Proposal;
-use usher_types::{FlowId, Generation, HostId, Message, Packet, RequestId, ServiceName, Version};
+use usher_types::{
+    Beat, FlowId, Generation, HostId, Message, Packet, RequestId, ServiceName, Version,
+};
 
 use crate::backend::Order;
 
@@ -25,6 +27,17 @@
     },
 }
 
+impl Effect {
+    /// One heartbeat to several receivers.
+    pub(crate) fn beats(to: Vec<SocketAddrV4>, beat: Beat) -> impl Iterator<Item = Self> {
+        let message = Message::Beat(beat);
+        to.into_iter().map(move |to| Self::Send {
+            to,
+            message: message.clone(),
+        })
+    }
+}
+
 /// What one agent hands to another.
 #[derive(Debug)]
 pub(crate) struct Transfers {
