--- a/crates/capacity/src/sweeps/fleet.rs
+++ b/crates/capacity/src/sweeps/fleet.rs
@@ -16,7 +16,7 @@
 
 pub(crate) fn measure(balancers: usize, point: &mut Point) -> io::Result<()> {
     let fleet = sample::fleet(balancers);
-    let json = usher_platform::encode(&fleet.clone().into())?;
+    let json = usher_store::encode(&fleet.clone().into())?;
     point.set("fleet_json_bytes", json.len() as f64);
     let identity = Identity::Balancer {
         instance: sample::instance(0),
--- a/crates/capacity/src/sweeps/service.rs
+++ b/crates/capacity/src/sweeps/service.rs
@@ -72,17 +72,17 @@
 
 fn encoded(roster: &Roster, point: &mut Point) -> io::Result<()> {
     let value: Value = roster.clone().into();
-    let json = usher_platform::encode(&value)?;
+    let json = usher_store::encode(&value)?;
     point.set("roster_json_bytes", json.len() as f64);
     let decode = |_| {
         let json = serde_json::from_slice(&json).ok()?;
-        usher_platform::decode(Kind::Roster, json).ok()
+        usher_store::decode(Kind::Roster, json).ok()
     };
     let rounds = (2_000 / roster.members.len()).max(1);
     point.set("roster_decode_us", meter::each(rounds, decode) / 1e3);
     let mut current = roster.clone();
     current.earlier.clear();
-    let json = usher_platform::encode(&current.into())?;
+    let json = usher_store::encode(&current.into())?;
     point.set("roster_only_json_bytes", json.len() as f64);
     Ok(())
 }
--- a/crates/capacity/src/sweeps/services.rs
+++ b/crates/capacity/src/sweeps/services.rs
@@ -36,7 +36,7 @@
     point.set("tick_us", tick(membership) / 1e3);
     let json: usize = cache
         .since(usher_types::Version::default())
-        .filter_map(|object| Some(usher_platform::encode(object.value.as_ref()?).ok()?.len()))
+        .filter_map(|object| Some(usher_store::encode(object.value.as_ref()?).ok()?.len()))
         .sum();
     point.set("objects_json_bytes", json as f64);
     Ok(())
--- a/crates/cli/src/document.rs
+++ b/crates/cli/src/document.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value as Json;
 use usher_config::{Kind, ObjectKey, ObjectName, Value};
-use usher_platform::decode;
+use usher_store::decode;
 use usher_types::{Profile, ProfileName, Service, ServiceName, Version};
 
 use crate::error::CliError;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 use usher_config::{ConfigError, ObjectKey, RolloutState};
 use usher_daemon::SettingsError;
-use usher_platform::PlatformError;
+use usher_store::PlatformError;
 use usher_types::{HostId, InstanceId, Peer, Version};
 
 use crate::ExitStatus;
--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::Value as Json;
 use usher_config::{Condition, Kind, Object, Report, Rollout, RolloutState, Value};
-use usher_platform::Store;
+use usher_store::Store;
 use usher_types::{HostId, Incarnation, InstanceId, Peer, ServiceName, Span, Version};
 
 use crate::error::CliError;
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -5,7 +5,7 @@
 use usher_config::{
     Cache, Catalog, Change, Condition, ConfigError, Kind, Object, ObjectKey, Value, check,
 };
-use usher_platform::{Limits, Store};
+use usher_store::{Limits, Store};
 use usher_types::Version;
 
 use crate::error::CliError;
--- a/crates/cli/tests/cli/fake.rs
+++ b/crates/cli/tests/cli/fake.rs
@@ -8,7 +8,7 @@
 use jsonrpsee::server::{Server, ServerHandle};
 use serde_json::{Value as Json, json};
 use usher_config::{Condition, Kind, ObjectKey, Value};
-use usher_platform::{Limits, Store};
+use usher_store::{Limits, Store};
 use usher_types::{Balancer, Fleet, HostState, Incarnation, Member, Roster, Version, Weight};
 
 use crate::shell::Shell;
--- a/crates/daemon/tests/processes/deployment.rs
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -13,8 +13,8 @@
 use jsonrpsee::server::ServerHandle;
 use serde_json::{Value as Json, json};
 use usher_config::{Condition, Kind, ObjectKey, Value};
-use usher_platform::{Limits, Store};
 use usher_standins::{Backend, BackendArgs, Caller, Fabric, Switches, store};
+use usher_store::{Limits, Store};
 use usher_types::{Profile, RequestKey, Service, Span, Version};
 
 use crate::process::Process;
--- /dev/null
+++ b/crates/forwarding/src/agent/path.rs
@@ -0,0 +1,293 @@
+use usher_types::{Slots, Span, Time};
+
+use super::decision::{Inbound, Outbound, Passed, Step};
+use super::entry::{Entry, Phase};
+use super::flow_table::FlowTable;
+use super::life::{Heard, Life};
+use super::meter::Meter;
+use super::trips::Trips;
+use crate::trip::Best;
+use crate::{FlowKey, Head, HostState, HostWord, Load, NodeId, ServiceKey, Trip};
+
+// Requests beyond its slots that a backend server is given while others may be free: the next one
+// then starts without waiting for the caller's side of the handshake.
+const AHEAD: u16 = 1;
+
+/// The decisions of one agent about packets. Performs no I/O.
+#[derive(Debug, Clone)]
+pub struct AgentPath {
+    node: NodeId,
+    service: ServiceKey,
+    name: String,
+    life: Life,
+    flows: FlowTable,
+    trips: Trips,
+    meter: Meter,
+    stopping: bool,
+    /// Flows older than this may be missing from the table.
+    complete_at: Time,
+}
+
+impl AgentPath {
+    /// An agent that starts at `now`; flows that exist by then end within `flow_life`.
+    ///
+    /// ```
+    /// use usher_forwarding::{AgentPath, HostState};
+    /// use usher_types::{Span, Time};
+    /// let agent = AgentPath::new("10.1.0.13".parse()?, "namedesk", Time::ZERO, Span::from_secs(60));
+    /// assert_eq!(agent.state(), HostState::Unheard);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn new(node: NodeId, service: &str, now: Time, flow_life: Span) -> Self {
+        Self {
+            node,
+            service: ServiceKey::of(service),
+            name: service.to_owned(),
+            life: Life::default(),
+            flows: FlowTable::default(),
+            trips: Trips::new(),
+            meter: Meter::default(),
+            stopping: false,
+            complete_at: now + flow_life,
+        }
+    }
+
+    /// Takes a heartbeat. With `Started`, the flows of earlier processes are returned, each with
+    /// the position that its caller received: they are gone.
+    pub fn hear(&mut self, now: Time, word: HostWord) -> (Heard, Vec<(FlowKey, u32)>) {
+        if word.service != self.name {
+            return (Heard::Foreign, Vec::new());
+        }
+        let first = self.life.word().is_none();
+        // The first words of a process come before any flow of it.
+        let fresh = word.sequence.get() <= 1;
+        let heard = self.life.hear(word);
+        let mut gone = Vec::new();
+        if heard == Heard::Started && (!first || fresh) {
+            self.complete_at = now;
+            self.meter.forget();
+            if !first {
+                gone = self.flows.clear();
+            }
+        }
+        (heard, gone)
+    }
+
+    /// Takes the farewell of the backend server; returns its open flows, which are gone.
+    pub fn leave(&mut self, now: Time, id: &str) -> Option<Vec<(FlowKey, u32)>> {
+        if !self.life.leave(id) {
+            return None;
+        }
+        self.complete_at = now;
+        Some(self.flows.clear())
+    }
+
+    /// Takes no new flows from now on.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Decides on a packet that a balancer or another agent sent.
+    pub fn on_packet(&mut self, now: Time, head: &Head, trip: &Trip) -> Inbound {
+        let flow = head.inbound();
+        if let Some(entry) = self.flows.get_mut(&flow) {
+            entry.on_caller(now, head);
+            let settled = matches!(entry.phase, Phase::Open | Phase::Closed);
+            let token = if settled {
+                0
+            } else {
+                self.trips.keep(flow, *trip)
+            };
+            let step = Step::Deliver {
+                token,
+                opening: false,
+            };
+            return self.told(step, trip);
+        }
+        if head.opens() {
+            return self.on_opening(now, flow, trip);
+        }
+        let known = now >= self.complete_at || self.life.state() == HostState::Ended;
+        if known {
+            return pass(head, trip, Passed::NotHeld);
+        }
+        let token = self.trips.keep(flow, *trip);
+        let step = Step::Deliver {
+            token,
+            opening: false,
+        };
+        Inbound { step, tell: None }
+    }
+
+    /// Decides on a packet that the backend server sent.
+    pub fn on_host_packet(&mut self, now: Time, head: &Head) -> Outbound {
+        if head.flags.returned {
+            return Outbound::Inward(self.on_returned(now, head));
+        }
+        self.meter.heard_host();
+        let flow = head.outbound();
+        let Some(entry) = self.flows.get_mut(&flow) else {
+            let answers_opening = head.flags.opening;
+            if !answers_opening && !head.flags.resetting {
+                self.flows.insert(flow, Entry::new(now, Phase::Open));
+            }
+            return Outbound::ToCaller;
+        };
+        if let Some(start) = entry.on_host(now, head)
+            && !head.flags.resetting
+        {
+            self.meter.sample(now - start);
+        }
+        Outbound::ToCaller
+    }
+
+    /// State that is reported to balancers.
+    pub fn state(&self) -> HostState {
+        match self.life.state() {
+            HostState::Serving if self.stopping => HostState::Draining,
+            state => state,
+        }
+    }
+
+    /// The backend server's latest word.
+    pub fn word(&self) -> Option<&HostWord> {
+        self.life.word()
+    }
+
+    /// Requests at the backend server.
+    pub fn load(&self) -> Load {
+        self.meter.load(self.flows.working())
+    }
+
+    /// Flows that are open at the backend server.
+    pub fn open(&self) -> usize {
+        self.flows.open()
+    }
+
+    /// Flows in memory, those that have just closed included.
+    pub fn held(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Forgets flows that are over.
+    pub fn expire(&mut self, now: Time, idle: Span) {
+        self.flows.expire(now, idle);
+    }
+
+    fn on_opening(&mut self, now: Time, flow: FlowKey, trip: &Trip) -> Inbound {
+        if trip.service != self.service {
+            return self.hunt(flow, trip, None, Passed::OtherService);
+        }
+        if self.state() != HostState::Serving {
+            return self.hunt(flow, trip, None, Passed::NotServing);
+        }
+        let load = self.load();
+        let slots = self.life.word().map_or(Slots::new(1), |word| word.slots);
+        let wait = load.wait(slots);
+        if self.meter.is_silent(now) && !trip.last {
+            return self.hunt(flow, trip, None, Passed::Silent);
+        }
+        let busy = load.working >= slots.get() + AHEAD || self.meter.is_full(now);
+        if busy && !trip.last {
+            return self.hunt(flow, trip, Some(wait), Passed::Busy);
+        }
+        if wait > trip.budget {
+            let step = Step::Refuse {
+                flow,
+                received: 0,
+                wait: Some(wait),
+            };
+            return Inbound { step, tell: None };
+        }
+        self.flows.insert(flow, Entry::new(now, Phase::Opening));
+        self.meter.delivered_opening(now);
+        let token = self.trips.keep(flow, *trip);
+        let step = Step::Deliver {
+            token,
+            opening: true,
+        };
+        self.told(step, trip)
+    }
+
+    // Passes an opening packet on; at the end of the trip it goes to the shortest queue seen.
+    fn hunt(&self, flow: FlowKey, trip: &Trip, wait: Option<Span>, reason: Passed) -> Inbound {
+        let tell = None;
+        let mine = wait.map(|wait| Best {
+            node: self.node,
+            wait,
+        });
+        let best = [trip.best, mine]
+            .into_iter()
+            .flatten()
+            .min_by_key(|best| best.wait);
+        if let Some((to, next)) = trip.next().filter(|_| !trip.last) {
+            let trip = Trip { best, ..next };
+            let step = Step::Forward { to, trip, reason };
+            return Inbound { step, tell };
+        }
+        let step = match best.filter(|best| !trip.last && best.wait <= trip.budget) {
+            Some(best) => Step::Forward {
+                to: best.node,
+                trip: Trip {
+                    best: None,
+                    last: true,
+                    ..*trip
+                },
+                reason,
+            },
+            None => Step::Refuse {
+                flow,
+                received: 0,
+                wait: best.map(|best| best.wait),
+            },
+        };
+        Inbound { step, tell }
+    }
+
+    fn on_returned(&mut self, now: Time, head: &Head) -> Inbound {
+        let flow = head.inbound();
+        let Some(trip) = self.trips.take(&flow, head.token) else {
+            // A flow that was open is gone with the process that held it.
+            let lost = self
+                .flows
+                .remove(&flow)
+                .filter(|entry| entry.phase == Phase::Open);
+            let step = lost.map_or(Step::Drop, |entry| Step::Refuse {
+                flow,
+                received: entry.received,
+                wait: None,
+            });
+            return Inbound { step, tell: None };
+        };
+        self.flows.remove(&flow);
+        if head.opens() {
+            self.meter.heard_host();
+            self.meter.returned_opening(now);
+            let load = self.load();
+            let slots = self.life.word().map_or(Slots::new(1), |word| word.slots);
+            let wait = load.wait(slots) + load.work();
+            return self.hunt(flow, &trip, Some(wait), Passed::Returned);
+        }
+        pass(head, &trip, Passed::Returned)
+    }
+
+    // A balancer that did not send the packet here first learns where the flow is.
+    fn told(&self, step: Step, trip: &Trip) -> Inbound {
+        let first = trip.candidates.as_slice().first() == Some(&self.node);
+        let tell = (!first && trip.origin != NodeId::NONE).then_some(trip.origin);
+        Inbound { step, tell }
+    }
+}
+
+// Passes a packet of an existing flow to the next agent that may hold it.
+fn pass(head: &Head, trip: &Trip, reason: Passed) -> Inbound {
+    let step = match trip.next() {
+        Some((to, trip)) => Step::Forward { to, trip, reason },
+        None => Step::Missing {
+            flow: head.inbound(),
+            origin: trip.origin,
+            received: head.acknowledged,
+        },
+    };
+    Inbound { step, tell: None }
+}
--- /dev/null
+++ b/crates/forwarding/src/candidates.rs
@@ -0,0 +1,45 @@
+use crate::NodeId;
+
+/// Agents that a packet may visit, in order; held without allocation.
+///
+/// ```
+/// use usher_forwarding::{Candidates, NodeId};
+/// let mut candidates = Candidates::default();
+/// candidates.push("10.1.0.13".parse::<NodeId>()?);
+/// assert_eq!(candidates.as_slice().len(), 1);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidates {
+    nodes: [NodeId; Candidates::MAX],
+    length: u8,
+}
+
+impl Candidates {
+    /// Largest number of agents that a packet visits: 64 bytes in each packet between nodes.
+    pub const MAX: usize = 16;
+
+    /// The agents, first choice first.
+    pub fn as_slice(&self) -> &[NodeId] {
+        &self.nodes[..usize::from(self.length)]
+    }
+
+    /// Appends an agent, unless it is listed or the list is full.
+    pub fn push(&mut self, node: NodeId) {
+        let full = usize::from(self.length) == Self::MAX;
+        if full || self.as_slice().contains(&node) {
+            return;
+        }
+        self.nodes[usize::from(self.length)] = node;
+        self.length += 1;
+    }
+}
+
+impl Default for Candidates {
+    fn default() -> Self {
+        Self {
+            nodes: [NodeId::NONE; Self::MAX],
+            length: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/lib.rs
@@ -0,0 +1,38 @@
+//! Decisions about the packets of flows that backend servers hold themselves.
+//!
+//! A balancer places a flow and finds it again; an agent takes packets for its backend server and
+//! passes the others on. Nothing here performs I/O, reads a clock or encodes a message.
+
+mod agent;
+mod balancer;
+mod candidates;
+mod fleet;
+mod flow_key;
+mod head;
+mod hint;
+mod host_state;
+mod host_word;
+mod in_force;
+mod load;
+mod node_id;
+mod report;
+mod route;
+mod service_key;
+mod trip;
+
+pub use agent::{AgentPath, Heard, Inbound, Outbound, Passed, Step};
+pub use balancer::{BalancerPath, Directory, Found, Refused, Verdict, View};
+pub use candidates::Candidates;
+pub use fleet::Fleet;
+pub use flow_key::FlowKey;
+pub use head::{Flags, Head};
+pub use hint::Hint;
+pub use host_state::{HostState, UnknownState};
+pub use host_word::HostWord;
+pub use in_force::InForce;
+pub use load::Load;
+pub use node_id::NodeId;
+pub use report::{Hello, Report};
+pub use route::{Configuration, Route};
+pub use service_key::ServiceKey;
+pub use trip::{Best, Trip};
--- /dev/null
+++ b/crates/forwarding/src/node_id.rs
@@ -0,0 +1,46 @@
+use std::fmt;
+use std::net::Ipv4Addr;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// A process of the system, named by the address of its machine.
+///
+/// ```
+/// use usher_forwarding::NodeId;
+/// let node: NodeId = "10.1.0.10".parse()?;
+/// assert_eq!(node.to_string(), "10.1.0.10");
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct NodeId(Ipv4Addr);
+
+impl NodeId {
+    /// No node; fills unused places.
+    pub const NONE: Self = Self(Ipv4Addr::UNSPECIFIED);
+
+    /// The process at an address.
+    pub const fn new(address: Ipv4Addr) -> Self {
+        Self(address)
+    }
+
+    /// The machine's address.
+    pub const fn address(self) -> Ipv4Addr {
+        self.0
+    }
+}
+
+impl fmt::Display for NodeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for NodeId {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/control.rs
@@ -0,0 +1,319 @@
+use std::cell::{Cell, RefCell};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval};
+use usher_forwarding::{AgentPath, Fleet, Heard, Hello, HostState, NodeId, Report, ServiceKey};
+use usher_platform::{Call, heartbeat, heartbeat_reply};
+use usher_types::{Sequence, Slots, Span, Time};
+
+use super::traffic::Shared;
+use crate::clock::SuspendWatch;
+use crate::codec::PeerMessage;
+use crate::control::{Peers, Signal, Signals, list_balancers};
+use crate::http::{Answer, Client, serve};
+use crate::settings::AgentSettings;
+use crate::socket::open_udp;
+use crate::{NodeError, Settings, clock, event};
+
+// A host that is silent for some of these is avoided; 1 % of a small balancer's processor.
+const REPORT: Duration = Duration::from_millis(100);
+// Flows are forgotten at this pace.
+const EXPIRE: Span = Span::from_secs(1);
+// While no balancer is heard, the store is asked this often; otherwise rarely.
+const SEARCH: Duration = Duration::from_millis(500);
+const RELIST: Duration = Duration::from_secs(30);
+// Longest wait for open flows at a planned stop.
+const LINGER: Span = Span::from_secs(3);
+// Part of the grace time that is kept for ending.
+const END_MARGIN: Span = Span::from_millis(1_000);
+
+/// Runs an agent until it is stopped.
+pub(crate) async fn run(settings: Settings, file: &Path) -> Result<(), NodeError> {
+    let Some(own) = settings.agent.clone() else {
+        return Err(NodeError::NoAgent);
+    };
+    let now = clock::now();
+    let path = AgentPath::new(settings.node, &own.service, now, settings.flow_life);
+    let shared = Shared {
+        path: Arc::new(Mutex::new(path)),
+        outside: Arc::new(open_udp(settings.packets, "packets")?),
+        inside: Arc::new(open_udp(own.outbound, "packets of the backend server")?),
+        node: settings.node,
+        backend: own.backend,
+        port: settings.packets.port(),
+    };
+    let mut signals = Signals::new()?;
+    let control = Rc::new(Control {
+        peers: Peers::open(&settings)?,
+        fleet: RefCell::new(Fleet::default()),
+        sequence: Cell::new(Sequence::default()),
+        epoch: clock::epoch(),
+        stopping: Cell::new(None),
+        shared,
+        own,
+        settings,
+    });
+    control.listen().await?;
+    control.start_traffic()?;
+    for seed in &control.settings.seeds {
+        control.fleet.borrow_mut().learn(now, *seed);
+    }
+    spawn_local(Rc::clone(&control).find_balancers());
+    event::STARTED.log(&[
+        ("role", &"agent"),
+        ("service", &control.own.service),
+        ("packets", &control.settings.packets),
+        ("backend", &control.own.backend),
+    ]);
+    control.serve(&mut signals, file).await;
+    event::STOPPED.log(&[]);
+    Ok(())
+}
+
+#[derive(Debug)]
+struct Control {
+    settings: Settings,
+    own: AgentSettings,
+    shared: Shared,
+    peers: Peers,
+    fleet: RefCell<Fleet>,
+    sequence: Cell<Sequence>,
+    epoch: u64,
+    /// End of the wait for open flows, once a planned stop has begun.
+    stopping: Cell<Option<Time>>,
+}
+
+impl Control {
+    async fn listen(self: &Rc<Self>) -> Result<(), NodeError> {
+        let shared = Rc::clone(self);
+        serve(
+            self.settings.ready,
+            "readiness",
+            move |method, path, _body| shared.on_call(Call::parse(method, path), &[]),
+        )
+        .await?;
+        let shared = Rc::clone(self);
+        serve(self.own.control, "heartbeats", move |method, path, body| {
+            shared.on_call(Call::parse(method, path), body)
+        })
+        .await
+    }
+
+    fn start_traffic(&self) -> Result<(), NodeError> {
+        type Direction = (&'static str, fn(&Shared));
+        let directions: [Direction; 2] = [
+            ("inbound", Shared::run_inbound),
+            ("outbound", Shared::run_outbound),
+        ];
+        for (name, run) in directions {
+            let shared = self.shared.clone();
+            thread::Builder::new()
+                .name(name.to_owned())
+                .spawn(move || run(&shared))
+                .map_err(|cause| NodeError::Start {
+                    what: "a traffic thread",
+                    cause: cause.to_string(),
+                })?;
+        }
+        Ok(())
+    }
+
+    async fn serve(&self, signals: &mut Signals, file: &Path) {
+        let mut ticks = interval(REPORT);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut suspends = SuspendWatch::new();
+        let mut expired = clock::now();
+        loop {
+            tokio::select! {
+                (node, message) = self.peers.receive() => {
+                    if let PeerMessage::Hello(hello) = message {
+                        self.on_hello(node, &hello);
+                    }
+                }
+                _ = ticks.tick() => {
+                    if let Some(span) = suspends.check() {
+                        event::RESUMED.log(&[("for", &span)]);
+                    }
+                    let now = clock::now();
+                    self.report(now);
+                    if now - expired >= EXPIRE {
+                        expired = now;
+                        self.expire(now);
+                    }
+                    if self.may_end(now) {
+                        return;
+                    }
+                }
+                signal = signals.next() => match signal {
+                    Signal::Stop if self.stopping.get().is_none() => self.stop(),
+                    Signal::Stop => return,
+                    Signal::Reload => self.reload(file),
+                },
+            }
+        }
+    }
+
+    fn on_hello(&self, node: NodeId, hello: &Hello) {
+        let now = clock::now();
+        let mut fleet = self.fleet.borrow_mut();
+        let mut new = fleet.hear(now, node, hello);
+        if new {
+            event::BALANCER_FOUND.log(&[("balancer", &node), ("epoch", &hello.epoch)]);
+        }
+        for other in &hello.balancers {
+            new |= fleet.learn(now, *other);
+        }
+        drop(fleet);
+        if new {
+            self.report(now);
+        }
+    }
+
+    fn report(&self, now: Time) {
+        let report = {
+            let path = self.shared.path();
+            let word = path.word();
+            Report {
+                epoch: self.epoch,
+                sequence: self.sequence.get(),
+                centre: self.settings.centre.clone(),
+                service: ServiceKey::of(&self.own.service),
+                state: path.state(),
+                born: word.map_or(0, |word| word.born),
+                slots: word.map_or(Slots::new(1), |word| word.slots),
+                warmup: word.map_or(Span::ZERO, |word| word.warmup),
+                load: path.load(),
+            }
+        };
+        self.sequence.set(self.sequence.get().next());
+        let balancers = self.fleet.borrow_mut().due(now);
+        self.peers.send(&balancers, &PeerMessage::Report(report));
+    }
+
+    fn expire(&self, now: Time) {
+        self.shared.path().expire(now, self.settings.flow_life);
+        for node in self.fleet.borrow_mut().expire(now) {
+            event::BALANCER_FORGOTTEN.log(&[("balancer", &node)]);
+        }
+    }
+
+    fn on_call(&self, call: Option<Call>, body: &[u8]) -> Answer {
+        let status = match call {
+            Some(Call::Ready) => {
+                let stopping = self.stopping.get().is_some();
+                if stopping { 503 } else { 200 }
+            }
+            Some(Call::Heartbeat { id }) => self.on_heartbeat(&id, body),
+            Some(Call::Leave { id }) => {
+                self.on_leave(&id);
+                200
+            }
+            None => 404,
+        };
+        Answer {
+            status,
+            body: heartbeat_reply().to_owned(),
+        }
+    }
+
+    fn on_heartbeat(&self, id: &str, body: &[u8]) -> u16 {
+        let word = match heartbeat(id, body) {
+            Ok(word) => word,
+            Err(fault) => {
+                event::HEARTBEAT_REFUSED.log(&[("id", &id), ("fault", &fault)]);
+                return 400;
+            }
+        };
+        let now = clock::now();
+        let (born, sequence, slots) = (word.born, word.sequence, word.slots);
+        let service = word.service.clone();
+        let (heard, gone) = self.shared.path().hear(now, word);
+        for (flow, received) in &gone {
+            self.shared.reset(flow, *received);
+            event::FLOW_RESET.log(&[("flow", flow), ("reason", &"backend-restarted")]);
+        }
+        let state = self.shared.path().state();
+        let event = match heard {
+            Heard::Started => event::BACKEND_STARTED,
+            Heard::Changed => event::BACKEND_CHANGED,
+            Heard::Late => event::HEARTBEAT_LATE,
+            Heard::Foreign => {
+                event::HEARTBEAT_REFUSED.log(&[("id", &id), ("service", &service)]);
+                return 400;
+            }
+            Heard::Confirmed => return 200,
+        };
+        event.log(&[
+            ("id", &id),
+            ("born", &born),
+            ("sequence", &sequence),
+            ("slots", &slots),
+            ("state", &state),
+        ]);
+        self.report(now);
+        200
+    }
+
+    fn on_leave(&self, id: &str) {
+        let now = clock::now();
+        let gone = self.shared.path().leave(now, id);
+        let Some(gone) = gone else {
+            event::HEARTBEAT_LATE.log(&[("id", &id), ("call", &"leave")]);
+            return;
+        };
+        event::BACKEND_LEFT.log(&[("id", &id), ("flows", &gone.len())]);
+        for (flow, received) in &gone {
+            self.shared.reset(flow, *received);
+            event::FLOW_RESET.log(&[("flow", flow), ("reason", &"backend-left")]);
+        }
+        self.report(now);
+    }
+
+    fn stop(&self) {
+        let now = clock::now();
+        let span = LINGER.min(self.settings.grace - END_MARGIN);
+        self.shared.path().stop();
+        self.stopping.set(Some(now + span));
+        self.report(now);
+        let open = self.shared.path().open();
+        event::STOPPING.log(&[("within", &span), ("flows", &open)]);
+    }
+
+    fn may_end(&self, now: Time) -> bool {
+        let Some(end) = self.stopping.get() else {
+            return false;
+        };
+        let path = self.shared.path();
+        now >= end || path.open() == 0 || path.state() == HostState::Ended
+    }
+
+    fn reload(&self, file: &Path) {
+        match Settings::read(file) {
+            Ok(settings) => {
+                log::set_max_level(settings.level);
+                event::SETTINGS_READ.log(&[("level", &settings.level)]);
+            }
+            Err(fault) => event::SETTINGS_REFUSED.log(&[("fault", &fault)]),
+        }
+    }
+
+    async fn find_balancers(self: Rc<Self>) {
+        let mut client = Client::new(self.settings.store);
+        loop {
+            if let Some(nodes) = list_balancers(&mut client).await {
+                let now = clock::now();
+                let mut fleet = self.fleet.borrow_mut();
+                for node in nodes {
+                    fleet.learn(now, node);
+                }
+            }
+            let alone = self.fleet.borrow().present(clock::now()).is_empty();
+            tokio::time::sleep(if alone { SEARCH } else { RELIST }).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/traffic.rs
@@ -0,0 +1,135 @@
+use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use usher_forwarding::{AgentPath, FlowKey, Head, Hint, Inbound, NodeId, Outbound, Step, Trip};
+use usher_platform::{clear_returned, head, reset, set_token};
+
+use crate::codec::{DATAGRAM_BYTES, read_trip, write_hint, write_trip};
+use crate::socket::{receive_all, send};
+use crate::{clock, event};
+
+/// What both traffic threads and the control thread of an agent use.
+#[derive(Debug, Clone)]
+pub(crate) struct Shared {
+    pub(crate) path: Arc<Mutex<AgentPath>>,
+    /// Packets to callers and other nodes.
+    pub(crate) outside: Arc<UdpSocket>,
+    /// Packets to and from the backend server.
+    pub(crate) inside: Arc<UdpSocket>,
+    pub(crate) node: NodeId,
+    pub(crate) backend: SocketAddrV4,
+    /// Port of callers and nodes.
+    pub(crate) port: u16,
+}
+
+impl Shared {
+    pub(crate) fn path(&self) -> MutexGuard<'_, AgentPath> {
+        self.path.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes packets of callers for ever.
+    pub(crate) fn run_inbound(&self) {
+        let mut buffer = [0; DATAGRAM_BYTES];
+        receive_all(&self.outside, &mut buffer, |bytes| {
+            let Some((trip, packet)) = read_trip(bytes) else {
+                event::MALFORMED.log(&[("datagram", &"not from a node")]);
+                return;
+            };
+            match head(packet) {
+                Ok(head) => {
+                    let decision = self.path().on_packet(clock::now(), &head, &trip);
+                    self.carry_out(packet, &head, &decision);
+                }
+                Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
+            }
+        });
+    }
+
+    /// Takes packets of the backend server for ever.
+    pub(crate) fn run_outbound(&self) {
+        let mut buffer = [0; DATAGRAM_BYTES];
+        receive_all(&self.inside, &mut buffer, |packet| {
+            let head = match head(packet) {
+                Ok(head) => head,
+                Err(fault) => {
+                    event::MALFORMED.log(&[("fault", &fault)]);
+                    return;
+                }
+            };
+            let decision = self.path().on_host_packet(clock::now(), &head);
+            match decision {
+                Outbound::ToCaller => {
+                    let caller = SocketAddrV4::new(*head.target.ip(), self.port);
+                    send(&self.outside, packet, caller);
+                }
+                Outbound::Inward(decision) => {
+                    clear_returned(packet);
+                    self.carry_out(packet, &head, &decision);
+                }
+            }
+        });
+    }
+
+    /// Ends a flow whose backend server is known to be gone.
+    pub(crate) fn reset(&self, flow: &FlowKey, received: u32) {
+        let caller = SocketAddrV4::new(*flow.caller.ip(), self.port);
+        send(&self.outside, &reset(flow, received), caller);
+    }
+
+    fn carry_out(&self, packet: &mut [u8], head: &Head, decision: &Inbound) {
+        let flow = head.inbound();
+        match decision.step {
+            Step::Deliver { token, opening } => {
+                set_token(packet, token);
+                send(&self.inside, packet, self.backend);
+                if opening {
+                    event::FLOW_ACCEPTED.log(&[("flow", &flow), ("copy", &head.acknowledged)]);
+                }
+            }
+            Step::Forward { to, trip, reason } => {
+                self.forward(packet, to, &trip);
+                event::FLOW_PASSED.log(&[
+                    ("flow", &flow),
+                    ("to", &to),
+                    ("hop", &trip.hop),
+                    ("reason", &reason.as_str()),
+                    ("opening", &head.opens()),
+                ]);
+            }
+            Step::Refuse {
+                flow,
+                received,
+                wait,
+            } => {
+                self.reset(&flow, received);
+                let wait = wait.map_or_else(|| "none".to_owned(), |wait| wait.to_string());
+                event::FLOW_REFUSED.log(&[("flow", &flow), ("reason", &"hosts"), ("wait", &wait)]);
+            }
+            Step::Missing {
+                flow,
+                origin,
+                received,
+            } => {
+                self.hint(origin, &Hint::Missing { flow, received });
+                event::FLOW_MISSING.log(&[("flow", &flow), ("balancer", &origin)]);
+            }
+            Step::Drop => event::PACKET_DROPPED.log(&[("flow", &flow), ("reason", &"returned")]),
+        }
+        if let Some(origin) = decision.tell {
+            let node = self.node;
+            self.hint(origin, &Hint::Held { flow, node });
+        }
+    }
+
+    fn forward(&self, packet: &[u8], to: NodeId, trip: &Trip) {
+        let mut out = [0; DATAGRAM_BYTES];
+        let length = write_trip(&mut out, trip, packet);
+        let to = SocketAddrV4::new(to.address(), self.port);
+        send(&self.outside, &out[..length], to);
+    }
+
+    fn hint(&self, to: NodeId, hint: &Hint) {
+        let to = SocketAddrV4::new(to.address(), self.port);
+        send(&self.outside, &write_hint(hint), to);
+    }
+}
--- /dev/null
+++ b/crates/node/src/balancer/control.rs
@@ -0,0 +1,216 @@
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+use usher_forwarding::View;
+use usher_platform::Call;
+use usher_types::Span;
+
+use super::state::State;
+use super::{feed, traffic};
+use crate::clock::SuspendWatch;
+use crate::codec::PeerMessage;
+use crate::control::{Peers, Signal, Signals};
+use crate::http::{Answer, serve};
+use crate::socket::open_udp;
+use crate::{NodeError, Settings, clock, event};
+
+/// Path under which balancers give each other the configuration.
+pub(crate) const CONFIGURATION_PATH: &str = "/configuration";
+
+// Balancers greet each other and the agents; the version in a greeting bounds how long a balancer
+// that the store does not serve stays behind.
+const GREET: Duration = Duration::from_millis(300);
+// The platform asks twice a second and turns away after two misses; packets on the way follow.
+const TURN_AWAY: Span = Span::from_millis(2_500);
+// Part of the grace time that is kept for ending.
+const END_MARGIN: Span = Span::from_millis(1_000);
+
+/// Runs a balancer until it is stopped.
+pub(crate) async fn run(settings: Settings, file: &Path) -> Result<(), NodeError> {
+    let view = Arc::new(ArcSwap::from_pointee(View::default()));
+    let socket = open_udp(settings.packets, "packets")?;
+    let peers = Peers::open(&settings)?;
+    let mut signals = Signals::new()?;
+    let state = Rc::new(RefCell::new(State::new(
+        settings.clone(),
+        Arc::clone(&view),
+    )));
+    listen(&settings, &state).await?;
+    let (node, port) = (settings.node, settings.packets.port());
+    thread::Builder::new()
+        .name("traffic".to_owned())
+        .spawn(move || traffic::run(node, port, &socket, &view))
+        .map_err(|cause| NodeError::Start {
+            what: "the traffic thread",
+            cause: cause.to_string(),
+        })?;
+    for seed in &settings.seeds {
+        if *seed != settings.node {
+            state.borrow_mut().fleet.learn(clock::now(), *seed);
+        }
+    }
+    let again = Rc::new(Notify::new());
+    spawn_local(feed::follow(
+        Rc::clone(&state),
+        settings.store,
+        Rc::clone(&again),
+    ));
+    spawn_local(feed::find_balancers(Rc::clone(&state)));
+    event::STARTED.log(&[
+        ("role", &"balancer"),
+        ("packets", &settings.packets),
+        ("store", &settings.store),
+    ]);
+    let control = Control {
+        state,
+        peers,
+        again,
+        fetching: Rc::new(Cell::new(false)),
+    };
+    control.serve(&mut signals, file).await;
+    event::STOPPED.log(&[]);
+    Ok(())
+}
+
+async fn listen(settings: &Settings, state: &Rc<RefCell<State>>) -> Result<(), NodeError> {
+    let shared = Rc::clone(state);
+    serve(settings.ready, "readiness", move |method, path, _body| {
+        let known = Call::parse(method, path) == Some(Call::Ready);
+        let status = match (known, shared.borrow_mut().is_ready()) {
+            (false, _) => 404,
+            (true, true) => 200,
+            (true, false) => 503,
+        };
+        Answer {
+            status,
+            body: "{}".to_owned(),
+        }
+    })
+    .await?;
+    let shared = Rc::clone(state);
+    let address = SocketAddrV4::new(settings.node.address(), settings.peer_port);
+    serve(
+        address,
+        "configuration for balancers",
+        move |method, path, _body| {
+            if (method, path) == ("GET", CONFIGURATION_PATH) {
+                Answer {
+                    status: 200,
+                    body: shared.borrow().document(),
+                }
+            } else {
+                Answer {
+                    status: 404,
+                    body: "{}".to_owned(),
+                }
+            }
+        },
+    )
+    .await
+}
+
+#[derive(Debug)]
+struct Control {
+    state: Rc<RefCell<State>>,
+    peers: Peers,
+    again: Rc<Notify>,
+    fetching: Rc<Cell<bool>>,
+}
+
+impl Control {
+    async fn serve(&self, signals: &mut Signals, file: &Path) {
+        let mut ticks = interval(GREET);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut suspends = SuspendWatch::new();
+        let mut end: Option<Instant> = None;
+        loop {
+            let ending = async {
+                match end {
+                    Some(end) => sleep_until(end).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                (node, message) = self.peers.receive() => self.on_message(node, &message),
+                _ = ticks.tick() => self.on_tick(&mut suspends),
+                signal = signals.next() => match signal {
+                    Signal::Stop if end.is_none() => end = Some(self.stop()),
+                    Signal::Stop => return,
+                    Signal::Reload => self.reload(file),
+                },
+                () = ending => return,
+            }
+        }
+    }
+
+    fn on_message(&self, node: usher_forwarding::NodeId, message: &PeerMessage) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        match message {
+            PeerMessage::Report(report) => state.hear_agent(now, node, report),
+            PeerMessage::Hello(hello) => {
+                let new = state.hear_balancer(now, node, hello);
+                let agents = state.unknown_agents(now, hello);
+                if new {
+                    self.peers.send([&node], &state.hello(now, true));
+                }
+                self.peers.send(&agents, &state.hello(now, false));
+            }
+        }
+    }
+
+    fn on_tick(&self, suspends: &mut SuspendWatch) {
+        if let Some(span) = suspends.check() {
+            event::RESUMED.log(&[("for", &span)]);
+            self.again.notify_one();
+        }
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        state.expire(now);
+        let balancers = state.fleet.due(now);
+        self.peers.send(&balancers, &state.hello(now, true));
+        self.peers.send(&state.agents(), &state.hello(now, false));
+        let version = state.version();
+        let port = state.settings.peer_port;
+        if let Some((from, _)) = state.fleet.ahead(now, version)
+            && !self.fetching.replace(true)
+        {
+            let (state, fetching) = (Rc::clone(&self.state), Rc::clone(&self.fetching));
+            spawn_local(async move {
+                feed::fetch(state, from, port).await;
+                fetching.set(false);
+            });
+        }
+    }
+
+    // Turns traffic away; returns when the process ends.
+    fn stop(&self) -> Instant {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        state.stopping = true;
+        let span = TURN_AWAY.min(state.settings.grace - END_MARGIN);
+        event::STOPPING.log(&[("after", &span)]);
+        let balancers = state.fleet.due(now);
+        self.peers.send(&balancers, &state.hello(now, true));
+        Instant::now() + Duration::from_micros(span.as_micros())
+    }
+
+    fn reload(&self, file: &Path) {
+        match Settings::read(file) {
+            Ok(settings) => {
+                log::set_max_level(settings.level);
+                event::SETTINGS_READ.log(&[("level", &settings.level)]);
+            }
+            Err(fault) => event::SETTINGS_REFUSED.log(&[("fault", &fault)]),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/balancer/mod.rs
@@ -0,0 +1,8 @@
+//! A balancer: a control thread and a traffic thread.
+
+mod control;
+mod feed;
+mod state;
+mod traffic;
+
+pub(crate) use control::run;
--- /dev/null
+++ b/crates/node/src/balancer/state.rs
@@ -0,0 +1,184 @@
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use serde_json::Value;
+use usher_forwarding::{Directory, Fleet, Hello, HostState, InForce, NodeId, Report, View};
+use usher_platform::configuration;
+use usher_types::{Span, Time, Version};
+
+use crate::codec::PeerMessage;
+use crate::{Settings, clock, event};
+
+// Without any host after this time, the balancer is ready all the same: it refuses at once what
+// nobody can serve.
+const HOSTLESS: Span = Span::from_secs(3);
+
+/// Control state of a balancer; only its control thread has it.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) fleet: Fleet,
+    pub(crate) stopping: bool,
+    epoch: u64,
+    started: Time,
+    directory: Directory,
+    in_force: InForce,
+    document: Value,
+    view: Arc<ArcSwap<View>>,
+    ready: bool,
+}
+
+impl State {
+    pub(crate) fn new(settings: Settings, view: Arc<ArcSwap<View>>) -> Self {
+        let started = clock::now();
+        Self {
+            directory: Directory::new(settings.centre.clone(), started),
+            settings,
+            fleet: Fleet::default(),
+            stopping: false,
+            epoch: clock::epoch(),
+            started,
+            in_force: InForce::default(),
+            document: Value::Null,
+            view,
+            ready: false,
+        }
+    }
+
+    /// Takes the operator's document as stored at a version.
+    pub(crate) fn adopt(&mut self, version: Version, spec: Value, source: &str) {
+        if version <= self.in_force.version() {
+            return;
+        }
+        match configuration(version, &spec) {
+            Ok(offered) => {
+                let (label, routes) = (offered.label, offered.routes.len());
+                let ignored = offered.ignored;
+                self.in_force.adopt(offered);
+                self.document = spec;
+                self.publish();
+                event::CONFIGURED.log(&[
+                    ("version", &version),
+                    ("label", &label),
+                    ("routes", &routes),
+                    ("ignored", &ignored),
+                    ("source", &source),
+                ]);
+            }
+            Err(fault) => event::CONFIG_UNREADABLE.log(&[("version", &version), ("fault", &fault)]),
+        }
+    }
+
+    pub(crate) fn version(&self) -> Version {
+        self.in_force.version()
+    }
+
+    /// The document in force, for another balancer.
+    pub(crate) fn document(&self) -> String {
+        let document = &self.document;
+        serde_json::json!({ "version": self.version(), "document": document }).to_string()
+    }
+
+    pub(crate) fn hear_agent(&mut self, now: Time, node: NodeId, report: &Report) {
+        let known = self.directory.state(now, node);
+        if !self.directory.hear(now, node, report) {
+            return;
+        }
+        self.publish();
+        let before = known.map(|(state, _)| state);
+        if before != Some(report.state) {
+            let before = before.map_or_else(|| "unknown".to_owned(), |state| state.to_string());
+            event::HOST_CHANGED.log(&[
+                ("host", &node),
+                ("before", &before),
+                ("state", &report.state),
+                ("service", &report.service),
+                ("epoch", &report.epoch),
+                ("sequence", &report.sequence),
+            ]);
+        }
+    }
+
+    /// Takes a balancer's greeting; `true` if it should be greeted at once.
+    pub(crate) fn hear_balancer(&mut self, now: Time, node: NodeId, hello: &Hello) -> bool {
+        for other in &hello.balancers {
+            if *other != self.settings.node {
+                self.fleet.learn(now, *other);
+            }
+        }
+        let new = self.fleet.hear(now, node, hello);
+        if new {
+            event::BALANCER_FOUND.log(&[
+                ("balancer", &node),
+                ("epoch", &hello.epoch),
+                ("version", &hello.version),
+            ]);
+        }
+        new
+    }
+
+    /// Agents that a balancer named and this one does not know.
+    pub(crate) fn unknown_agents(&self, now: Time, hello: &Hello) -> Vec<NodeId> {
+        let named = hello.agents.iter().copied();
+        named
+            .filter(|agent| self.directory.state(now, *agent).is_none())
+            .collect()
+    }
+
+    pub(crate) fn agents(&self) -> Vec<NodeId> {
+        self.directory.agents().collect()
+    }
+
+    pub(crate) fn hello(&self, now: Time, to_balancers: bool) -> PeerMessage {
+        PeerMessage::Hello(Hello {
+            epoch: self.epoch,
+            version: self.version(),
+            leaving: self.stopping,
+            balancers: self.fleet.present(now),
+            agents: if to_balancers {
+                self.agents()
+            } else {
+                Vec::new()
+            },
+        })
+    }
+
+    /// Forgets who is gone.
+    pub(crate) fn expire(&mut self, now: Time) {
+        if self.directory.expire(now) {
+            event::HOSTS_FORGOTTEN.log(&[]);
+            self.publish();
+        }
+        for node in self.fleet.expire(now) {
+            event::BALANCER_FORGOTTEN.log(&[("balancer", &node)]);
+        }
+    }
+
+    /// Whether the platform may send traffic here.
+    pub(crate) fn is_ready(&mut self) -> bool {
+        let now = clock::now();
+        let mut states = self
+            .directory
+            .agents()
+            .filter_map(|agent| self.directory.state(now, agent));
+        let host = states.any(|(state, _)| state == HostState::Serving);
+        let configured = self.version() > Version::default();
+        let ready = configured && !self.stopping && (host || now - self.started > HOSTLESS);
+        if ready != self.ready {
+            self.ready = ready;
+            event::READY.log(&[
+                ("ready", &ready),
+                ("version", &self.version()),
+                ("hosts", &host),
+                ("stopping", &self.stopping),
+            ]);
+        }
+        ready
+    }
+
+    fn publish(&self) {
+        let previous = self.view.load();
+        let view = self.directory.view(self.in_force.current(), &previous);
+        self.view.store(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/crates/node/src/balancer/traffic.rs
@@ -0,0 +1,100 @@
+use std::net::{SocketAddrV4, UdpSocket};
+
+use arc_swap::ArcSwap;
+use usher_forwarding::{BalancerPath, Found, Head, NodeId, Refused, Verdict, View};
+use usher_platform::{head, reset};
+use usher_types::Time;
+
+use crate::codec::{DATAGRAM_BYTES, HINT_BYTES, read_hint, write_trip};
+use crate::socket::{receive_all, send};
+use crate::{clock, event};
+
+/// Forwards packets for ever.
+pub(crate) fn run(node: NodeId, port: u16, socket: &UdpSocket, view: &ArcSwap<View>) {
+    let mut traffic = Traffic {
+        path: BalancerPath::new(node),
+        port,
+        socket,
+        out: [0; DATAGRAM_BYTES],
+    };
+    let mut buffer = [0; DATAGRAM_BYTES];
+    receive_all(socket, &mut buffer, |bytes| {
+        let view = view.load();
+        traffic.on_datagram(clock::now(), bytes, &view);
+    });
+}
+
+#[derive(Debug)]
+struct Traffic<'a> {
+    path: BalancerPath,
+    port: u16,
+    socket: &'a UdpSocket,
+    out: [u8; DATAGRAM_BYTES],
+}
+
+impl Traffic<'_> {
+    fn on_datagram(&mut self, now: Time, bytes: &[u8], view: &View) {
+        if bytes.len() == HINT_BYTES {
+            let hint = read_hint(bytes);
+            if let Some(verdict) = hint.and_then(|hint| self.path.on_hint(now, &hint, view)) {
+                self.carry_out(bytes, None, verdict, view);
+            }
+            return;
+        }
+        match head(bytes) {
+            Ok(head) => {
+                let verdict = self.path.on_packet(now, &head, view);
+                self.carry_out(bytes, Some(&head), verdict, view);
+            }
+            Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
+        }
+    }
+
+    fn carry_out(&mut self, packet: &[u8], head: Option<&Head>, verdict: Verdict, view: &View) {
+        match verdict {
+            Verdict::Send { to, trip, how } => {
+                let length = write_trip(&mut self.out, &trip, packet);
+                let to = SocketAddrV4::new(to.address(), self.port);
+                send(self.socket, &self.out[..length], to);
+                if let Some(head) = head {
+                    log_sent(head, to, how, view);
+                }
+            }
+            Verdict::Reset {
+                flow,
+                received,
+                reason,
+            } => {
+                let to = SocketAddrV4::new(*flow.caller.ip(), self.port);
+                send(self.socket, &reset(&flow, received), to);
+                let event = match reason {
+                    Refused::HostGone => event::FLOW_RESET,
+                    _ => event::FLOW_REFUSED,
+                };
+                event.log(&[
+                    ("flow", &flow),
+                    ("reason", &reason.as_str()),
+                    ("version", &view.version()),
+                ]);
+            }
+            Verdict::Drop(reason) => {
+                let flow = head.map_or_else(String::new, |head| head.inbound().to_string());
+                event::PACKET_DROPPED.log(&[("flow", &flow), ("reason", &reason.as_str())]);
+            }
+        }
+    }
+}
+
+fn log_sent(head: &Head, to: SocketAddrV4, how: Found, view: &View) {
+    let event = match how {
+        Found::Placed => event::FLOW_PLACED,
+        Found::Searched => event::FLOW_SEARCHED,
+        Found::Cached => return,
+    };
+    event.log(&[
+        ("flow", &head.inbound()),
+        ("host", &to.ip()),
+        ("copy", &head.acknowledged),
+        ("version", &view.version()),
+    ]);
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,9 @@
+//! What the control threads of balancers and agents share.
+
+mod peers;
+mod signals;
+mod store;
+
+pub(crate) use peers::Peers;
+pub(crate) use signals::{Signal, Signals};
+pub(crate) use store::{Backoff, list_balancers, register};
--- /dev/null
+++ b/crates/node/src/control/peers.rs
@@ -0,0 +1,78 @@
+use std::io;
+use std::net::{IpAddr, SocketAddr, SocketAddrV4, UdpSocket};
+
+use usher_forwarding::NodeId;
+
+use crate::codec::{DATAGRAM_BYTES, PeerMessage, read_message, write_message};
+use crate::socket::{open_udp, send};
+use crate::{NodeError, Settings, event};
+
+/// Messages between the control threads of nodes.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    sender: UdpSocket,
+    receiver: tokio::net::UdpSocket,
+    port: u16,
+}
+
+impl Peers {
+    pub(crate) fn open(settings: &Settings) -> Result<Self, NodeError> {
+        let address = SocketAddrV4::new(settings.node.address(), settings.peer_port);
+        let what = "messages between nodes";
+        let failed = |cause: io::Error| NodeError::Open {
+            what,
+            address: address.to_string(),
+            cause,
+        };
+        let sender = open_udp(address, what)?;
+        sender.set_nonblocking(true).map_err(failed)?;
+        let receiver = sender.try_clone().map_err(failed)?;
+        let receiver = tokio::net::UdpSocket::from_std(receiver).map_err(failed)?;
+        Ok(Self {
+            sender,
+            receiver,
+            port: settings.peer_port,
+        })
+    }
+
+    pub(crate) fn send<'a>(&self, to: impl IntoIterator<Item = &'a NodeId>, message: &PeerMessage) {
+        let bytes = match write_message(message) {
+            Ok(bytes) => bytes,
+            Err(fault) => {
+                event::SEND_FAILED.log(&[("message", &fault)]);
+                return;
+            }
+        };
+        for node in to {
+            let to = SocketAddrV4::new(node.address(), self.port);
+            send(&self.sender, &bytes, to);
+        }
+    }
+
+    /// The next message that can be read.
+    pub(crate) async fn receive(&self) -> (NodeId, PeerMessage) {
+        let mut buffer = [0; DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.receiver.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(fault) => {
+                    event::RECEIVE_FAILED.log(&[("fault", &fault)]);
+                    tokio::task::yield_now().await;
+                    continue;
+                }
+            };
+            let message = read_message(&buffer[..length]);
+            match (node_of(from), message) {
+                (Some(node), Some(message)) => return (node, message),
+                _ => event::MALFORMED.log(&[("from", &from), ("bytes", &length)]),
+            }
+        }
+    }
+}
+
+fn node_of(from: SocketAddr) -> Option<NodeId> {
+    match from.ip() {
+        IpAddr::V4(address) => Some(NodeId::new(address)),
+        IpAddr::V6(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/store.rs
@@ -0,0 +1,116 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use usher_forwarding::NodeId;
+use usher_platform::{Listing, Object, Request};
+use usher_types::Span;
+
+use crate::event;
+use crate::http::Client;
+
+// The kind of object in which balancers are found.
+const BALANCERS: &str = "balancers";
+// An answer takes 4 ms; a store that is 50 times slower still serves.
+const CALL: Span = Span::from_millis(1_000);
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+const OK: u16 = 200;
+const CREATED: u16 = 201;
+const CONFLICT: u16 = 409;
+
+/// A balancer's entry in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    address: NodeId,
+}
+
+/// Pauses between calls that fail.
+#[derive(Debug)]
+pub(crate) struct Backoff {
+    pause: Duration,
+}
+
+impl Backoff {
+    pub(crate) fn new() -> Self {
+        Self { pause: FIRST_PAUSE }
+    }
+
+    pub(crate) async fn wait(&mut self) {
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+
+    pub(crate) fn reset(&mut self) {
+        *self = Self::new();
+    }
+}
+
+/// Enters a balancer into the store, under the name of its machine; repeats until it stands there.
+pub(crate) async fn register(client: &mut Client, name: &str, node: NodeId) {
+    let entry = serde_json::json!(Entry { address: node });
+    let mut request = Request::create(BALANCERS, name, &entry);
+    let mut backoff = Backoff::new();
+    loop {
+        match client.call(&request, CALL).await {
+            Ok(reply) if matches!(reply.status, OK | CREATED) => break,
+            Ok(reply) if reply.status == CONFLICT => {
+                // Created before, by an earlier process or by a call whose answer was lost.
+                match Object::parse(&reply.body) {
+                    Ok(object) if object.spec == entry => break,
+                    Ok(object) => {
+                        request = Request::replace(BALANCERS, name, object.version, &entry);
+                        continue;
+                    }
+                    Err(fault) => {
+                        event::STORE_LOST.log(&[("call", &"register"), ("fault", &fault)]);
+                    }
+                }
+            }
+            Ok(reply) => event::STORE_LOST.log(&[("call", &"register"), ("status", &reply.status)]),
+            Err(fault) => event::STORE_LOST.log(&[("call", &"register"), ("fault", &fault)]),
+        }
+        backoff.wait().await;
+    }
+    event::REGISTERED.log(&[("node", &node)]);
+}
+
+/// Balancers that the store lists; the list may be some seconds old. `None` if the store does not
+/// serve this node.
+pub(crate) async fn list_balancers(client: &mut Client) -> Option<Vec<NodeId>> {
+    let mut nodes = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let request = Request::list(BALANCERS, after.as_deref(), true);
+        let reply = match client.call(&request, CALL).await {
+            Ok(reply) => reply,
+            Err(fault) => {
+                event::STORE_LOST.log(&[("call", &"balancers"), ("fault", &fault)]);
+                return None;
+            }
+        };
+        if reply.status != OK {
+            event::STORE_LOST.log(&[("call", &"balancers"), ("status", &reply.status)]);
+            return None;
+        }
+        let listing = match Listing::parse(&reply.body) {
+            Ok(listing) => listing,
+            Err(fault) => {
+                event::STORE_LOST.log(&[("call", &"balancers"), ("fault", &fault)]);
+                return None;
+            }
+        };
+        after = listing.objects.last().map(|object| object.name.clone());
+        for object in listing.objects {
+            match serde_json::from_value::<Entry>(object.spec) {
+                Ok(entry) if !object.deleting => nodes.push(entry.address),
+                Ok(_) => {}
+                Err(fault) => {
+                    event::MALFORMED.log(&[("balancer", &object.name), ("fault", &fault)]);
+                }
+            }
+        }
+        if !listing.more || after.is_none() {
+            return Some(nodes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/logs.rs
@@ -0,0 +1,133 @@
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::{Duration, SystemTime};
+
+use fern::Dispatch;
+use log::{Log, Metadata, Record};
+
+use crate::{NodeError, Settings, event};
+
+// Lines that wait to be written; about 1 MB. More are dropped and counted.
+const QUEUE_LINES: usize = 4_096;
+// Lines are collected for this long, so that a busy node makes few system calls.
+const COLLECT: Duration = Duration::from_millis(50);
+// At the end of the process, the writer gets this long.
+const FLUSH: Duration = Duration::from_millis(200);
+
+static LOST: AtomicU64 = AtomicU64::new(0);
+
+/// The running log; lines are written by a thread of their own.
+#[derive(Debug)]
+pub(crate) struct Logs {
+    lines: SyncSender<Line>,
+    done: Receiver<()>,
+}
+
+#[derive(Debug)]
+enum Line {
+    Text(String),
+    End,
+}
+
+/// Starts the log on standard output: one line of `key=value` pairs for each event.
+pub(crate) fn start(settings: &Settings) -> Result<Logs, NodeError> {
+    let failed = |cause: String| NodeError::Start {
+        what: "the log",
+        cause,
+    };
+    let (lines, queue) = sync_channel(QUEUE_LINES);
+    let (finished, done) = sync_channel(1);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || {
+            write_lines(&queue);
+            // The process may have stopped waiting.
+            let _ended = finished.send(());
+        })
+        .map_err(|cause| failed(cause.to_string()))?;
+    let (name, centre) = (settings.name.clone(), settings.centre.clone());
+    let sink: Box<dyn Log> = Box::new(Sink {
+        lines: lines.clone(),
+    });
+    Dispatch::new()
+        .format(move |out, message, record| {
+            let time = humantime::format_rfc3339_millis(SystemTime::now());
+            let level = record.level().as_str().to_lowercase();
+            out.finish(format_args!(
+                "time={time} level={level} process={name} centre={centre} {message}"
+            ));
+        })
+        .level(settings.level)
+        .chain(sink)
+        .apply()
+        .map_err(|cause| failed(cause.to_string()))?;
+    Ok(Logs { lines, done })
+}
+
+impl Logs {
+    /// Writes what is queued and ends the writer.
+    pub(crate) fn finish(self) {
+        if self.lines.try_send(Line::End).is_ok() {
+            // A writer that is blocked must not keep the process.
+            let _finished = self.done.recv_timeout(FLUSH);
+        }
+    }
+}
+
+/// Puts lines into the queue without waiting.
+#[derive(Debug)]
+struct Sink {
+    lines: SyncSender<Line>,
+}
+
+impl Log for Sink {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let line = Line::Text(record.args().to_string());
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+            LOST.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(queue: &Receiver<Line>) {
+    let mut out = io::stdout();
+    let mut text = String::new();
+    while let Ok(Line::Text(line)) = queue.recv() {
+        text.push_str(&line);
+        text.push('\n');
+        thread::sleep(COLLECT);
+        let ended = collect(queue, &mut text);
+        // Nothing can be told of a log that cannot be written.
+        let _written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        text.clear();
+        if ended {
+            return;
+        }
+        let lost = LOST.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            event::LINES_LOST.log(&[("lines", &lost)]);
+        }
+    }
+}
+
+// Appends the lines that wait; `true` if the log ends.
+fn collect(queue: &Receiver<Line>, text: &mut String) -> bool {
+    loop {
+        match queue.recv_timeout(Duration::ZERO) {
+            Ok(Line::Text(line)) => {
+                text.push_str(&line);
+                text.push('\n');
+            }
+            Ok(Line::End) => return true,
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,227 @@
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::str::FromStr;
+
+use log::LevelFilter;
+use serde::Deserialize;
+use usher_forwarding::NodeId;
+use usher_types::{DataCentre, Span};
+
+use crate::NodeError;
+
+/// What a node runs as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Receives the packets of callers.
+    Balancer,
+    /// Runs beside a backend server.
+    Agent,
+}
+
+impl FromStr for Role {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "balancer" => Ok(Self::Balancer),
+            "agent" => Ok(Self::Agent),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Settings of a node, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// What the node runs as.
+    pub role: Role,
+    /// Name of the machine.
+    pub name: String,
+    /// Data centre of the machine.
+    pub centre: DataCentre,
+    /// The node, by its machine's address.
+    pub node: NodeId,
+    /// Where packets arrive. Callers and other nodes have the same port.
+    pub packets: SocketAddrV4,
+    /// Where the platform asks whether the node is ready.
+    pub ready: SocketAddrV4,
+    /// First of the ports between nodes: greetings and reports over UDP, configuration over TCP.
+    pub peer_port: u16,
+    /// Balancers that may be there when the store is not.
+    pub seeds: Vec<NodeId>,
+    /// The platform's store.
+    pub store: SocketAddrV4,
+    /// Longest life of a flow.
+    pub flow_life: Span,
+    /// Time between the stop signal and the kill.
+    pub grace: Span,
+    /// Level of the log.
+    pub level: LevelFilter,
+    /// Port of the metrics; 0 for none.
+    pub metrics: u16,
+    /// The backend server, for an agent.
+    pub agent: Option<AgentSettings>,
+}
+
+/// Settings about the backend server beside an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Its service.
+    pub service: String,
+    /// Where it receives packets.
+    pub backend: SocketAddrV4,
+    /// Where its packets arrive.
+    pub outbound: SocketAddrV4,
+    /// Where its heartbeats arrive.
+    pub control: SocketAddrV4,
+}
+
+#[derive(Debug, Deserialize)]
+struct File {
+    process: Process,
+    agent: Option<Agent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Process {
+    role: String,
+    name: String,
+    centre: String,
+    address: String,
+    packets: String,
+    ready: String,
+    peer_port: String,
+    #[serde(default)]
+    seeds: String,
+    store: String,
+    flow_life_s: String,
+    grace_s: String,
+    #[serde(default = "default_level")]
+    log: String,
+    #[serde(default)]
+    metrics: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Agent {
+    service: String,
+    backend: String,
+    outbound: String,
+    control: String,
+}
+
+fn default_level() -> String {
+    "info".to_owned()
+}
+
+const ADDRESS: &str = "an address and port, for example 10.1.0.10:8172";
+const SECONDS: &str = "a number of seconds";
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// `MU-9101`, `MU-9103` or `MU-9104`.
+    ///
+    /// ```
+    /// let fault = usher_node::Settings::read("/missing").unwrap_err();
+    /// assert!(fault.to_string().starts_with("MU-9101"));
+    /// ```
+    pub fn read(file: impl AsRef<Path>) -> Result<Self, NodeError> {
+        let file = file.as_ref();
+        let unreadable = |reason: String| NodeError::Unreadable {
+            file: file.to_owned(),
+            reason,
+        };
+        let text = fs::read_to_string(file).map_err(|fault| unreadable(fault.to_string()))?;
+        let parsed: File =
+            serde_ini::from_str(&text).map_err(|fault| unreadable(fault.to_string()))?;
+        Self::check(parsed)
+    }
+
+    fn check(file: File) -> Result<Self, NodeError> {
+        let process = file.process;
+        let section = "process";
+        let role = parse(section, "role", &process.role, "balancer or agent")?;
+        let agent = file.agent.map(AgentSettings::check).transpose()?;
+        if role == Role::Agent && agent.is_none() {
+            return Err(NodeError::NoAgent);
+        }
+        let seeds = process.seeds.split(',').map(str::trim);
+        let seeds = seeds.filter(|seed| !seed.is_empty());
+        let seeds: Result<Vec<SocketAddrV4>, _> = seeds
+            .map(|seed| parse(section, "seeds", seed, ADDRESS))
+            .collect();
+        let metrics = match process.metrics.as_str() {
+            "" => 0,
+            port => parse(section, "metrics", port, "a port")?,
+        };
+        let address: Ipv4Addr = parse(section, "address", &process.address, "an IPv4 address")?;
+        Ok(Self {
+            role,
+            name: process.name,
+            centre: parse(
+                section,
+                "centre",
+                &process.centre,
+                "a name of a data centre",
+            )?,
+            node: NodeId::new(address),
+            packets: parse(section, "packets", &process.packets, ADDRESS)?,
+            ready: parse(section, "ready", &process.ready, ADDRESS)?,
+            peer_port: parse(section, "peer_port", &process.peer_port, "a port")?,
+            seeds: seeds?.iter().map(|seed| NodeId::new(*seed.ip())).collect(),
+            store: parse(section, "store", &process.store, ADDRESS)?,
+            flow_life: seconds(section, "flow_life_s", &process.flow_life_s)?,
+            grace: seconds(section, "grace_s", &process.grace_s)?,
+            level: parse(
+                section,
+                "log",
+                &process.log,
+                "off, error, warn, info or debug",
+            )?,
+            metrics,
+            agent,
+        })
+    }
+}
+
+impl AgentSettings {
+    fn check(agent: Agent) -> Result<Self, NodeError> {
+        let section = "agent";
+        Ok(Self {
+            service: agent.service,
+            backend: parse(section, "backend", &agent.backend, ADDRESS)?,
+            outbound: parse(section, "outbound", &agent.outbound, ADDRESS)?,
+            control: parse(section, "control", &agent.control, ADDRESS)?,
+        })
+    }
+}
+
+fn parse<T: FromStr>(
+    section: &'static str,
+    key: &'static str,
+    value: &str,
+    allowed: &'static str,
+) -> Result<T, NodeError> {
+    value.trim().parse().map_err(|_fault| NodeError::Value {
+        section,
+        key,
+        value: value.to_owned(),
+        allowed,
+    })
+}
+
+fn seconds(section: &'static str, key: &'static str, value: &str) -> Result<Span, NodeError> {
+    let number: f64 = parse(section, key, value, SECONDS)?;
+    if number.is_finite() && number > 0.0 {
+        return Ok(Span::from_secs_f64(number));
+    }
+    Err(NodeError::Value {
+        section,
+        key,
+        value: value.to_owned(),
+        allowed: SECONDS,
+    })
+}
--- /dev/null
+++ b/crates/node/src/socket.rs
@@ -0,0 +1,65 @@
+use std::io;
+use std::net::{SocketAddrV4, UdpSocket};
+use std::thread;
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+
+use crate::{NodeError, event};
+
+// Packets that wait while the node is not scheduled; about 600 long ones.
+const RECEIVE_BUFFER: usize = 1_048_576;
+// A socket that fails is tried again at this pace.
+const FAILED_PAUSE: Duration = Duration::from_millis(20);
+// A connection that has gone silent is found within 3 s, less than the bound of configuration.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Opens a UDP socket for packets.
+pub(crate) fn open_udp(address: SocketAddrV4, what: &'static str) -> Result<UdpSocket, NodeError> {
+    let failed = |cause: io::Error| NodeError::Open {
+        what,
+        address: address.to_string(),
+        cause,
+    };
+    let socket = UdpSocket::bind(address).map_err(failed)?;
+    // A small buffer loses packets under load but does not stop the node.
+    if let Err(fault) = SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER) {
+        event::RECEIVE_FAILED.log(&[("buffer", &RECEIVE_BUFFER), ("fault", &fault)]);
+    }
+    Ok(socket)
+}
+
+/// Receives datagrams for ever and hands each to `take`.
+pub(crate) fn receive_all(socket: &UdpSocket, buffer: &mut [u8], mut take: impl FnMut(&mut [u8])) {
+    loop {
+        match socket.recv(buffer) {
+            Ok(length) => take(&mut buffer[..length]),
+            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
+            Err(fault) => {
+                event::RECEIVE_FAILED.log(&[("fault", &fault)]);
+                thread::sleep(FAILED_PAUSE);
+            }
+        }
+    }
+}
+
+/// Sends a datagram; a failure is logged, since its sender repeats what matters.
+pub(crate) fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddrV4) {
+    if let Err(fault) = socket.send_to(bytes, to) {
+        event::SEND_FAILED.log(&[("to", &to), ("fault", &fault)]);
+    }
+}
+
+/// Makes a connection notice when its other end has gone.
+pub(crate) fn watch_connection(stream: &tokio::net::TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    stream.set_nodelay(true)
+}
--- a/crates/runtime/src/balancer/fleet_entry.rs
+++ b/crates/runtime/src/balancer/fleet_entry.rs
@@ -2,7 +2,7 @@
 
 use async_std::task;
 use usher_members::FleetProposal;
-use usher_platform::Store;
+use usher_store::Store;
 use usher_types::{Balancer, DataCentre, Fleet, Incarnation, InstanceId};
 
 use crate::control::edit_fleet;
--- a/crates/runtime/src/control/core.rs
+++ b/crates/runtime/src/control/core.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64;
 use usher_config::{Object, ObjectKey};
 use usher_members::{Action, Event, Identity, Membership};
-use usher_platform::{Limits, Store};
+use usher_store::{Limits, Store};
 use usher_types::{Message, Peer, ServiceName, Time, Version};
 
 use super::{CatchUp, ControlEvent, State, follow, serve};
--- a/crates/runtime/src/control/feed.rs
+++ b/crates/runtime/src/control/feed.rs
@@ -6,7 +6,7 @@
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
-use usher_platform::{Batch, Store};
+use usher_store::{Batch, Store};
 use usher_types::{Span, Version};
 
 use super::{ControlEvent, Page};
--- a/crates/runtime/src/control/writer.rs
+++ b/crates/runtime/src/control/writer.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use usher_config::{Condition, Kind, Object, ObjectKey, Value};
-use usher_platform::{PlatformError, Store};
+use usher_store::{PlatformError, Store};
 use usher_types::{DataCentre, Fleet, Roster, ServiceName, Version};
 
 /// Changes a service's roster on condition of the version that was read.
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -1,26 +1,4 @@
-use std::fmt::{self, Display, Write as _};
-
-use log::Level;
-
-/// A numbered log event; `docs/events.md` lists all of them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Event {
-    /// Number, written as `MU-E<code>`.
-    pub code: u16,
-    /// Level of the log line.
-    pub level: Level,
-    /// What happened.
-    pub text: &'static str,
-}
-
-macro_rules! events {
-    ($($name:ident = $code:literal, $level:ident, $text:literal;)*) => {
-        $(pub(crate) const $name: Event = Event { code: $code, level: Level::$level, text: $text };)*
-
-        /// All events, in the order of their numbers.
-        pub const EVENTS: &[Event] = &[$($name),*];
-    };
-}
+use usher_events::events;
 
 events! {
     STARTED = 1001, Info, "process started";
@@ -48,36 +26,3 @@
     MALFORMED = 1601, Debug, "malformed datagram dropped";
     SEND_FAILED = 1602, Debug, "datagram not sent";
 }
-
-impl Event {
-    /// Writes the event to the log with its fields as `key=value`.
-    pub(crate) fn log(self, fields: &[(&str, &dyn Display)]) {
-        if !log::log_enabled!(self.level) {
-            return;
-        }
-        log::log!(self.level, "{self}{}", Fields(fields));
-    }
-}
-
-impl Display for Event {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "event=MU-E{} text=\"{}\"", self.code, self.text)
-    }
-}
-
-struct Fields<'a>(&'a [(&'a str, &'a dyn Display)]);
-
-impl Display for Fields<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (key, value) in self.0 {
-            let text = value.to_string();
-            if text.contains([' ', '"', '=']) {
-                write!(f, " {key}={text:?}")?;
-            } else {
-                f.write_char(' ')?;
-                write!(f, "{key}={text}")?;
-            }
-        }
-        Ok(())
-    }
-}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -16,6 +16,7 @@
 pub use balancer::run_balancer;
 pub use clock::now;
 pub use error::RuntimeError;
-pub use event::{EVENTS, Event};
+pub use event::EVENTS;
 pub use metric::{METRICS, Metric, MetricKind};
 pub use settings::{AgentSettings, BalancerSettings, Common};
+pub use usher_events::Event;
--- a/crates/standins/tests/store_contract.rs
+++ b/crates/standins/tests/store_contract.rs
@@ -7,8 +7,8 @@
 use async_std::task;
 use serde_json::json;
 use usher_config::{Cache, Condition, Kind, Object, ObjectKey, Value};
-use usher_platform::{Limits, PlatformError, Store};
 use usher_standins::store::{Stats, serve};
+use usher_store::{Limits, PlatformError, Store};
 use usher_types::{Profile, Span, Version};
 
 struct Bench {
--- a/crates/platform/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -25,7 +25,7 @@
     ///
     /// ```
     /// use usher_config::Cache;
-    /// use usher_platform::Batch;
+    /// use usher_store::Batch;
     /// use usher_types::Version;
     /// let batch = Batch {
     ///     after: Version::new(0),
--- a/crates/platform/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -8,7 +8,7 @@
 ///
 /// ```
 /// let value = usher_types::Roster::default().into();
-/// assert_eq!(usher_platform::encode(&value)?, br#"{"members":{}}"#);
+/// assert_eq!(usher_store::encode(&value)?, br#"{"members":{}}"#);
 /// # Ok::<(), serde_json::Error>(())
 /// ```
 pub fn encode(value: &Value) -> serde_json::Result<Vec<u8>> {
@@ -28,7 +28,7 @@
 ///
 /// ```
 /// use usher_config::Kind;
-/// assert!(usher_platform::decode(Kind::Service, serde_json::json!({ "port": 80 })).is_err());
+/// assert!(usher_store::decode(Kind::Service, serde_json::json!({ "port": 80 })).is_err());
 /// ```
 pub fn decode(kind: Kind, json: Json) -> serde_json::Result<Value> {
     Ok(match kind {
--- a/crates/platform/src/error.rs
+++ b/crates/store/src/error.rs
@@ -60,7 +60,7 @@
     /// The error's number, for example `MU-3005`.
     ///
     /// ```
-    /// assert_eq!(usher_platform::PlatformError::Status(418).code(), "MU-3005");
+    /// assert_eq!(usher_store::PlatformError::Status(418).code(), "MU-3005");
     /// ```
     pub fn code(&self) -> &'static str {
         match self {
--- a/crates/platform/src/limits.rs
+++ b/crates/store/src/limits.rs
@@ -3,7 +3,7 @@
 /// Times and sizes that bound the calls to the store.
 ///
 /// ```
-/// use usher_platform::Limits;
+/// use usher_store::Limits;
 /// use usher_types::Span;
 /// assert_eq!(Limits::default().attempt, Span::from_secs(1));
 /// ```
--- a/crates/platform/src/store.rs
+++ b/crates/store/src/store.rs
@@ -13,11 +13,11 @@
 ///
 /// ```no_run
 /// use usher_config::Kind;
-/// use usher_platform::{Limits, Store};
+/// use usher_store::{Limits, Store};
 /// # async_std::task::block_on(async {
 /// let store = Store::new("127.0.0.1:7000".parse().unwrap(), Limits::default());
 /// let batch = store.list(Some(Kind::Service), Default::default()).await?;
-/// # Ok::<(), usher_platform::PlatformError>(())
+/// # Ok::<(), usher_store::PlatformError>(())
 /// # }).unwrap();
 /// ```
 #[derive(Debug, Clone)]
@@ -29,7 +29,7 @@
     /// A client of the store at an address; it connects at the first call.
     ///
     /// ```
-    /// use usher_platform::{Limits, Store};
+    /// use usher_store::{Limits, Store};
     /// let store = Store::new("127.0.0.1:7000".parse().unwrap(), Limits::default());
     /// ```
     pub fn new(address: SocketAddrV4, limits: Limits) -> Self {
@@ -40,7 +40,7 @@
     /// A random id for a write.
     ///
     /// ```
-    /// use usher_platform::{Limits, Store};
+    /// use usher_store::{Limits, Store};
     /// let store = Store::new("127.0.0.1:7000".parse().unwrap(), Limits::default());
     /// assert_ne!(store.write_id(), store.write_id());
     /// ```
@@ -55,9 +55,9 @@
     ///
     /// ```no_run
     /// # async_std::task::block_on(async {
-    /// # let store = usher_platform::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
     /// let object = store.get(&"profile/fast".parse().unwrap()).await?;
-    /// # Ok::<(), usher_platform::PlatformError>(())
+    /// # Ok::<(), usher_store::PlatformError>(())
     /// # }).unwrap();
     /// ```
     pub async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, PlatformError> {
@@ -76,9 +76,9 @@
     ///
     /// ```no_run
     /// # async_std::task::block_on(async {
-    /// # let store = usher_platform::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
     /// let batch = store.list(None, Default::default()).await?;
-    /// # Ok::<(), usher_platform::PlatformError>(())
+    /// # Ok::<(), usher_store::PlatformError>(())
     /// # }).unwrap();
     /// ```
     pub async fn list(&self, kind: Option<Kind>, since: Version) -> Result<Batch, PlatformError> {
@@ -92,10 +92,10 @@
     ///
     /// ```no_run
     /// # async_std::task::block_on(async {
-    /// # let store = usher_platform::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
     /// let wait = usher_types::Span::from_secs(30);
     /// let batch = store.watch(None, Default::default(), wait).await?;
-    /// # Ok::<(), usher_platform::PlatformError>(())
+    /// # Ok::<(), usher_store::PlatformError>(())
     /// # }).unwrap();
     /// ```
     pub async fn watch(
@@ -121,10 +121,10 @@
     /// ```no_run
     /// use usher_config::Condition;
     /// # async_std::task::block_on(async {
-    /// # let store = usher_platform::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
     /// let value = usher_types::Profile::default().into();
     /// store.put("profile/fast".parse().unwrap(), Condition::Absent, value).await?;
-    /// # Ok::<(), usher_platform::PlatformError>(())
+    /// # Ok::<(), usher_store::PlatformError>(())
     /// # }).unwrap();
     /// ```
     pub async fn put(
@@ -149,10 +149,10 @@
     ///
     /// ```no_run
     /// # async_std::task::block_on(async {
-    /// # let store = usher_platform::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
     /// let version = usher_types::Version::new(4);
     /// store.delete("profile/fast".parse().unwrap(), version).await?;
-    /// # Ok::<(), usher_platform::PlatformError>(())
+    /// # Ok::<(), usher_store::PlatformError>(())
     /// # }).unwrap();
     /// ```
     pub async fn delete(&self, key: ObjectKey, version: Version) -> Result<Version, PlatformError> {
@@ -174,12 +174,12 @@
     ///
     /// ```no_run
     /// # async_std::task::block_on(async {
-    /// # let store = usher_platform::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
     /// # let key = "profile/fast".parse().unwrap();
     /// # let condition = usher_config::Condition::Absent;
     /// # let value = Some(usher_types::Profile::default().into());
     /// store.write(usher_config::Change { key, condition, value }).await?;
-    /// # Ok::<(), usher_platform::PlatformError>(())
+    /// # Ok::<(), usher_store::PlatformError>(())
     /// # }).unwrap();
     /// ```
     pub async fn write(&self, change: Change) -> Result<Version, PlatformError> {
@@ -194,13 +194,13 @@
     ///
     /// ```no_run
     /// # async_std::task::block_on(async {
-    /// # let store = usher_platform::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
     /// # let key = "profile/fast".parse().unwrap();
     /// # let condition = usher_config::Condition::Absent;
     /// # let change = usher_config::Change { key, condition, value: None };
     /// let id = store.write_id();
     /// store.write_as(usher_config::Write { id, change }).await?;
-    /// # Ok::<(), usher_platform::PlatformError>(())
+    /// # Ok::<(), usher_store::PlatformError>(())
     /// # }).unwrap();
     /// ```
     pub async fn write_as(&self, write: Write) -> Result<Version, PlatformError> {
