--- a/crates/forwarding/src/agent/life.rs
+++ b/crates/forwarding/src/agent/life.rs
@@ -51,13 +51,16 @@
         }
     }
 
-    pub(crate) fn hear(&mut self, word: HostWord) -> Heard {
+    /// Takes a word; `silent` tells that the known process has missed its heartbeats. The start
+    /// of a process is read from a clock that may step back, so an earlier start is a later process
+    /// when the known one is silent.
+    pub(crate) fn hear(&mut self, word: HostWord, silent: bool) -> Heard {
         let Some(known) = self.word() else {
             *self = begin(word);
             return Heard::Started;
         };
         let same = known.id == word.id && known.born == word.born;
-        if word.born < known.born || (same && word.sequence <= known.sequence) {
+        if (word.born < known.born && !silent) || (same && word.sequence <= known.sequence) {
             return Heard::Late;
         }
         if !same {
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -12,6 +12,8 @@
 // Requests beyond its slots that a backend server is given while others may be free: the next one
 // then starts without waiting for the caller's side of the handshake.
 const AHEAD: u16 = 1;
+// Two heartbeats are missing. They come every 1.2 s.
+const SILENT: Span = Span::from_millis(2_700);
 
 /// The decisions of one agent about packets. Performs no I/O.
 #[derive(Debug, Clone)]
@@ -20,6 +22,8 @@
     service: ServiceKey,
     name: String,
     life: Life,
+    /// When the word in `life` was heard.
+    heard: Time,
     flows: FlowTable,
     trips: Trips,
     meter: Meter,
@@ -44,6 +48,7 @@
             service: ServiceKey::of(service),
             name: service.to_owned(),
             life: Life::default(),
+            heard: now,
             flows: FlowTable::default(),
             trips: Trips::new(),
             meter: Meter::default(),
@@ -61,7 +66,10 @@
         let first = self.life.word().is_none();
         // The first words of a process come before any flow of it.
         let fresh = word.sequence.get() <= 1;
-        let heard = self.life.hear(word);
+        let heard = self.life.hear(word, now - self.heard > SILENT);
+        if heard != Heard::Late {
+            self.heard = now;
+        }
         let mut gone = Vec::new();
         if heard == Heard::Started && (!first || fresh) {
             self.complete_at = now;
@@ -263,10 +271,7 @@
         if head.opens() {
             self.meter.heard_host();
             self.meter.returned_opening(now);
-            let load = self.load();
-            let slots = self.life.word().map_or(Slots::new(1), |word| word.slots);
-            let wait = load.wait(slots) + load.work();
-            return self.hunt(flow, &trip, Some(wait), Passed::Returned);
+            return self.hunt(flow, &trip, None, Passed::Returned);
         }
         pass(head, &trip, Passed::Returned)
     }
--- /dev/null
+++ b/crates/forwarding/tests/balancer.rs
@@ -0,0 +1,288 @@
+//! Where a balancer sends packets, as a table of situations.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use usher_forwarding::{
+    BalancerPath, Configuration, Directory, Flags, FlowKey, Found, Head, Hint, HostState, Load,
+    NodeId, Refused, Report, Route, ServiceKey, Verdict, View,
+};
+use usher_types::{Sequence, Slots, Span, Time, Version};
+
+const ADDRESS: &str = "198.18.0.1:443";
+const SERVICE: &str = "namedesk";
+
+fn node(last: u8) -> NodeId {
+    NodeId::new([10, 1, 0, last].into())
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Span::from_millis(millis)
+}
+
+fn report(sequence: u32, service: &str) -> Report {
+    Report {
+        epoch: 1,
+        sequence: Sequence::new(sequence),
+        centre: "kolkata".parse().unwrap(),
+        service: ServiceKey::of(service),
+        state: HostState::Serving,
+        born: 100,
+        slots: Slots::new(4),
+        warmup: Span::ZERO,
+        load: Load::default(),
+    }
+}
+
+fn configuration(version: u64, service: &str) -> Arc<Configuration> {
+    let route = Route {
+        name: "r-1".to_owned(),
+        services: vec![(ServiceKey::of(service), 100)],
+        timeout: Span::from_millis(800),
+        rank: 2,
+    };
+    Arc::new(Configuration {
+        version: Version::new(version),
+        routes: [(ADDRESS.parse().unwrap(), route)].into_iter().collect(),
+        ..Configuration::default()
+    })
+}
+
+// A balancer with three hosts of one service, all heard at the same time.
+struct Fixture {
+    directory: Directory,
+    path: BalancerPath,
+    view: View,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let mut directory = Directory::new("kolkata".parse().unwrap(), Time::ZERO);
+        for last in [3, 4, 5] {
+            directory.hear(at(0), node(last), &report(1, SERVICE));
+        }
+        let view = directory.view(configuration(1, SERVICE), &View::default());
+        let path = BalancerPath::new(node(9));
+        Self {
+            directory,
+            path,
+            view,
+        }
+    }
+
+    fn hear(&mut self, millis: u64, last: u8, report: &Report) {
+        if self.directory.hear(at(millis), node(last), report) {
+            self.publish();
+        }
+    }
+
+    fn hear_all(&mut self, millis: u64, sequence: u32) {
+        for last in [3, 4, 5] {
+            self.hear(millis, last, &report(sequence, SERVICE));
+        }
+    }
+
+    fn publish(&mut self) {
+        let configuration = configuration(1, SERVICE);
+        self.view = self.directory.view(configuration, &self.view);
+    }
+
+    fn send(&mut self, millis: u64, head: &Head) -> Verdict {
+        self.path.on_packet(at(millis), head, &self.view)
+    }
+
+    // The host that a flow is placed on.
+    fn place(&mut self, millis: u64, port: u16, copy: u32) -> NodeId {
+        let verdict = self.send(millis, &opening(port, copy));
+        assert_matches!(verdict, Verdict::Send { to, how: Found::Placed, .. } => to)
+    }
+}
+
+fn head(port: u16, opening: bool) -> Head {
+    Head {
+        source: format!("100.64.0.7:{port}").parse().unwrap(),
+        target: ADDRESS.parse().unwrap(),
+        flags: Flags {
+            opening,
+            acknowledging: !opening,
+            ..Flags::default()
+        },
+        sequence: 1,
+        acknowledged: 0,
+        data: 0,
+        token: 0,
+    }
+}
+
+fn opening(port: u16, copy: u32) -> Head {
+    Head {
+        acknowledged: copy,
+        ..head(port, true)
+    }
+}
+
+fn flow(port: u16) -> FlowKey {
+    head(port, true).inbound()
+}
+
+/// Guards against flows that pile up on one host between two reports.
+#[test]
+fn flows_spread_over_hosts_between_reports() {
+    let mut fixture = Fixture::new();
+    let placed: Vec<NodeId> = (1..=12).map(|port| fixture.place(10, port, 0)).collect();
+    for last in [3, 4, 5] {
+        let count = placed.iter().filter(|to| **to == node(last)).count();
+        assert_eq!(count, 4, "{placed:?}");
+    }
+}
+
+/// Guards against a copy of an opening packet that opens the flow at a second host, and against
+/// one that follows the first to a host that has died.
+#[test]
+fn copies_follow_the_first_packet_while_its_host_is_heard() {
+    let mut fixture = Fixture::new();
+    let first = fixture.place(10, 1, 0);
+    for port in 2..=6 {
+        fixture.place(10, port, 0);
+    }
+    assert_eq!(fixture.place(200, 1, 1), first);
+    for last in [3, 4, 5].into_iter().filter(|last| node(*last) != first) {
+        fixture.hear(600, last, &report(2, SERVICE));
+    }
+    assert_ne!(fixture.place(610, 1, 2), first);
+}
+
+/// Guards against hosts that get new flows although they do not take any.
+#[test]
+fn only_serving_hosts_are_candidates_for_new_flows() {
+    for state in [HostState::Draining, HostState::Ended, HostState::Unheard] {
+        let mut fixture = Fixture::new();
+        let report = Report {
+            state,
+            ..report(2, SERVICE)
+        };
+        fixture.hear(5, 3, &report);
+        for port in 1..=9 {
+            let verdict = fixture.send(10, &opening(port, 0));
+            let trip = assert_matches!(verdict, Verdict::Send { trip, .. } => trip);
+            assert!(!trip.candidates.as_slice().contains(&node(3)), "{state}");
+        }
+    }
+}
+
+/// Guards against a balancer that is cut off itself and holds all hosts to be dead.
+#[test]
+fn a_balancer_that_hears_nobody_keeps_placing() {
+    let mut fixture = Fixture::new();
+    fixture.place(60_000, 1, 0);
+    assert!(!fixture.directory.expire(at(60_000)));
+}
+
+/// Guards against a host that died without a word and stays in the directory.
+#[test]
+fn a_silent_host_is_forgotten_while_others_are_heard() {
+    let mut fixture = Fixture::new();
+    fixture.hear(31_000, 4, &report(2, SERVICE));
+    fixture.hear(31_000, 5, &report(2, SERVICE));
+    assert!(fixture.directory.expire(at(31_000)));
+    assert_eq!(fixture.directory.agents().count(), 2);
+}
+
+/// Guards against an old report that takes a departure back.
+#[test]
+fn late_reports_change_nothing() {
+    let mut fixture = Fixture::new();
+    let draining = Report {
+        state: HostState::Draining,
+        ..report(5, SERVICE)
+    };
+    fixture.hear(5, 3, &draining);
+    fixture.hear(6, 3, &report(4, SERVICE));
+    let state = fixture.directory.state(at(6), node(3)).unwrap().0;
+    assert_eq!(state, HostState::Draining);
+    // A new process of the agent begins to count anew, and its predecessor's reports are late.
+    let restarted = Report {
+        epoch: 2,
+        ..report(1, SERVICE)
+    };
+    fixture.hear(7, 3, &restarted);
+    fixture.hear(8, 3, &draining);
+    let state = fixture.directory.state(at(8), node(3)).unwrap().0;
+    assert_eq!(state, HostState::Serving);
+}
+
+/// Guards against a flow that is lost when the rotation brings its packets to another balancer.
+#[test]
+fn an_unknown_flow_is_searched_and_then_found() {
+    let mut fixture = Fixture::new();
+    let verdict = fixture.send(10, &head(1, false));
+    let trip = assert_matches!(verdict, Verdict::Send { trip, how: Found::Searched, .. } => trip);
+    assert_eq!(trip.candidates.as_slice().len(), 3);
+    let held = Hint::Held {
+        flow: flow(1),
+        node: node(5),
+    };
+    assert_eq!(fixture.path.on_hint(at(11), &held, &fixture.view), None);
+    let verdict = fixture.send(12, &head(1, false));
+    assert_matches!(verdict, Verdict::Send { to, how: Found::Cached, .. } if to == node(5));
+}
+
+/// Guards against a flow that is lost when a configuration moves its route to another service.
+#[test]
+fn flows_are_searched_at_the_services_of_earlier_configurations() {
+    let mut fixture = Fixture::new();
+    for last in 10..30 {
+        fixture.hear(1, last, &report(1, "pedigree"));
+    }
+    fixture.view = fixture
+        .directory
+        .view(configuration(2, "pedigree"), &fixture.view);
+    let verdict = fixture.send(10, &head(1, false));
+    let trip = assert_matches!(verdict, Verdict::Send { trip, .. } => trip);
+    assert_eq!(trip.candidates.as_slice().len(), 16);
+    let verdict = fixture.send(10, &opening(2, 0));
+    let trip = assert_matches!(verdict, Verdict::Send { trip, .. } => trip);
+    assert!(!trip.candidates.as_slice().contains(&node(3)));
+}
+
+/// Guards against a caller that waits for an address which no route has.
+#[test]
+fn new_flows_without_a_route_are_refused_at_once() {
+    let mut fixture = Fixture::new();
+    let mut packet = opening(1, 0);
+    packet.target = "198.18.0.9:443".parse().unwrap();
+    let verdict = fixture.send(10, &packet);
+    assert_matches!(
+        verdict,
+        Verdict::Reset {
+            reason: Refused::NoRoute,
+            ..
+        }
+    );
+    fixture.view = View::default();
+    let verdict = fixture.send(10, &opening(1, 0));
+    assert_eq!(verdict, Verdict::Drop(Refused::Unconfigured));
+}
+
+/// Guards against a reset of a flow whose host may live.
+#[test]
+fn a_missing_flow_is_reset_only_when_all_hosts_are_heard() {
+    let missing = Hint::Missing {
+        flow: flow(1),
+        received: 7,
+    };
+    let mut fixture = Fixture::new();
+    let unsettled = Some(Verdict::Drop(Refused::Unsettled));
+    let verdict = fixture.path.on_hint(at(100), &missing, &fixture.view);
+    assert_eq!(verdict, unsettled, "hosts may not have been heard yet");
+    fixture.hear_all(6_000, 2);
+    let verdict = fixture.path.on_hint(at(6_000), &missing, &fixture.view);
+    assert_matches!(verdict, Some(Verdict::Reset { received: 7, .. }));
+    fixture.hear(7_000, 4, &report(3, SERVICE));
+    let verdict = fixture.path.on_hint(at(7_000), &missing, &fixture.view);
+    assert_eq!(verdict, unsettled, "two hosts are not heard");
+    fixture.hear_all(7_100, 4);
+    fixture.hear(7_100, 6, &report(1, SERVICE));
+    let verdict = fixture.path.on_hint(at(7_200), &missing, &fixture.view);
+    assert_eq!(verdict, unsettled, "a host has just joined");
+}
--- /dev/null
+++ b/crates/forwarding/tests/fleet.rs
@@ -0,0 +1,95 @@
+//! Which balancers a process knows and sends to, and which configuration is in force.
+
+use usher_forwarding::{Configuration, Fleet, Hello, InForce, NodeId};
+use usher_types::{Span, Time, Version};
+
+fn node(last: u8) -> NodeId {
+    NodeId::new([10, 1, 0, last].into())
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Span::from_millis(millis)
+}
+
+fn hello(epoch: u64, version: u64) -> Hello {
+    Hello {
+        epoch,
+        version: Version::new(version),
+        leaving: false,
+        balancers: Vec::new(),
+        agents: Vec::new(),
+    }
+}
+
+/// Guards against a balancer that is lost for good after a partition, and against sending to
+/// silent ones at full pace.
+#[test]
+fn silent_balancers_are_tried_now_and_then() {
+    let mut fleet = Fleet::default();
+    fleet.learn(at(0), node(1));
+    fleet.hear(at(0), node(2), &hello(1, 5));
+    assert_eq!(fleet.due(at(0)), [node(1), node(2)]);
+    assert_eq!(fleet.due(at(100)), [node(2)]);
+    assert_eq!(fleet.due(at(1_000)), [node(1), node(2)]);
+    assert_eq!(fleet.present(at(1_000)), [node(2)]);
+    assert_eq!(fleet.present(at(1_001)), []);
+}
+
+/// Guards against a balancer that forgets all others while it is cut off itself.
+#[test]
+fn nobody_is_forgotten_while_nobody_is_heard() {
+    let mut fleet = Fleet::default();
+    fleet.hear(at(0), node(1), &hello(1, 5));
+    fleet.hear(at(0), node(2), &hello(1, 5));
+    assert_eq!(fleet.expire(at(120_000)), []);
+    fleet.hear(at(120_000), node(2), &hello(1, 5));
+    assert_eq!(fleet.expire(at(120_000)), [node(1)]);
+}
+
+/// Guards against a node that the store refuses and that stays behind the others.
+#[test]
+fn a_balancer_with_a_newer_configuration_is_found() {
+    let mut fleet = Fleet::default();
+    fleet.hear(at(0), node(1), &hello(1, 5));
+    fleet.hear(at(0), node(2), &hello(1, 9));
+    let ahead = fleet.ahead(at(10), Version::new(5));
+    assert_eq!(ahead, Some((node(2), Version::new(9))));
+    assert_eq!(fleet.ahead(at(10), Version::new(9)), None);
+    assert_eq!(
+        fleet.ahead(at(5_000), Version::new(5)),
+        None,
+        "it is silent"
+    );
+}
+
+/// Guards against a process whose clock stepped back before it started, and against late greetings
+/// of its predecessor.
+#[test]
+fn a_process_need_not_start_later_than_its_predecessor() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.hear(at(0), node(1), &hello(100, 5)));
+    assert!(!fleet.hear(at(1), node(1), &hello(100, 5)));
+    assert!(fleet.hear(at(2), node(1), &hello(50, 6)));
+    assert!(!fleet.hear(at(3), node(1), &hello(100, 9)));
+    assert_eq!(
+        fleet.ahead(at(4), Version::new(5)),
+        Some((node(1), Version::new(6)))
+    );
+}
+
+/// Guards against a configuration that goes back, whatever the source: a stale read, a late answer,
+/// a balancer that is behind, the same document twice.
+#[test]
+fn the_configuration_in_force_never_goes_back() {
+    let mut in_force = InForce::default();
+    let cases = [(5, true), (4, false), (5, false), (9, true), (6, false)];
+    for (version, adopted) in cases {
+        let version = Version::new(version);
+        let offered = Configuration {
+            version,
+            ..Configuration::default()
+        };
+        assert_eq!(in_force.adopt(offered), adopted, "{version}");
+    }
+    assert_eq!(in_force.version(), Version::new(9));
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -35,5 +35,5 @@
     FLOW_MISSING = 2213, Info, "flow not found at any agent";
     MALFORMED = 2301, Debug, "malformed input ignored";
     RECEIVE_FAILED = 2302, Warn, "datagrams not received";
-    SEND_FAILED = 2303, Debug, "datagram not sent";
+    SEND_FAILED = 2303, Debug, "datagram not taken by the system";
 }
--- /dev/null
+++ b/crates/node/tests/processes/world.rs
@@ -0,0 +1,200 @@
+use std::fs;
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+
+use super::store::{Store, read_request};
+
+pub const SERVICE: &str = "namedesk";
+pub const ROUTE: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
+pub const ROUTE_PORT: u16 = 443;
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// One balancer, one agent, a backend server and a caller on loopback addresses.
+pub struct World {
+    pub store: Store,
+    pub balancer: Process,
+    pub agent: Process,
+    pub caller: UdpSocket,
+    pub backend: UdpSocket,
+    net: u8,
+}
+
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn start(file: &PathBuf) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_marigoldusher-node"))
+            .arg("--settings")
+            .arg(file)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { child }
+    }
+
+    pub fn terminate(&self) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, Signal::TERM).unwrap();
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Waits for the end; `true` if the process ended without a fault.
+    pub fn ended_well(&mut self) -> bool {
+        let mut status = None;
+        eventually("the process ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap().success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.is_running() {
+            self.child.kill().unwrap();
+            self.child.wait().unwrap();
+        }
+    }
+}
+
+impl World {
+    /// Starts all on the addresses 127.0.NET.1 and following.
+    pub fn start(net: u8) -> Self {
+        let store = Store::start(address(net, 1, 8169));
+        store.configure(&ROUTE.to_string(), ROUTE_PORT, SERVICE);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("net-{net}"));
+        fs::create_dir_all(&folder).unwrap();
+        let balancer = folder.join("balancer.ini");
+        fs::write(&balancer, process(net, 2, "balancer")).unwrap();
+        let agent = folder.join("agent.ini");
+        let own = format!(
+            "\n[agent]\nservice = {SERVICE}\nbackend = {}\noutbound = {}\ncontrol = {}\n",
+            address(net, 3, 8165),
+            address(net, 3, 8162),
+            address(net, 3, 8166)
+        );
+        fs::write(&agent, process(net, 3, "agent") + &own).unwrap();
+        let caller = socket(address(net, 4, 8172));
+        let backend = socket(address(net, 3, 8165));
+        Self {
+            store,
+            balancer: Process::start(&balancer),
+            agent: Process::start(&agent),
+            caller,
+            backend,
+            net,
+        }
+    }
+
+    pub fn ready(&self) -> u16 {
+        call(address(self.net, 2, 8167), "GET", "/readyz", "")
+    }
+
+    pub fn heartbeat(&self, state: &str, sequence: u32) -> u16 {
+        let body = json!({ "service": SERVICE, "address": "127.0.0.1:1", "zone": "kolkata",
+            "version": "v1", "capacity": 4, "state": state, "warmupLeftMs": 0,
+            "sequence": sequence, "born": 1700 });
+        self.call_agent("PUT", &body.to_string())
+    }
+
+    pub fn call_agent(&self, method: &str, body: &str) -> u16 {
+        call(address(self.net, 3, 8166), method, "/instances/i-1", body)
+    }
+
+    /// Sends a datagram to the balancer.
+    pub fn send(&self, bytes: &[u8]) {
+        let to = address(self.net, 2, 8172);
+        self.caller.send_to(bytes, to).unwrap();
+    }
+
+    /// Sends a datagram of the backend server to its agent.
+    pub fn answer(&self, bytes: &[u8]) {
+        let to = address(self.net, 3, 8162);
+        self.backend.send_to(bytes, to).unwrap();
+    }
+
+    /// An opening packet of the caller.
+    pub fn opening(&self, port: u16) -> Vec<u8> {
+        let mut packet = vec![0; 31];
+        packet[0..2].copy_from_slice(&port.to_be_bytes());
+        packet[2..4].copy_from_slice(&ROUTE_PORT.to_be_bytes());
+        packet[4..8].copy_from_slice(&[127, 0, self.net, 4]);
+        packet[8..12].copy_from_slice(&ROUTE.octets());
+        packet[18] = 8;
+        packet
+    }
+
+    /// Waits until a flow reaches the backend server, opening new ones from `port` on.
+    pub fn await_flow(&self, port: u16) -> Vec<u8> {
+        let mut got = None;
+        let mut next = port;
+        eventually("a flow reaches the backend server", || {
+            self.send(&self.opening(next));
+            next += 1;
+            got = receive(&self.backend);
+            got.is_some()
+        });
+        got.unwrap()
+    }
+}
+
+pub fn receive(socket: &UdpSocket) -> Option<Vec<u8>> {
+    let mut buffer = [0; 2048];
+    let length = socket.recv(&mut buffer).ok()?;
+    Some(buffer[..length].to_vec())
+}
+
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "timed out waiting until {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn address(net: u8, host: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 0, net, host), port)
+}
+
+fn socket(address: SocketAddrV4) -> UdpSocket {
+    let socket = UdpSocket::bind(address).unwrap();
+    let wait = Duration::from_millis(200);
+    socket.set_read_timeout(Some(wait)).unwrap();
+    socket
+}
+
+fn process(net: u8, host: u8, role: &str) -> String {
+    format!(
+        "[process]\nrole = {role}\nname = {role}-1\ncentre = kolkata\naddress = 127.0.{net}.{host}\n\
+         packets = {}\nready = {}\npeer_port = 7720\nseeds =\nstore = {}\nflow_life_s = 60\ngrace_s = 6\n",
+        address(net, host, 8172),
+        address(net, host, 8167),
+        address(net, 1, 8169)
+    )
+}
+
+// Status of a call; 0 if there is no answer.
+fn call(to: SocketAddrV4, method: &str, path: &str, body: &str) -> u16 {
+    let Ok(mut stream) = TcpStream::connect(to) else {
+        return 0;
+    };
+    let length = body.len();
+    let request =
+        format!("{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}");
+    stream.write_all(request.as_bytes()).unwrap();
+    let answer = read_request(&mut BufReader::new(stream));
+    let status = answer.and_then(|(line, _)| line.split(' ').nth(1)?.parse().ok());
+    status.unwrap_or(0)
+}
--- /dev/null
+++ b/crates/node/tests/settings.rs
@@ -0,0 +1,86 @@
+//! Settings that are not valid are refused with a number; `deploy/node.ini` renders to valid ones.
+
+use std::fs;
+use std::path::PathBuf;
+
+use usher_node::{Role, Settings};
+
+const GOOD: &str = "[process]\nrole = agent\nname = side-1\ncentre = kolkata\naddress = 10.1.0.13\n\
+    packets = 10.1.0.13:8172\nready = 10.1.0.13:8167\npeer_port = 7720\n\
+    seeds = 10.1.0.10:8166,10.2.0.40:8166\nstore = 10.200.1.7:8169\nflow_life_s = 60\ngrace_s = 6\n\
+    log = info\n\n[agent]\nservice = huvo11a\nbackend = 10.1.0.13:8165\noutbound = 10.1.0.13:8162\n\
+    control = 10.1.0.13:8166\n";
+
+fn read(name: &str, text: &str) -> Result<Settings, String> {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.ini"));
+    fs::write(&file, text).unwrap();
+    Settings::read(&file).map_err(|fault| fault.to_string())
+}
+
+/// Guards against a setting that is not read, or a wrong one that is not named.
+#[test]
+fn wrong_settings_are_refused_with_a_number() {
+    let settings = read("good", GOOD).unwrap();
+    assert_eq!(settings.role, Role::Agent);
+    assert_eq!((settings.seeds.len(), settings.peer_port), (2, 7720));
+    let cases = [
+        (
+            "role = agent",
+            "role = king",
+            "MU-9103: process.role = 'king'",
+        ),
+        (
+            "address = 10.1.0.13",
+            "address = here",
+            "MU-9103: process.address",
+        ),
+        (
+            "packets = 10.1.0.13:8172",
+            "packets = 10.1.0.13",
+            "MU-9103: process.packets",
+        ),
+        (
+            "peer_port = 7720",
+            "peer_port = 77200",
+            "MU-9103: process.peer_port",
+        ),
+        ("centre = kolkata", "centre = K", "MU-9103: process.centre"),
+        ("grace_s = 6", "grace_s = soon", "MU-9103: process.grace_s"),
+        ("grace_s = 6", "grace_s = -1", "MU-9103: process.grace_s"),
+        (
+            "flow_life_s = 60",
+            "flow_life_s = inf",
+            "MU-9103: process.flow_life_s",
+        ),
+        ("log = info", "log = loud", "MU-9103: process.log"),
+        (
+            "seeds = 10.1.0.10:8166",
+            "seeds = x",
+            "MU-9103: process.seeds",
+        ),
+        (
+            "outbound = 10.1.0.13:8162",
+            "outbound = ",
+            "MU-9103: agent.outbound",
+        ),
+        ("store = 10.200.1.7:8169\n", "", "MU-9101"),
+        ("[agent]", "[other]", "MU-9104"),
+    ];
+    for (index, (from, to, expected)) in cases.into_iter().enumerate() {
+        assert!(GOOD.contains(from));
+        let fault = read(&format!("case-{index}"), &GOOD.replacen(from, to, 1)).unwrap_err();
+        assert!(fault.starts_with(expected), "{from}: {fault}");
+    }
+}
+
+/// Guards against a template that lacks a key, or has one that nothing reads.
+#[test]
+fn the_template_has_the_keys_that_are_read() {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let template = fs::read_to_string(root.join("deploy/node.ini")).unwrap();
+    let keys = |text: &str| -> Vec<String> {
+        let lines = text.lines().filter_map(|line| line.split_once(" = "));
+        lines.map(|(key, _)| key.to_owned()).collect()
+    };
+    assert_eq!(keys(&template), keys(GOOD));
+}
