Stand-ins of the platform in a folder beside the adapter

Cause: the process test spoke the platform's words outside platform/. Change: platform/standin holds the stand-in store, caller and backend server.

--- a/crates/node/tests/processes/main.rs
+++ b/crates/node/tests/processes.rs
@@ -1,9 +1,8 @@
 //! Balancer and agent as real processes, with stand-ins for all that the platform gives.
 
-mod store;
-mod world;
+use std::path::Path;
 
-use world::{World, eventually, receive};
+use usher_platform_standin::{SERVICE, World, eventually, receive};
 
 const RETURNED: u8 = 1;
 const RESETTING: u8 = 4;
@@ -23,7 +22,8 @@
 }
 
 fn start(net: u8) -> World {
-    let world = World::start(net);
+    let program = Path::new(env!("CARGO_BIN_EXE_marigoldusher-node"));
+    let world = World::start(net, program, Path::new(env!("CARGO_TARGET_TMPDIR")));
     eventually("the balancer is ready", || world.ready() == 200);
     eventually("a heartbeat is acknowledged", || {
         world.heartbeat("ready", 1) == 200
@@ -80,7 +80,7 @@
     world.store.set_down(true);
     world.await_flow(2_000);
     world.store.set_down(false);
-    world.store.configure("198.18.0.9", 443, world::SERVICE);
+    world.store.configure("198.18.0.9", 443, SERVICE);
     eventually("the route is gone", || {
         world.send(&world.opening(3_000));
         receive(&world.caller).is_some_and(|packet| packet[18] == RESETTING)
