Search large services in rounds; place flows where a search begins

Cause: a search visits 16 agents, so a flow of a service with more hosts could be missed and reset although its host lives. Ruled out: longer lists in the packet (136 bytes for 34 hosts). Change: new flows go to the first 12 hosts by rendezvous hashing, a search goes through all hosts 16 at a time, and a reset follows only after the last round. Tests: a_search_visits_all_hosts_of_a_large_service_before_it_gives_up and flows_of_a_large_service_are_placed_where_a_search_begins.

--- a/crates/forwarding/src/balancer/mod.rs
+++ b/crates/forwarding/src/balancer/mod.rs
@@ -6,6 +6,7 @@
 mod load_cell;
 mod path;
 mod placement;
+mod search;
 mod view;
 
 pub use directory::Directory;
--- a/crates/forwarding/src/balancer/path.rs
+++ b/crates/forwarding/src/balancer/path.rs
@@ -1,7 +1,8 @@
 use usher_types::{Span, Time};
 
-use super::flow_cache::FlowCache;
+use super::flow_cache::{FlowCache, Known};
 use super::placement::Cost;
+use super::search;
 use super::view::{HostView, View};
 use crate::{Candidates, FlowKey, Head, Hint, HostState, NodeId, ServiceKey, Trip};
 
@@ -9,6 +10,9 @@
 const SETTLE: Span = Span::from_secs(5);
 // Reports come every 100 ms; a host whose last report is older may be cut off.
 const FRESH: Span = Span::from_millis(350);
+// Hosts among which a new flow is placed. Fewer than a search visits, so that some hosts may join
+// a large service before the first round of a search misses a flow.
+const PLACES: usize = 12;
 
 /// What a balancer does with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,25 +104,22 @@
         if head.opens() {
             return self.on_opening(now, flow, view);
         }
-        if let Some(node) = self.cache.get(&flow) {
-            let how = Found::Cached;
-            return self.send(
-                node,
-                others(view, &flow, node),
-                ServiceKey::from_bits(0),
-                how,
-            );
-        }
+        let round = match self.cache.get(&flow) {
+            Some(Known::At(node)) => {
+                let mut candidates = Candidates::default();
+                candidates.push(node);
+                return self.send(node, candidates, ServiceKey::NONE, Found::Cached);
+            }
+            Some(Known::Searched(round)) => round,
+            None => 0,
+        };
         if view.route(&flow.address).is_none() {
             return Verdict::Drop(Refused::NoRoute);
         }
-        let candidates = holders(view, &flow);
+        let candidates = search::round(view, &flow, round);
         match candidates.as_slice().first() {
-            Some(node) => {
-                let service = ServiceKey::from_bits(0);
-                self.send(*node, candidates, service, Found::Searched)
-            }
-            None => Verdict::Drop(Refused::NoHost),
+            Some(node) => self.send(*node, candidates, ServiceKey::NONE, Found::Searched),
+            None => Verdict::Drop(Refused::Unsettled),
         }
     }
 
@@ -126,21 +127,40 @@
     pub fn on_hint(&mut self, now: Time, hint: &Hint, view: &View) -> Option<Verdict> {
         match *hint {
             Hint::Held { flow, node } => {
-                self.cache.insert(now, flow, node);
+                self.cache.insert(now, flow, Known::At(node));
                 None
             }
-            Hint::Missing { flow, received } => {
-                self.cache.remove(&flow);
-                if !view.is_settled(now, SETTLE, FRESH) {
-                    return Some(Verdict::Drop(Refused::Unsettled));
-                }
-                Some(Verdict::Reset {
-                    flow,
-                    received,
-                    reason: Refused::HostGone,
-                })
-            }
+            Hint::Missing { flow, received } => self.on_missing(now, flow, received, view),
+        }
+    }
+
+    // The next packet of a missing flow goes to the next round of agents; a flow that all of them
+    // miss is gone.
+    fn on_missing(
+        &mut self,
+        now: Time,
+        flow: FlowKey,
+        received: u32,
+        view: &View,
+    ) -> Option<Verdict> {
+        let next = match self.cache.get(&flow) {
+            Some(Known::Searched(round)) => round.saturating_add(1),
+            Some(Known::At(_)) => 0,
+            None => 1,
+        };
+        if !search::round(view, &flow, next).as_slice().is_empty() {
+            self.cache.insert(now, flow, Known::Searched(next));
+            return None;
+        }
+        self.cache.remove(&flow);
+        if !view.is_settled(now, SETTLE, FRESH) {
+            return Some(Verdict::Drop(Refused::Unsettled));
         }
+        Some(Verdict::Reset {
+            flow,
+            received,
+            reason: Refused::HostGone,
+        })
     }
 
     fn on_opening(&mut self, now: Time, flow: FlowKey, view: &View) -> Verdict {
@@ -158,12 +178,13 @@
         let Some(service) = route.service(flow.hash(0)) else {
             return refuse(Refused::NoHost);
         };
-        let ranked = rank(now, view.hosts(service), &flow);
+        let hosts = search::shortlist(view.hosts(service), &flow, PLACES);
+        let ranked = rank(now, &hosts, &flow);
         let known = self.cache.get(&flow);
         // A copy of an opening packet follows the first one while its host is heard.
         let again = ranked
             .iter()
-            .position(|(cost, host)| Some(host.node) == known && cost.is_fit());
+            .position(|(cost, host)| known == Some(Known::At(host.node)) && cost.is_fit());
         let first = again.unwrap_or(0);
         let Some((cost, chosen)) = ranked.get(first) else {
             return refuse(Refused::NoHost);
@@ -181,7 +202,7 @@
                 candidates.push(host.node);
             }
         }
-        self.cache.insert(now, flow, chosen.node);
+        self.cache.insert(now, flow, Known::At(chosen.node));
         let mut verdict = self.send(chosen.node, candidates, service, Found::Placed);
         if let Verdict::Send { trip, .. } = &mut verdict {
             trip.budget = route.timeout;
@@ -203,37 +224,14 @@
     }
 }
 
-fn rank<'a>(now: Time, hosts: &'a [HostView], flow: &FlowKey) -> Vec<(Cost, &'a HostView)> {
+fn rank<'a>(now: Time, hosts: &[&'a HostView], flow: &FlowKey) -> Vec<(Cost, &'a HostView)> {
     let latest = hosts.iter().map(|host| host.cell.heard()).max();
     let latest = latest.unwrap_or(now);
-    let cost = |host: &'a HostView| (Cost::of(now, latest, host, flow), host);
     let mut ranked: Vec<_> = hosts
         .iter()
         .filter(|host| host.state != HostState::Ended)
-        .map(cost)
+        .map(|host| (Cost::of(now, latest, host, flow), *host))
         .collect();
     ranked.sort_by_key(|(cost, _)| *cost);
     ranked
 }
-
-// Agents that may hold a flow, those of the route's services first.
-fn holders(view: &View, flow: &FlowKey) -> Candidates {
-    let mut candidates = Candidates::default();
-    for service in view.holders(&flow.address) {
-        let hosts = view.hosts(service);
-        let order = hosts.iter().filter(|host| host.near);
-        for host in order.chain(hosts.iter().filter(|host| !host.near)) {
-            candidates.push(host.node);
-        }
-    }
-    candidates
-}
-
-fn others(view: &View, flow: &FlowKey, first: NodeId) -> Candidates {
-    let mut candidates = Candidates::default();
-    candidates.push(first);
-    for node in holders(view, flow).as_slice() {
-        candidates.push(*node);
-    }
-    candidates
-}
--- a/crates/forwarding/src/service_key.rs
+++ b/crates/forwarding/src/service_key.rs
@@ -14,6 +14,9 @@
 pub struct ServiceKey(u64);
 
 impl ServiceKey {
+    /// No service; an agent asks for the service of opening packets only.
+    pub(crate) const NONE: Self = Self(0);
+
     /// The key of a service's name.
     pub fn of(name: &str) -> Self {
         Self(xxh3_64(name.as_bytes()))
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -275,6 +275,7 @@
     let unsettled = Some(Verdict::Drop(Refused::Unsettled));
     let verdict = fixture.path.on_hint(at(100), &missing, &fixture.view);
     assert_eq!(verdict, unsettled, "hosts may not have been heard yet");
+    fixture.send(200, &head(1, false));
     fixture.hear_all(6_000, 2);
     let verdict = fixture.path.on_hint(at(6_000), &missing, &fixture.view);
     assert_matches!(verdict, Some(Verdict::Reset { received: 7, .. }));
@@ -286,3 +287,48 @@
     let verdict = fixture.path.on_hint(at(7_200), &missing, &fixture.view);
     assert_eq!(verdict, unsettled, "a host has just joined");
 }
+
+/// Guards against a flow of a large service that the first agents of a search do not hold, and that
+/// is reset although its host lives.
+#[test]
+fn a_search_visits_all_hosts_of_a_large_service_before_it_gives_up() {
+    let mut fixture = Fixture::new();
+    for last in 10..47 {
+        fixture.hear(1, last, &report(1, SERVICE));
+    }
+    for last in 10..47 {
+        fixture.hear(6_000, last, &report(2, SERVICE));
+    }
+    fixture.hear_all(6_000, 2);
+    let missing = Hint::Missing {
+        flow: flow(1),
+        received: 7,
+    };
+    let mut visited = Vec::new();
+    for _round in 0..3 {
+        let verdict = fixture.send(6_000, &head(1, false));
+        let trip = assert_matches!(verdict, Verdict::Send { trip, .. } => trip);
+        visited.extend_from_slice(trip.candidates.as_slice());
+        let verdict = fixture.path.on_hint(at(6_000), &missing, &fixture.view);
+        assert_eq!(verdict.is_some(), visited.len() == 40, "{}", visited.len());
+    }
+    visited.sort();
+    visited.dedup();
+    assert_eq!(visited.len(), 40);
+}
+
+/// Guards against a flow of a large service that is placed where a search looks last.
+#[test]
+fn flows_of_a_large_service_are_placed_where_a_search_begins() {
+    let mut fixture = Fixture::new();
+    for last in 10..47 {
+        fixture.hear(1, last, &report(1, SERVICE));
+    }
+    for port in 1..100 {
+        let host = fixture.place(10, port, 0);
+        let mut other = BalancerPath::new(node(8));
+        let verdict = other.on_packet(at(11), &head(port, false), &fixture.view);
+        let trip = assert_matches!(verdict, Verdict::Send { trip, .. } => trip);
+        assert!(trip.candidates.as_slice().contains(&host));
+    }
+}
