Node: metrics, budgets of log lines, inputs of each placement

Cause: on-call could not see by which report a flow was placed, and the volume of the log followed the load. Change: OpenMetrics text on the metrics port (packets, store calls, events, work time, report age, hops); each event may write 200 lines a second, and its next line tells how many were left out; the placement line carries age and load.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -2,6 +2,8 @@
 
 use log::Level;
 
+use crate::budget;
+
 /// A numbered log event; `docs/events.md` lists all of them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Event {
@@ -45,10 +47,17 @@
     /// assert_eq!(event.to_string(), "event=MU-E1 text=\"process started\"");
     /// ```
     pub fn log(self, fields: &[(&str, &dyn Display)]) {
+        budget::count(self.code);
         if !log::log_enabled!(self.level) {
             return;
         }
-        log::log!(self.level, "{self}{}", Fields(fields));
+        match budget::take(self.code) {
+            Some(0) => log::log!(self.level, "{self}{}", Fields(fields)),
+            Some(omitted) => {
+                log::log!(self.level, "{self}{} omitted={omitted}", Fields(fields));
+            }
+            None => {}
+        }
     }
 }
 
--- a/crates/forwarding/src/agent/decision.rs
+++ b/crates/forwarding/src/agent/decision.rs
@@ -87,7 +87,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outbound {
     /// To the caller.
-    ToCaller,
+    ToCaller {
+        /// Time that the request took which the packet begins to answer.
+        work: Option<Span>,
+    },
     /// Back into the system, as a packet of the caller.
     Inward(Inbound),
 }
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -139,14 +139,16 @@
             if !answers_opening && !head.flags.resetting {
                 self.flows.insert(flow, Entry::new(now, Phase::Open));
             }
-            return Outbound::ToCaller;
+            return Outbound::ToCaller { work: None };
         };
-        if let Some(start) = entry.on_host(now, head)
-            && !head.flags.resetting
-        {
-            self.meter.sample(now - start);
+        let answered = entry.on_host(now, head);
+        let work = answered
+            .filter(|_| !head.flags.resetting)
+            .map(|start| now - start);
+        if let Some(work) = work {
+            self.meter.sample(work);
         }
-        Outbound::ToCaller
+        Outbound::ToCaller { work }
     }
 
     /// State that is reported to balancers.
--- a/crates/forwarding/src/balancer/path.rs
+++ b/crates/forwarding/src/balancer/path.rs
@@ -43,7 +43,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Found {
     /// A new flow was placed.
-    Placed,
+    Placed {
+        /// Age of the report by which the host was chosen.
+        age: Span,
+        /// Requests that the host had by then.
+        working: u16,
+        /// Hosts that could have been chosen.
+        among: u8,
+    },
     /// The cache knows the flow.
     Cached,
     /// The flow is searched among all hosts that may hold it.
@@ -203,7 +210,12 @@
             }
         }
         self.cache.insert(now, flow, Known::At(chosen.node));
-        let mut verdict = self.send(chosen.node, candidates, service, Found::Placed);
+        let placed = Found::Placed {
+            age: now - chosen.cell.heard(),
+            working: chosen.cell.load().working,
+            among: candidates.as_slice().len() as u8,
+        };
+        let mut verdict = self.send(chosen.node, candidates, service, placed);
         if let Verdict::Send { trip, .. } = &mut verdict {
             trip.budget = route.timeout;
         }
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -94,7 +94,7 @@
     // The host that a flow is placed on.
     fn place(&mut self, millis: u64, port: u16, copy: u32) -> NodeId {
         let verdict = self.send(millis, &opening(port, copy));
-        assert_matches!(verdict, Verdict::Send { to, how: Found::Placed, .. } => to)
+        assert_matches!(verdict, Verdict::Send { to, how: Found::Placed { .. }, .. } => to)
     }
 }
 
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -14,8 +14,9 @@
 use super::traffic::Shared;
 use crate::clock::SuspendWatch;
 use crate::codec::PeerMessage;
-use crate::control::{Peers, Signal, Signals, list_balancers};
+use crate::control::{Peers, Signal, Signals, list_balancers, serve_metrics};
 use crate::http::{Answer, Client, serve};
+use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
 use crate::socket::open_udp;
 use crate::{NodeError, Settings, clock, event};
@@ -46,6 +47,7 @@
         node: settings.node,
         backend: own.backend,
         port: settings.packets.port(),
+        metrics: Arc::new(Metrics::new()),
     };
     let mut signals = Signals::new()?;
     let control = Rc::new(Control {
@@ -101,7 +103,19 @@
         serve(self.own.control, "heartbeats", move |method, path, body| {
             shared.on_call(Call::parse(method, path), body)
         })
-        .await
+        .await?;
+        let shared = Rc::clone(self);
+        serve_metrics(&self.settings, move || shared.metrics_text()).await
+    }
+
+    fn metrics_text(&self) -> String {
+        let metrics = &self.shared.metrics;
+        let (flows, working) = {
+            let path = self.shared.path();
+            (path.held(), path.load().working)
+        };
+        metrics.agent(flows, working);
+        metrics.text()
     }
 
     fn start_traffic(&self) -> Result<(), NodeError> {
@@ -215,10 +229,7 @@
             }
             None => 404,
         };
-        Answer {
-            status,
-            body: heartbeat_reply().to_owned(),
-        }
+        Answer::json(status, heartbeat_reply())
     }
 
     fn on_heartbeat(&self, id: &str, body: &[u8]) -> u16 {
@@ -303,7 +314,7 @@
     }
 
     async fn find_balancers(self: Rc<Self>) {
-        let mut client = Client::new(self.settings.store);
+        let mut client = Client::new(self.settings.store, Arc::clone(&self.shared.metrics));
         loop {
             if let Some(nodes) = list_balancers(&mut client).await {
                 let now = clock::now();
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -5,6 +5,7 @@
 use usher_platform::{clear_returned, head, reset, set_token};
 
 use crate::codec::{DATAGRAM_BYTES, read_trip, write_hint, write_trip};
+use crate::metrics::{Direction, Metrics};
 use crate::socket::{receive_all, send};
 use crate::{clock, event};
 
@@ -20,6 +21,7 @@
     pub(crate) backend: SocketAddrV4,
     /// Port of callers and nodes.
     pub(crate) port: u16,
+    pub(crate) metrics: Arc<Metrics>,
 }
 
 impl Shared {
@@ -37,8 +39,9 @@
             };
             match head(packet) {
                 Ok(head) => {
+                    self.metrics.packet(Direction::Inbound, packet.len());
                     let decision = self.path().on_packet(clock::now(), &head, &trip);
-                    self.carry_out(packet, &head, &decision);
+                    self.carry_out(packet, &head, trip.hop, &decision);
                 }
                 Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
             }
@@ -56,15 +59,19 @@
                     return;
                 }
             };
+            self.metrics.packet(Direction::Outbound, packet.len());
             let decision = self.path().on_host_packet(clock::now(), &head);
             match decision {
-                Outbound::ToCaller => {
+                Outbound::ToCaller { work } => {
+                    if let Some(work) = work {
+                        self.metrics.work(work);
+                    }
                     let caller = SocketAddrV4::new(*head.target.ip(), self.port);
                     send(&self.outside, packet, caller);
                 }
                 Outbound::Inward(decision) => {
                     clear_returned(packet);
-                    self.carry_out(packet, &head, &decision);
+                    self.carry_out(packet, &head, 0, &decision);
                 }
             }
         });
@@ -76,14 +83,19 @@
         send(&self.outside, &reset(flow, received), caller);
     }
 
-    fn carry_out(&self, packet: &mut [u8], head: &Head, decision: &Inbound) {
+    fn carry_out(&self, packet: &mut [u8], head: &Head, hop: u8, decision: &Inbound) {
         let flow = head.inbound();
         match decision.step {
             Step::Deliver { token, opening } => {
                 set_token(packet, token);
                 send(&self.inside, packet, self.backend);
                 if opening {
-                    event::FLOW_ACCEPTED.log(&[("flow", &flow), ("copy", &head.acknowledged)]);
+                    self.metrics.hops(hop);
+                    event::FLOW_ACCEPTED.log(&[
+                        ("flow", &flow),
+                        ("copy", &head.acknowledged),
+                        ("hop", &hop),
+                    ]);
                 }
             }
             Step::Forward { to, trip, reason } => {
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -18,8 +18,9 @@
 use super::{feed, traffic};
 use crate::clock::SuspendWatch;
 use crate::codec::PeerMessage;
-use crate::control::{Peers, Signal, Signals};
+use crate::control::{Peers, Signal, Signals, serve_metrics};
 use crate::http::{Answer, serve};
+use crate::metrics::Metrics;
 use crate::socket::open_udp;
 use crate::{NodeError, Settings, clock, event};
 
@@ -40,15 +41,14 @@
     let socket = open_udp(settings.packets, "packets")?;
     let peers = Peers::open(&settings)?;
     let mut signals = Signals::new()?;
-    let state = Rc::new(RefCell::new(State::new(
-        settings.clone(),
-        Arc::clone(&view),
-    )));
+    let metrics = Arc::new(Metrics::new());
+    let state = State::new(settings.clone(), Arc::clone(&view), Arc::clone(&metrics));
+    let state = Rc::new(RefCell::new(state));
     listen(&settings, &state).await?;
     let (node, port) = (settings.node, settings.packets.port());
     thread::Builder::new()
         .name("traffic".to_owned())
-        .spawn(move || traffic::run(node, port, &socket, &view))
+        .spawn(move || traffic::run(node, port, &socket, &view, &metrics))
         .map_err(|cause| NodeError::Start {
             what: "the traffic thread",
             cause: cause.to_string(),
@@ -90,10 +90,7 @@
             (true, true) => 200,
             (true, false) => 503,
         };
-        Answer {
-            status,
-            body: "{}".to_owned(),
-        }
+        Answer::empty(status)
     })
     .await?;
     let shared = Rc::clone(state);
@@ -101,21 +98,14 @@
     serve(
         address,
         "configuration for balancers",
-        move |method, path, _body| {
-            if (method, path) == ("GET", CONFIGURATION_PATH) {
-                Answer {
-                    status: 200,
-                    body: shared.borrow().document(),
-                }
-            } else {
-                Answer {
-                    status: 404,
-                    body: "{}".to_owned(),
-                }
-            }
+        move |method, path, _body| match (method, path) {
+            ("GET", CONFIGURATION_PATH) => Answer::json(200, shared.borrow().document()),
+            _ => Answer::empty(404),
         },
     )
-    .await
+    .await?;
+    let shared = Rc::clone(state);
+    serve_metrics(settings, move || shared.borrow().metrics_text()).await
 }
 
 #[derive(Debug)]
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -28,7 +29,8 @@
 
 /// Follows the operator's configuration in the store.
 pub(crate) async fn follow(state: Rc<RefCell<State>>, store: SocketAddrV4, again: Rc<Notify>) {
-    let mut client = Client::new(store);
+    let metrics = Arc::clone(&state.borrow().metrics);
+    let mut client = Client::new(store, Arc::clone(&metrics));
     let mut backoff = Backoff::new();
     let mut since: Option<Version> = None;
     let mut served = true;
@@ -39,7 +41,7 @@
                 outcome = watch(&state, &mut client, version) => outcome,
                 () = again.notified() => {
                     // The call in flight is dropped, and its connection with it.
-                    client = Client::new(store);
+                    client = Client::new(store, Arc::clone(&metrics));
                     Ok(None)
                 }
             },
@@ -72,7 +74,7 @@
 async fn read(state: &RefCell<State>, client: &mut Client) -> Result<Option<Version>, String> {
     let request = Request::list(KIND, None, false);
     let reply = client
-        .call(&request, CALL)
+        .call("read", &request, CALL)
         .await
         .map_err(|fault| fault.to_string())?;
     if reply.status != OK {
@@ -99,7 +101,7 @@
 ) -> Result<Option<Version>, String> {
     let request = Request::watch_configuration(since, WAIT);
     let reply = client
-        .call(&request, WAIT + CALL)
+        .call("watch", &request, WAIT + CALL)
         .await
         .map_err(|fault| fault.to_string())?;
     if reply.status == GONE {
@@ -134,7 +136,10 @@
         path: super::control::CONFIGURATION_PATH.to_owned(),
         body: String::new(),
     };
-    let reply = Client::new(address).call(&request, CALL).await;
+    let metrics = Arc::clone(&state.borrow().metrics);
+    let reply = Client::new(address, metrics)
+        .call("fetch", &request, CALL)
+        .await;
     let offered = match reply {
         Ok(reply) if reply.status == OK => {
             serde_json::from_slice::<Offered>(&reply.body).map_err(|fault| fault.to_string())
@@ -159,7 +164,8 @@
         let settings = &state.settings;
         (settings.store, settings.name.clone(), settings.node)
     };
-    let mut client = Client::new(store);
+    let metrics = Arc::clone(&state.borrow().metrics);
+    let mut client = Client::new(store, metrics);
     register(&mut client, &name, node).await;
     loop {
         if let Some(nodes) = list_balancers(&mut client).await {
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -7,6 +7,7 @@
 use usher_types::{Span, Time, Version};
 
 use crate::codec::PeerMessage;
+use crate::metrics::Metrics;
 use crate::{Settings, clock, event};
 
 // Without any host after this time, the balancer is ready all the same: it refuses at once what
@@ -19,6 +20,7 @@
     pub(crate) settings: Settings,
     pub(crate) fleet: Fleet,
     pub(crate) stopping: bool,
+    pub(crate) metrics: Arc<Metrics>,
     epoch: u64,
     started: Time,
     directory: Directory,
@@ -29,13 +31,14 @@
 }
 
 impl State {
-    pub(crate) fn new(settings: Settings, view: Arc<ArcSwap<View>>) -> Self {
+    pub(crate) fn new(settings: Settings, view: Arc<ArcSwap<View>>, metrics: Arc<Metrics>) -> Self {
         let started = clock::now();
         Self {
             directory: Directory::new(settings.centre.clone(), started),
             settings,
             fleet: Fleet::default(),
             stopping: false,
+            metrics,
             epoch: clock::epoch(),
             started,
             in_force: InForce::default(),
@@ -176,6 +179,13 @@
         ready
     }
 
+    /// All metrics as text.
+    pub(crate) fn metrics_text(&self) -> String {
+        let hosts = self.directory.agents().count();
+        self.metrics.balancer(self.version(), hosts);
+        self.metrics.text()
+    }
+
     fn publish(&self) {
         let previous = self.view.load();
         let view = self.directory.view(self.in_force.current(), &previous);
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -6,15 +6,23 @@
 use usher_types::Time;
 
 use crate::codec::{DATAGRAM_BYTES, HINT_BYTES, read_hint, write_trip};
+use crate::metrics::{Direction, Metrics};
 use crate::socket::{receive_all, send};
 use crate::{clock, event};
 
 /// Forwards packets for ever.
-pub(crate) fn run(node: NodeId, port: u16, socket: &UdpSocket, view: &ArcSwap<View>) {
+pub(crate) fn run(
+    node: NodeId,
+    port: u16,
+    socket: &UdpSocket,
+    view: &ArcSwap<View>,
+    metrics: &Metrics,
+) {
     let mut traffic = Traffic {
         path: BalancerPath::new(node),
         port,
         socket,
+        metrics,
         out: [0; DATAGRAM_BYTES],
     };
     let mut buffer = [0; DATAGRAM_BYTES];
@@ -29,6 +37,7 @@
     path: BalancerPath,
     port: u16,
     socket: &'a UdpSocket,
+    metrics: &'a Metrics,
     out: [u8; DATAGRAM_BYTES],
 }
 
@@ -43,6 +52,7 @@
         }
         match head(bytes) {
             Ok(head) => {
+                self.metrics.packet(Direction::Inbound, bytes.len());
                 let verdict = self.path.on_packet(now, &head, view);
                 self.carry_out(bytes, Some(&head), verdict, view);
             }
@@ -57,7 +67,7 @@
                 let to = SocketAddrV4::new(to.address(), self.port);
                 send(self.socket, &self.out[..length], to);
                 if let Some(head) = head {
-                    log_sent(head, to, how, view);
+                    self.tell_sent(head, to, how, view);
                 }
             }
             Verdict::Reset {
@@ -83,18 +93,32 @@
             }
         }
     }
-}
 
-fn log_sent(head: &Head, to: SocketAddrV4, how: Found, view: &View) {
-    let event = match how {
-        Found::Placed => event::FLOW_PLACED,
-        Found::Searched => event::FLOW_SEARCHED,
-        Found::Cached => return,
-    };
-    event.log(&[
-        ("flow", &head.inbound()),
-        ("host", &to.ip()),
-        ("copy", &head.acknowledged),
-        ("version", &view.version()),
-    ]);
+    fn tell_sent(&self, head: &Head, to: SocketAddrV4, how: Found, view: &View) {
+        let (flow, version) = (head.inbound(), view.version());
+        match how {
+            Found::Cached => {}
+            Found::Searched => event::FLOW_SEARCHED.log(&[
+                ("flow", &flow),
+                ("first", &to.ip()),
+                ("version", &version),
+            ]),
+            Found::Placed {
+                age,
+                working,
+                among,
+            } => {
+                self.metrics.age(age);
+                event::FLOW_PLACED.log(&[
+                    ("flow", &flow),
+                    ("host", &to.ip()),
+                    ("copy", &head.acknowledged),
+                    ("age", &age),
+                    ("working", &working),
+                    ("among", &among),
+                    ("version", &version),
+                ]);
+            }
+        }
+    }
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,9 +1,11 @@
 //! What the control threads of balancers and agents share.
 
+mod metrics;
 mod peers;
 mod signals;
 mod store;
 
+pub(crate) use metrics::serve_metrics;
 pub(crate) use peers::Peers;
 pub(crate) use signals::{Signal, Signals};
 pub(crate) use store::{Backoff, list_balancers, register};
--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -51,7 +51,7 @@
     let mut request = Request::create(BALANCERS, name, &entry);
     let mut backoff = Backoff::new();
     loop {
-        match client.call(&request, CALL).await {
+        match client.call("register", &request, CALL).await {
             Ok(reply) if matches!(reply.status, OK | CREATED) => break,
             Ok(reply) if reply.status == CONFLICT => {
                 // Created before, by an earlier process or by a call whose answer was lost.
@@ -81,7 +81,7 @@
     let mut after: Option<String> = None;
     loop {
         let request = Request::list(BALANCERS, after.as_deref(), true);
-        let reply = match client.call(&request, CALL).await {
+        let reply = match client.call("balancers", &request, CALL).await {
             Ok(reply) => reply,
             Err(fault) => {
                 event::STORE_LOST.log(&[("call", &"balancers"), ("fault", &fault)]);
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -1,5 +1,6 @@
 use std::fmt;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,11 +13,13 @@
 use usher_platform::Request;
 use usher_types::Span;
 
+use crate::metrics::Metrics;
 use crate::socket::watch_connection;
 
 // The largest value of the store, with room for the list around it.
 const ANSWER_BYTES: usize = 4 << 20;
 // Opening a connection takes one round trip; SYN retransmission begins after a second.
+const BAD_REQUEST: u16 = 400;
 const CONNECT: Duration = Duration::from_millis(1_500);
 
 /// Calls one server over a connection that is kept.
@@ -24,6 +27,7 @@
 pub(crate) struct Client {
     address: SocketAddrV4,
     connection: Option<SendRequest<Full<Bytes>>>,
+    metrics: Arc<Metrics>,
 }
 
 /// An answer.
@@ -54,19 +58,34 @@
 }
 
 impl Client {
-    pub(crate) fn new(address: SocketAddrV4) -> Self {
+    pub(crate) fn new(address: SocketAddrV4, metrics: Arc<Metrics>) -> Self {
         Self {
             address,
             connection: None,
+            metrics,
         }
     }
 
     /// Makes one call; a connection that failed is not used again.
     pub(crate) async fn call(
         &mut self,
+        what: &'static str,
         request: &Request,
         limit: Span,
     ) -> Result<Reply, CallError> {
+        let reply = self.attempt(request, limit).await;
+        let outcome = match &reply {
+            Ok(reply) if reply.status < BAD_REQUEST => "served",
+            Ok(_) => "refused",
+            Err(CallError::TimedOut) => "timed-out",
+            Err(CallError::Connect(_)) => "not-connected",
+            Err(CallError::Broken(_)) => "broken",
+        };
+        self.metrics.store_call(what, outcome);
+        reply
+    }
+
+    async fn attempt(&mut self, request: &Request, limit: Span) -> Result<Reply, CallError> {
         let mut connection = match self.connection.take().filter(|open| !open.is_closed()) {
             Some(connection) => connection,
             None => self.connect().await?,
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -5,7 +5,7 @@
 
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -21,13 +21,37 @@
 // A listener that fails, for lack of descriptors say, is tried again at this pace.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
 
-/// Status and JSON body of an answer.
+/// Status and body of an answer.
 #[derive(Debug)]
 pub(crate) struct Answer {
-    /// HTTP status.
-    pub(crate) status: u16,
-    /// Body.
-    pub(crate) body: String,
+    status: u16,
+    body: String,
+    content: &'static str,
+}
+
+impl Answer {
+    /// An answer in JSON.
+    pub(crate) fn json(status: u16, body: impl Into<String>) -> Self {
+        Self {
+            status,
+            body: body.into(),
+            content: "application/json",
+        }
+    }
+
+    /// An answer with nothing to tell but its status.
+    pub(crate) fn empty(status: u16) -> Self {
+        Self::json(status, "{}")
+    }
+
+    /// Metrics.
+    pub(crate) fn metrics(body: String) -> Self {
+        Self {
+            status: StatusCode::OK.as_u16(),
+            body,
+            content: "application/openmetrics-text; version=1.0.0; charset=utf-8",
+        }
+    }
 }
 
 /// Answers calls on an address; `answer` gets method, path and body.
@@ -86,16 +110,13 @@
         Ok(body) => answer(head.method.as_str(), head.uri.path(), &body.to_bytes()),
         Err(fault) => {
             event::MALFORMED.log(&[("body", &fault)]);
-            Answer {
-                status: StatusCode::BAD_REQUEST.as_u16(),
-                body: "{}".to_owned(),
-            }
+            Answer::empty(StatusCode::BAD_REQUEST.as_u16())
         }
     };
     let mut response = Response::new(Full::new(Bytes::from(answer.body)));
     *response.status_mut() =
         StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let json = hyper::header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json);
+    let content = HeaderValue::from_static(answer.content);
+    response.headers_mut().insert(CONTENT_TYPE, content);
     response
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod http;
 mod logs;
+mod metrics;
 mod settings;
 mod socket;
 
@@ -22,6 +23,7 @@
 pub use args::Args;
 pub use error::NodeError;
 pub use event::EVENTS;
+pub use metrics::{NODE_METRICS, NodeMetric};
 pub use settings::{AgentSettings, Role, Settings};
 
 /// Runs a node until it is stopped.
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -16,6 +16,9 @@
 // At the end of the process, the writer gets this long.
 const FLUSH: Duration = Duration::from_millis(200);
 
+// Lines of one event in a second; at the crest a balancer places 50 flows a second.
+const LINES_PER_SECOND: u32 = 200;
+
 static LOST: AtomicU64 = AtomicU64::new(0);
 
 /// The running log; lines are written by a thread of their own.
@@ -47,6 +50,7 @@
             let _ended = finished.send(());
         })
         .map_err(|cause| failed(cause.to_string()))?;
+    usher_events::limit(LINES_PER_SECOND);
     let (name, centre) = (settings.name.clone(), settings.centre.clone());
     let sink: Box<dyn Log> = Box::new(Sink {
         lines: lines.clone(),
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,193 @@
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use usher_types::{Span, Version};
+
+use crate::event::EVENTS;
+
+// From 1 ms to 2 s: a request takes 4 to 260 ms, and a caller waits 3 s at most.
+const WORK_BUCKETS: [f64; 11] = [
+    0.001, 0.003, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0,
+];
+// Reports come every 100 ms; a host is avoided after 250 ms.
+const AGE_BUCKETS: [f64; 7] = [0.01, 0.05, 0.1, 0.15, 0.25, 0.5, 2.0];
+// A packet visits 16 agents at most.
+const HOP_BUCKETS: [f64; 6] = [0.0, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+/// A metric of a node; `docs/metrics.md` lists all of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeMetric {
+    /// Name as it is served, without the ending of a counter.
+    pub name: &'static str,
+    /// Counter, gauge or histogram.
+    pub kind: &'static str,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// What it tells.
+    pub help: &'static str,
+}
+
+macro_rules! node_metrics {
+    ($($const:ident = $name:literal, $kind:literal, $unit:literal, $help:literal;)*) => {
+        $(const $const: NodeMetric = NodeMetric { name: $name, kind: $kind, unit: $unit, help: $help };)*
+
+        /// All metrics of a node.
+        pub const NODE_METRICS: &[NodeMetric] = &[$($const),*];
+    };
+}
+
+node_metrics! {
+    PACKETS = "usher_packets", "counter", "packets", "Packets handled, by direction";
+    BYTES = "usher_packet_bytes", "counter", "bytes", "Bytes of packets handled, by direction";
+    STORE_CALLS = "usher_store_calls", "counter", "calls", "Calls to the store, by call and outcome";
+    EVENTS_SEEN = "usher_events", "counter", "events", "Log events, written or left out, by number";
+    VERSION = "usher_configuration_version", "gauge", "store version", "Version of the configuration in force";
+    HOSTS = "usher_hosts", "gauge", "hosts", "Hosts that the balancer knows";
+    FLOWS = "usher_flows", "gauge", "flows", "Flows in the memory of the agent";
+    WORKING = "usher_working", "gauge", "requests", "Requests at the backend server";
+    WORK = "usher_work_seconds", "histogram", "s", "Time from a request to the first packet of its answer";
+    AGE = "usher_report_age_seconds", "histogram", "s", "Age of the report by which a flow was placed";
+    HOPS = "usher_hops", "histogram", "agents", "Agents that passed an opening packet on before one took it";
+}
+
+/// Direction of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Direction {
+    /// From a caller or another node.
+    Inbound,
+    /// From the backend server.
+    Outbound,
+}
+
+type Labels = [(&'static str, &'static str); 2];
+
+/// Counters, gauges and histograms of a node, served in the `OpenMetrics` text format.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    packets: Family<[(&'static str, &'static str); 1], Counter>,
+    inbound: (Counter, Counter),
+    outbound: (Counter, Counter),
+    store_calls: Family<Labels, Counter>,
+    events: Family<[(&'static str, String); 1], Counter>,
+    version: Gauge,
+    hosts: Gauge,
+    flows: Gauge,
+    working: Gauge,
+    work: Histogram,
+    age: Histogram,
+    hops: Histogram,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::default();
+        let packets = Family::<[(&'static str, &'static str); 1], Counter>::default();
+        let bytes = Family::<[(&'static str, &'static str); 1], Counter>::default();
+        let of = |direction| {
+            let label = [("direction", direction)];
+            let packets = packets.get_or_create(&label).clone();
+            (packets, bytes.get_or_create(&label).clone())
+        };
+        let metrics = Self {
+            inbound: of("inbound"),
+            outbound: of("outbound"),
+            packets: packets.clone(),
+            store_calls: Family::default(),
+            events: Family::default(),
+            version: Gauge::default(),
+            hosts: Gauge::default(),
+            flows: Gauge::default(),
+            working: Gauge::default(),
+            work: Histogram::new(WORK_BUCKETS),
+            age: Histogram::new(AGE_BUCKETS),
+            hops: Histogram::new(HOP_BUCKETS),
+            registry: Registry::default(),
+        };
+        registry.register(PACKETS.name, PACKETS.help, metrics.packets.clone());
+        registry.register(BYTES.name, BYTES.help, bytes);
+        registry.register(
+            STORE_CALLS.name,
+            STORE_CALLS.help,
+            metrics.store_calls.clone(),
+        );
+        registry.register(EVENTS_SEEN.name, EVENTS_SEEN.help, metrics.events.clone());
+        registry.register(VERSION.name, VERSION.help, metrics.version.clone());
+        registry.register(HOSTS.name, HOSTS.help, metrics.hosts.clone());
+        registry.register(FLOWS.name, FLOWS.help, metrics.flows.clone());
+        registry.register(WORKING.name, WORKING.help, metrics.working.clone());
+        registry.register(WORK.name, WORK.help, metrics.work.clone());
+        registry.register(AGE.name, AGE.help, metrics.age.clone());
+        registry.register(HOPS.name, HOPS.help, metrics.hops.clone());
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    /// Counts a packet.
+    pub(crate) fn packet(&self, direction: Direction, bytes: usize) {
+        let (packets, total) = match direction {
+            Direction::Inbound => &self.inbound,
+            Direction::Outbound => &self.outbound,
+        };
+        packets.inc();
+        total.inc_by(bytes as u64);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn store_call(&self, call: &'static str, outcome: &'static str) {
+        let labels = [("call", call), ("outcome", outcome)];
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// Takes the time of a request's work.
+    pub(crate) fn work(&self, span: Span) {
+        self.work.observe(span.as_secs_f64());
+    }
+
+    /// Takes the age of the report by which a flow was placed.
+    pub(crate) fn age(&self, span: Span) {
+        self.age.observe(span.as_secs_f64());
+    }
+
+    /// Takes the hops of an opening packet.
+    pub(crate) fn hops(&self, hops: u8) {
+        self.hops.observe(f64::from(hops));
+    }
+
+    /// Sets what a balancer knows.
+    pub(crate) fn balancer(&self, version: Version, hosts: usize) {
+        set(&self.version, version.get());
+        set(&self.hosts, hosts as u64);
+    }
+
+    /// Sets what an agent holds.
+    pub(crate) fn agent(&self, flows: usize, working: u16) {
+        set(&self.flows, flows as u64);
+        set(&self.working, u64::from(working));
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        for event in EVENTS {
+            let label = [("event", format!("MU-E{}", event.code))];
+            let counter = self.events.get_or_create(&label);
+            let total = usher_events::total(event.code);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+        let mut text = String::new();
+        // Formatting into a string does not fail.
+        if let Err(fault) = encode(&mut text, &self.registry) {
+            return format!("# {fault}\n");
+        }
+        text
+    }
+}
+
+fn set(gauge: &Gauge, value: u64) {
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+}
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -8,7 +8,7 @@
 const GOOD: &str = "[process]\nrole = agent\nname = side-1\ncentre = kolkata\naddress = 10.1.0.13\n\
     packets = 10.1.0.13:8172\nready = 10.1.0.13:8167\npeer_port = 7720\n\
     seeds = 10.1.0.10:8166,10.2.0.40:8166\nstore = 10.200.1.7:8169\nflow_life_s = 60\ngrace_s = 6\n\
-    log = info\n\n[agent]\nservice = huvo11a\nbackend = 10.1.0.13:8165\noutbound = 10.1.0.13:8162\n\
+    log = info\nmetrics = 9464\n\n[agent]\nservice = huvo11a\nbackend = 10.1.0.13:8165\noutbound = 10.1.0.13:8162\n\
     control = 10.1.0.13:8166\n";
 
 fn read(name: &str, text: &str) -> Result<Settings, String> {
--- a/crates/runtime/tests/pages.rs
+++ b/crates/runtime/tests/pages.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use log::Level;
+use usher_node::NODE_METRICS;
 use usher_runtime::{Event, METRICS};
 
 fn root() -> PathBuf {
@@ -189,15 +190,14 @@
 #[test]
 fn metrics_page_and_code_agree() {
     let listed: Vec<Vec<String>> = rows(&page("metrics.md"));
-    let expected: Vec<Vec<String>> = METRICS
+    let sent = METRICS.iter().map(|metric| {
+        let kind = metric.kind.to_string();
+        [metric.role, metric.name, &kind, metric.unit].map(str::to_owned)
+    });
+    let served = NODE_METRICS
         .iter()
-        .map(|metric| {
-            let kind = metric.kind.to_string();
-            [metric.role, metric.name, &kind, metric.unit]
-                .map(str::to_owned)
-                .into()
-        })
-        .collect();
+        .map(|metric| ["node", metric.name, metric.kind, metric.unit].map(str::to_owned));
+    let expected: Vec<Vec<String>> = sent.chain(served).map(Into::into).collect();
     let shown: Vec<Vec<String>> = listed.iter().map(|row| row[..4].to_vec()).collect();
     assert_eq!(shown, expected);
 }
