Relays, standby of weak balancers, and a queue at the agent

Cause: with 50 agents and 18 balancers each balancer read 500 reports a second; weak balancers got an even share of flows; a backend server shed (503) what came beyond its queue, although the caller's copies would have found a slot. Change: beyond 8 balancers an agent reports to two, which relay; a balancer with less than a quarter of the strongest one's processor is not ready while half of its data centre is; an agent holds opening packets until a slot is free, by rank of the route, and refuses at once what cannot get one in time. Tests: fleet.rs (relays, standby), agent.rs (queue).

--- a/crates/forwarding/src/agent/decision.rs
+++ b/crates/forwarding/src/agent/decision.rs
@@ -48,10 +48,21 @@
         /// Position up to which the caller has received.
         received: u32,
     },
-    /// Nowhere: the packet names nothing that is known.
+    /// Kept until a slot is free; see [`Release`].
+    Hold,
+    /// Nowhere: the packet names nothing that is known, or its flow waits already.
     Drop,
 }
 
+/// A flow that has waited for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Release {
+    /// The flow.
+    pub flow: FlowKey,
+    /// What becomes of the packet that was held.
+    pub inbound: Inbound,
+}
+
 /// Why an agent passed a packet on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Passed {
--- a/crates/forwarding/src/agent/mod.rs
+++ b/crates/forwarding/src/agent/mod.rs
@@ -8,7 +8,8 @@
 mod meter;
 mod path;
 mod trips;
+mod waiting;
 
-pub use decision::{Inbound, Outbound, Passed, Step};
+pub use decision::{Inbound, Outbound, Passed, Release, Step};
 pub use life::Heard;
 pub use path::AgentPath;
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -1,17 +1,21 @@
 use usher_types::{Slots, Span, Time};
 
-use super::decision::{Inbound, Outbound, Passed, Step};
+use super::decision::{Inbound, Outbound, Passed, Release, Step};
 use super::entry::{Entry, Phase};
 use super::flow_table::FlowTable;
 use super::life::{Heard, Life};
 use super::meter::Meter;
 use super::trips::Trips;
+use super::waiting::Waiting;
 use crate::trip::Best;
 use crate::{FlowKey, Head, HostState, HostWord, Load, NodeId, ServiceKey, Trip};
 
 // Requests beyond its slots that a backend server is given while others may be free: the next one
 // then starts without waiting for the caller's side of the handshake.
 const AHEAD: u16 = 1;
+// The same while all hosts are busy: a slot that is idle for a handshake costs more than a short
+// queue at the backend server.
+const AHEAD_BUSY: u16 = 2;
 // Two heartbeats are missing. They come every 1.2 s.
 const SILENT: Span = Span::from_millis(2_700);
 
@@ -26,6 +30,7 @@
     heard: Time,
     flows: FlowTable,
     trips: Trips,
+    waiting: Waiting,
     meter: Meter,
     stopping: bool,
     /// Flows older than this may be missing from the table.
@@ -51,6 +56,7 @@
             heard: now,
             flows: FlowTable::default(),
             trips: Trips::new(),
+            waiting: Waiting::default(),
             meter: Meter::default(),
             stopping: false,
             complete_at: now + flow_life,
@@ -164,9 +170,31 @@
         self.life.word()
     }
 
-    /// Requests at the backend server.
+    /// Requests at the backend server, and flows that wait for it.
     pub fn load(&self) -> Load {
-        self.meter.load(self.flows.working())
+        self.meter.load(self.flows.working() + self.waiting.len())
+    }
+
+    /// Flows that need not wait any longer: a slot is free, or their callers give up.
+    pub fn release(&mut self, now: Time) -> Vec<Release> {
+        let mut released = Vec::new();
+        for waiter in self.waiting.expire(now) {
+            released.push(refuse(waiter.flow));
+        }
+        while self.state() != HostState::Serving || self.has_room(now, AHEAD_BUSY) {
+            let Some(waiter) = self.waiting.pop() else {
+                break;
+            };
+            if self.state() != HostState::Serving {
+                released.push(refuse(waiter.flow));
+                continue;
+            }
+            released.push(Release {
+                flow: waiter.flow,
+                inbound: self.admit(now, waiter.flow, &waiter.trip),
+            });
+        }
+        released
     }
 
     /// Flows that are open at the backend server.
@@ -191,24 +219,56 @@
         if self.state() != HostState::Serving {
             return self.hunt(flow, trip, None, Passed::NotServing);
         }
-        let load = self.load();
-        let slots = self.life.word().map_or(Slots::new(1), |word| word.slots);
-        let wait = load.wait(slots);
-        if self.meter.is_silent(now) && !trip.last {
+        if self.waiting.contains(&flow) {
+            return Inbound {
+                step: Step::Drop,
+                tell: None,
+            };
+        }
+        if !trip.last && self.meter.is_silent(now) {
             return self.hunt(flow, trip, None, Passed::Silent);
         }
-        let busy = load.working >= slots.get() + AHEAD || self.meter.is_full(now);
-        if busy && !trip.last {
+        if self.waiting.len() == 0 && self.has_room(now, AHEAD) {
+            return self.admit(now, flow, trip);
+        }
+        let wait = self.wait(trip.rank);
+        if !trip.last {
             return self.hunt(flow, trip, Some(wait), Passed::Busy);
         }
-        if wait > trip.budget {
+        if self.waiting.len() == 0 && self.has_room(now, AHEAD_BUSY) {
+            return self.admit(now, flow, trip);
+        }
+        let tell = None;
+        if wait > Waiting::limit(trip) || self.waiting.is_full() {
             let step = Step::Refuse {
                 flow,
                 received: 0,
                 wait: Some(wait),
             };
-            return Inbound { step, tell: None };
+            return Inbound { step, tell };
         }
+        self.waiting.push(now, flow, *trip);
+        let step = Step::Hold;
+        Inbound { step, tell }
+    }
+
+    // Time until a new flow of a rank gets a slot.
+    fn wait(&self, rank: u8) -> Span {
+        let ahead = self.flows.working() + self.waiting.ahead(rank);
+        self.meter.load(ahead).wait(self.slots())
+    }
+
+    fn slots(&self) -> Slots {
+        self.life.word().map_or(Slots::new(1), |word| word.slots)
+    }
+
+    // Whether the backend server has a slot free, or will have one by the end of a handshake.
+    fn has_room(&self, now: Time, ahead: u16) -> bool {
+        let room = usize::from(self.slots().get() + ahead);
+        self.flows.working() < room && !self.meter.is_full(now)
+    }
+
+    fn admit(&mut self, now: Time, flow: FlowKey, trip: &Trip) -> Inbound {
         self.flows.insert(flow, Entry::new(now, Phase::Opening));
         self.meter.delivered_opening(now);
         let token = self.trips.keep(flow, *trip);
@@ -235,7 +295,8 @@
             let step = Step::Forward { to, trip, reason };
             return Inbound { step, tell };
         }
-        let step = match best.filter(|best| !trip.last && best.wait <= trip.budget) {
+        let limit = Waiting::limit(trip);
+        let step = match best.filter(|best| !trip.last && best.wait <= limit) {
             Some(best) => Step::Forward {
                 to: best.node,
                 trip: Trip {
@@ -298,3 +359,15 @@
     };
     Inbound { step, tell: None }
 }
+
+fn refuse(flow: FlowKey) -> Release {
+    let step = Step::Refuse {
+        flow,
+        received: 0,
+        wait: None,
+    };
+    Release {
+        flow,
+        inbound: Inbound { step, tell: None },
+    }
+}
--- a/crates/forwarding/src/balancer/directory.rs
+++ b/crates/forwarding/src/balancer/directory.rs
@@ -18,6 +18,8 @@
 pub struct Directory {
     centre: DataCentre,
     hosts: IndexMap<NodeId, HostRecord>,
+    /// Reports that agents sent here since the last digest.
+    direct: IndexMap<NodeId, Report>,
     since: Time,
 }
 
@@ -35,10 +37,23 @@
         Self {
             centre,
             hosts: IndexMap::new(),
+            direct: IndexMap::new(),
             since: now,
         }
     }
 
+    /// Takes a report that its agent sent here; it goes into the next digest. `true` if the view
+    /// has to be published again.
+    pub fn hear_direct(&mut self, now: Time, node: NodeId, report: &Report) -> bool {
+        self.direct.insert(node, report.clone());
+        self.hear(now, node, report)
+    }
+
+    /// The reports that agents sent here since the last call.
+    pub fn digest(&mut self) -> Vec<(NodeId, Report)> {
+        self.direct.drain(..).collect()
+    }
+
     /// Takes a report; `true` if the view has to be published again.
     pub fn hear(&mut self, now: Time, node: NodeId, report: &Report) -> bool {
         match self.hosts.get_mut(&node) {
--- a/crates/forwarding/src/balancer/path.rs
+++ b/crates/forwarding/src/balancer/path.rs
@@ -218,6 +218,7 @@
         let mut verdict = self.send(chosen.node, candidates, service, placed);
         if let Verdict::Send { trip, .. } = &mut verdict {
             trip.budget = route.timeout;
+            trip.rank = route.rank;
         }
         verdict
     }
@@ -230,6 +231,7 @@
             hop: 0,
             best: None,
             budget: Span::ZERO,
+            rank: 0,
             last: false,
         };
         Verdict::Send { to, trip, how }
--- a/crates/forwarding/src/balancer/placement.rs
+++ b/crates/forwarding/src/balancer/placement.rs
@@ -3,8 +3,8 @@
 use super::view::HostView;
 use crate::{FlowKey, HostState, Load};
 
-// Two reports of an agent are missing. Reports come every 100 ms.
-const SUSPECT: Span = Span::from_millis(250);
+// Reports come every 100 ms, and digests of them too: two are missing.
+const SUSPECT: Span = Span::from_millis(300);
 // Expected gain below which a flow stays in its data centre: the crossing there and back, and the
 // price of the answer's bytes.
 const CROSSING: Span = Span::from_millis(8);
--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -1,7 +1,8 @@
 use indexmap::IndexMap;
-use usher_types::{Span, Time, Version};
+use usher_types::{DataCentre, Span, Time, Version};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Hello, NodeId};
+use crate::{Hello, NodeId, Strength};
 
 // A balancer greets every 300 ms; after three missing greetings it is treated as silent.
 const SILENT: Span = Span::from_secs(1);
@@ -10,13 +11,23 @@
 // Nodes that are silent are greeted at this pace, to find them when a partition heals.
 const RETRY: Span = Span::from_secs(1);
 
+// Up to this many balancers hear every agent directly.
+const SMALL: usize = 8;
+// Two, so that the death of one leaves no gap.
+const RELAYS: usize = 2;
+// Factor by which a relay of the own data centre is preferred.
+const NEAR: f64 = 1_000.0;
+// A balancer stands by if another one of its data centre is this many times as strong: it would
+// be the first to drop packets at an even share.
+const WEAK: u32 = 4;
+
 /// The balancers that a process knows.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     members: IndexMap<NodeId, Member>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Member {
     learned: Time,
     heard: Option<Time>,
@@ -25,6 +36,8 @@
     former: u64,
     version: Version,
     leaving: bool,
+    centre: Option<DataCentre>,
+    strength: Strength,
 }
 
 impl Fleet {
@@ -49,6 +62,8 @@
             former: 0,
             version: Version::default(),
             leaving: false,
+            centre: None,
+            strength: Strength::default(),
         });
         new
     }
@@ -70,6 +85,8 @@
         member.heard = Some(now);
         member.version = hello.version;
         member.leaving = hello.leaving;
+        member.centre = Some(hello.centre.clone());
+        member.strength = hello.strength;
         new
     }
 
@@ -98,6 +115,65 @@
             .collect()
     }
 
+    /// Balancers that an agent reports to. All of a small fleet; a few of a large one, by weighted
+    /// rendezvous hashing, which relay the reports to the others. Nearly all weight is with the
+    /// agent's own data centre, and none with balancers that are about to stop.
+    pub fn relays(&mut self, now: Time, agent: NodeId, centre: &DataCentre) -> Vec<NodeId> {
+        let present = self.present(now);
+        if present.len() <= SMALL {
+            return self.due(now);
+        }
+        let mut scored: Vec<(f64, NodeId)> = Vec::new();
+        for (node, member) in &self.members {
+            if present.contains(node) && !member.leaving {
+                let near = member.centre.as_ref() == Some(centre);
+                scored.push((score(agent, *node, member.strength, near), *node));
+            }
+        }
+        scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+        scored.truncate(RELAYS);
+        scored.into_iter().map(|(_, node)| node).collect()
+    }
+
+    /// Whether a balancer has to relay the reports that it gets.
+    pub fn is_relayed(&self, now: Time) -> bool {
+        // The balancer itself is not among the members.
+        self.present(now).len() >= SMALL
+    }
+
+    /// Whether a weak balancer leaves the traffic to the stronger ones of its data centre.
+    ///
+    /// The platform spreads flows evenly over the balancers in rotation and uses all of a data
+    /// centre when fewer than half are, so half of them stay.
+    pub fn stands_by(
+        &self,
+        now: Time,
+        own: NodeId,
+        strength: Strength,
+        centre: &DataCentre,
+    ) -> bool {
+        let present = self.present(now);
+        let near = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.centre.as_ref() == Some(centre));
+        let mut known = 1;
+        let mut stronger = 0;
+        let mut strongest = strength;
+        for (node, member) in near {
+            known += 1;
+            if !present.contains(node) || member.leaving {
+                continue;
+            }
+            strongest = strongest.max(member.strength);
+            let before = (member.strength, own) > (strength, *node);
+            stronger += u32::from(before);
+        }
+        let needed = u32::div_ceil(known, 2);
+        let weak = strength.millicores() * WEAK < strongest.millicores();
+        weak && stronger >= needed
+    }
+
     /// The balancer with the newest configuration that is heard, if newer than `version`.
     pub fn ahead(&self, now: Time, version: Version) -> Option<(NodeId, Version)> {
         let present = self.present(now);
@@ -124,3 +200,12 @@
         gone
     }
 }
+
+// Weighted rendezvous score -w / ln(u), with u uniform in (0, 1).
+fn score(agent: NodeId, balancer: NodeId, strength: Strength, near: bool) -> f64 {
+    let seed = u64::from(u32::from(agent.address()));
+    let hash = xxh3_64_with_seed(&balancer.address().octets(), seed);
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    let weight = f64::from(strength.millicores()) * if near { NEAR } else { 1.0 };
+    -weight / uniform.ln()
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -18,9 +18,10 @@
 mod report;
 mod route;
 mod service_key;
+mod strength;
 mod trip;
 
-pub use agent::{AgentPath, Heard, Inbound, Outbound, Passed, Step};
+pub use agent::{AgentPath, Heard, Inbound, Outbound, Passed, Release, Step};
 pub use balancer::{BalancerPath, Directory, Found, Refused, Verdict, View};
 pub use candidates::Candidates;
 pub use fleet::Fleet;
@@ -35,4 +36,5 @@
 pub use report::{Hello, Report};
 pub use route::{Configuration, Route};
 pub use service_key::ServiceKey;
+pub use strength::{NoStrength, Strength};
 pub use trip::{Best, Trip};
--- a/crates/forwarding/src/report.rs
+++ b/crates/forwarding/src/report.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use usher_types::{DataCentre, Sequence, Slots, Span, Version};
 
-use crate::{HostState, Load, NodeId, ServiceKey};
+use crate::{HostState, Load, NodeId, ServiceKey, Strength};
 
 /// What an agent tells balancers, several times a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +35,10 @@
     pub version: Version,
     /// The balancer is about to stop.
     pub leaving: bool,
+    /// Data centre of the balancer.
+    pub centre: DataCentre,
+    /// What the balancer's processor can do.
+    pub strength: Strength,
     /// Balancers that it hears.
     pub balancers: Vec<NodeId>,
     /// Agents that it hears; left out in what is sent to agents.
--- a/crates/forwarding/src/trip.rs
+++ b/crates/forwarding/src/trip.rs
@@ -17,6 +17,8 @@
     pub best: Option<Best>,
     /// Longest wait that is of use to the caller; opening packets only.
     pub budget: Span,
+    /// Rank of the route; 0 is served first.
+    pub rank: u8,
     /// No other agent is left: take the packet, or refuse it.
     pub last: bool,
 }
--- a/crates/forwarding/tests/agent.rs
+++ b/crates/forwarding/tests/agent.rs
@@ -116,6 +116,7 @@
         hop,
         best: None,
         budget: Span::from_millis(500),
+        rank: 2,
         last: false,
     }
 }
@@ -334,3 +335,68 @@
     assert_matches!(inbound.step, Step::Forward { .. });
     assert_eq!(agent.state(), HostState::Draining);
 }
+
+/// Guards against a backend server that sheds what its agent could hold back, and against a read
+/// that goes before a booking.
+#[test]
+fn flows_wait_for_a_slot_the_most_urgent_first() {
+    let mut agent = serving();
+    let last = |rank| Trip {
+        rank,
+        last: true,
+        ..trip(&[3], 0)
+    };
+    for port in 1..=3 {
+        let taken = agent.on_packet(at(1), &opening(port), &last(2));
+        assert_matches!(taken.step, Step::Deliver { .. });
+    }
+    for (port, rank) in [(4, 2), (5, 1), (6, 2)] {
+        let held = agent.on_packet(at(2), &opening(port), &last(rank));
+        assert_eq!(held.step, Step::Hold);
+    }
+    let copy = agent.on_packet(at(3), &opening(5), &last(1));
+    assert_eq!(copy.step, Step::Drop, "it waits already");
+    assert_eq!(agent.load().working, 6);
+    assert_eq!(agent.release(at(3)), []);
+    for (answered, expected) in [(1, 5), (2, 4), (3, 6)] {
+        let caller = opening(answered);
+        agent.on_host_packet(at(4), &answer(&caller, true, 0));
+        agent.on_host_packet(at(5), &answer(&caller, false, 100));
+        let released = agent.release(at(5));
+        assert_eq!(released.len(), 1);
+        assert_eq!(released[0].flow, opening(expected).inbound());
+        assert_matches!(
+            released[0].inbound.step,
+            Step::Deliver { opening: true, .. }
+        );
+    }
+}
+
+/// Guards against a caller that waits for a slot which it can no longer use, and against flows that
+/// wait for a backend server that leaves.
+#[test]
+fn waiting_flows_are_refused_when_waiting_is_of_no_use() {
+    let busy = || {
+        let mut agent = serving();
+        let last = Trip {
+            last: true,
+            ..trip(&[3], 0)
+        };
+        for port in 1..=4 {
+            agent.on_packet(at(1), &opening(port), &last);
+        }
+        agent
+    };
+    let mut agent = busy();
+    assert_eq!(agent.release(at(500)), []);
+    let released = agent.release(at(501));
+    assert_matches!(released[0].inbound.step, Step::Refuse { .. });
+    let mut agent = busy();
+    let draining = HostWord {
+        draining: true,
+        ..word("i-1", 100, 2)
+    };
+    agent.hear(at(2), draining);
+    let released = agent.release(at(2));
+    assert_matches!(released[0].inbound.step, Step::Refuse { .. });
+}
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -16,6 +16,8 @@
         epoch,
         version: Version::new(version),
         leaving: false,
+        centre: "kolkata".parse().unwrap(),
+        strength: "0.055".parse().unwrap(),
         balancers: Vec::new(),
         agents: Vec::new(),
     }
@@ -93,3 +95,67 @@
     }
     assert_eq!(in_force.version(), Version::new(9));
 }
+
+fn strong(epoch: u64, cores: &str, centre: &str) -> Hello {
+    Hello {
+        centre: centre.parse().unwrap(),
+        strength: cores.parse().unwrap(),
+        ..hello(epoch, 5)
+    }
+}
+
+/// Guards against reports whose number grows with the fleet, and against weak balancers that spend
+/// their processor on relaying.
+#[test]
+fn agents_report_to_all_of_a_small_fleet_and_to_two_of_a_large_one() {
+    let centre = "kolkata".parse().unwrap();
+    let mut fleet = Fleet::default();
+    for last in 1..=8 {
+        fleet.hear(at(0), node(last), &strong(1, "0.028", "howrah"));
+    }
+    assert_eq!(fleet.relays(at(0), node(99), &centre).len(), 8);
+    for last in 9..=12 {
+        let cores = if last > 10 { "0.5" } else { "0.028" };
+        fleet.hear(at(0), node(last), &strong(1, cores, "kolkata"));
+    }
+    let mut chosen = Vec::new();
+    for agent in 20..80 {
+        let relays = fleet.relays(at(10), node(agent), &centre);
+        assert_eq!(relays.len(), 2);
+        chosen.extend(relays);
+    }
+    let strong = [node(11), node(12)];
+    let share = chosen.iter().filter(|relay| strong.contains(relay)).count();
+    assert!(share > 100, "{share} of 120");
+    // When nobody is heard, the agent sends to all.
+    assert_eq!(fleet.relays(at(9_000), node(20), &centre).len(), 12);
+}
+
+/// Guards against a weak balancer that drops packets at an even share, and against a data centre
+/// with fewer than half of its balancers in rotation.
+#[test]
+fn weak_balancers_stand_by_while_half_of_the_data_centre_is_stronger() {
+    let centre = "kolkata".parse().unwrap();
+    let weak = "0.028".parse().unwrap();
+    let mut fleet = Fleet::default();
+    assert!(
+        !fleet.stands_by(at(0), node(1), weak, &centre),
+        "it is alone"
+    );
+    fleet.hear(at(0), node(2), &strong(1, "0.028", "kolkata"));
+    fleet.hear(at(0), node(3), &strong(1, "0.5", "kolkata"));
+    fleet.hear(at(0), node(4), &strong(1, "0.5", "howrah"));
+    // Three are known, so two are needed: the strong one and the first of the weak ones.
+    assert!(!fleet.stands_by(at(0), node(1), weak, &centre));
+    fleet.hear(at(0), node(5), &strong(1, "0.5", "kolkata"));
+    assert!(fleet.stands_by(at(0), node(1), weak, &centre));
+    fleet.hear(at(1_500), node(3), &strong(1, "0.5", "kolkata"));
+    fleet.hear(at(1_500), node(2), &strong(1, "0.028", "kolkata"));
+    assert!(
+        !fleet.stands_by(at(1_500), node(1), weak, &centre),
+        "a strong one is silent"
+    );
+    let equal = "0.2".parse().unwrap();
+    fleet.hear(at(1_500), node(5), &strong(1, "0.5", "kolkata"));
+    assert!(!fleet.stands_by(at(1_500), node(1), equal, &centre));
+}
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -42,6 +42,7 @@
     let path = AgentPath::new(settings.node, &own.service, now, settings.flow_life);
     let shared = Shared {
         path: Arc::new(Mutex::new(path)),
+        held: Arc::default(),
         outside: Arc::new(open_udp(settings.packets, "packets")?),
         inside: Arc::new(open_udp(own.outbound, "packets of the backend server")?),
         node: settings.node,
@@ -154,6 +155,7 @@
                         event::RESUMED.log(&[("for", &span)]);
                     }
                     let now = clock::now();
+                    self.shared.release();
                     self.report(now);
                     if now - expired >= EXPIRE {
                         expired = now;
@@ -205,7 +207,11 @@
             }
         };
         self.sequence.set(self.sequence.get().next());
-        let balancers = self.fleet.borrow_mut().due(now);
+        let settings = &self.settings;
+        let balancers = self
+            .fleet
+            .borrow_mut()
+            .relays(now, settings.node, &settings.centre);
         self.peers.send(&balancers, &PeerMessage::Report(report));
     }
 
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -1,6 +1,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use indexmap::IndexMap;
 use usher_forwarding::{AgentPath, FlowKey, Head, Hint, Inbound, NodeId, Outbound, Step, Trip};
 use usher_platform::{clear_returned, head, reset, set_token};
 
@@ -13,6 +14,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Shared {
     pub(crate) path: Arc<Mutex<AgentPath>>,
+    /// Opening packets that wait for a slot. Locked after `path`.
+    pub(crate) held: Arc<Mutex<IndexMap<FlowKey, Vec<u8>>>>,
     /// Packets to callers and other nodes.
     pub(crate) outside: Arc<UdpSocket>,
     /// Packets to and from the backend server.
@@ -40,7 +43,7 @@
             match head(packet) {
                 Ok(head) => {
                     self.metrics.packet(Direction::Inbound, packet.len());
-                    let decision = self.path().on_packet(clock::now(), &head, &trip);
+                    let decision = self.decide(packet, &head, &trip);
                     self.carry_out(packet, &head, trip.hop, &decision);
                 }
                 Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
@@ -74,9 +77,43 @@
                     self.carry_out(packet, &head, 0, &decision);
                 }
             }
+            self.release();
         });
     }
 
+    /// Lets flows in that have waited for a slot, and refuses those whose callers give up.
+    pub(crate) fn release(&self) {
+        let mut ready = Vec::new();
+        {
+            let mut path = self.path();
+            for release in path.release(clock::now()) {
+                if let Some(packet) = self.held().swap_remove(&release.flow) {
+                    ready.push((packet, release.inbound));
+                }
+            }
+        }
+        for (mut packet, inbound) in ready {
+            match head(&packet) {
+                Ok(head) => self.carry_out(&mut packet, &head, 0, &inbound),
+                Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
+            }
+        }
+    }
+
+    fn held(&self) -> MutexGuard<'_, IndexMap<FlowKey, Vec<u8>>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    // The packet is put aside before another thread can release its flow.
+    fn decide(&self, packet: &[u8], head: &Head, trip: &Trip) -> Inbound {
+        let mut path = self.path();
+        let decision = path.on_packet(clock::now(), head, trip);
+        if decision.step == Step::Hold {
+            self.held().insert(head.inbound(), packet.to_vec());
+        }
+        decision
+    }
+
     /// Ends a flow whose backend server is known to be gone.
     pub(crate) fn reset(&self, flow: &FlowKey, received: u32) {
         let caller = SocketAddrV4::new(*flow.caller.ip(), self.port);
@@ -125,7 +162,8 @@
                 self.hint(origin, &Hint::Missing { flow, received });
                 event::FLOW_MISSING.log(&[("flow", &flow), ("balancer", &origin)]);
             }
-            Step::Drop => event::PACKET_DROPPED.log(&[("flow", &flow), ("reason", &"returned")]),
+            Step::Hold => event::FLOW_HELD.log(&[("flow", &flow), ("copy", &head.acknowledged)]),
+            Step::Drop => event::PACKET_DROPPED.log(&[("flow", &flow), ("reason", &"unknown")]),
         }
         if let Some(origin) = decision.tell {
             let node = self.node;
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use usher_forwarding::View;
 use usher_platform::Call;
-use usher_types::Span;
+use usher_types::{Span, Time};
 
 use super::state::State;
 use super::{feed, traffic};
@@ -29,7 +29,11 @@
 
 // Balancers greet each other and the agents; the version in a greeting bounds how long a balancer
 // that the store does not serve stays behind.
-const GREET: Duration = Duration::from_millis(300);
+const GREET: Span = Span::from_millis(300);
+// Reports that agents sent here are relayed at the pace of the reports.
+const RELAY: Duration = Duration::from_millis(100);
+// Reports in one datagram; each takes about 50 bytes.
+const DIGEST: usize = 24;
 // The platform asks twice a second and turns away after two misses; packets on the way follow.
 const TURN_AWAY: Span = Span::from_millis(2_500);
 // Part of the grace time that is kept for ending.
@@ -118,7 +122,8 @@
 
 impl Control {
     async fn serve(&self, signals: &mut Signals, file: &Path) {
-        let mut ticks = interval(GREET);
+        let mut ticks = interval(RELAY);
+        let mut greeted = None;
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut suspends = SuspendWatch::new();
         let mut end: Option<Instant> = None;
@@ -131,7 +136,14 @@
             };
             tokio::select! {
                 (node, message) = self.peers.receive() => self.on_message(node, &message),
-                _ = ticks.tick() => self.on_tick(&mut suspends),
+                _ = ticks.tick() => {
+                    let now = clock::now();
+                    self.relay(now);
+                    if greeted.is_none_or(|greeted| now - greeted >= GREET) {
+                        greeted = Some(now);
+                        self.on_tick(now, &mut suspends);
+                    }
+                }
                 signal = signals.next() => match signal {
                     Signal::Stop if end.is_none() => end = Some(self.stop()),
                     Signal::Stop => return,
@@ -147,6 +159,7 @@
         let mut state = self.state.borrow_mut();
         match message {
             PeerMessage::Report(report) => state.hear_agent(now, node, report),
+            PeerMessage::Digest(digest) => state.hear_digest(now, digest),
             PeerMessage::Hello(hello) => {
                 let new = state.hear_balancer(now, node, hello);
                 let agents = state.unknown_agents(now, hello);
@@ -158,12 +171,24 @@
         }
     }
 
-    fn on_tick(&self, suspends: &mut SuspendWatch) {
+    fn relay(&self, now: Time) {
+        let mut state = self.state.borrow_mut();
+        let digest = state.digest(now);
+        if digest.is_empty() {
+            return;
+        }
+        let balancers = state.fleet.present(now);
+        for part in digest.chunks(DIGEST) {
+            let message = PeerMessage::Digest(part.to_vec());
+            self.peers.send(&balancers, &message);
+        }
+    }
+
+    fn on_tick(&self, now: Time, suspends: &mut SuspendWatch) {
         if let Some(span) = suspends.check() {
             event::RESUMED.log(&[("for", &span)]);
             self.again.notify_one();
         }
-        let now = clock::now();
         let mut state = self.state.borrow_mut();
         state.expire(now);
         let balancers = state.fleet.due(now);
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -84,7 +84,37 @@
 
     pub(crate) fn hear_agent(&mut self, now: Time, node: NodeId, report: &Report) {
         let known = self.directory.state(now, node);
-        if !self.directory.hear(now, node, report) {
+        let changed = self.directory.hear_direct(now, node, report);
+        self.tell_host(changed, known, node, report);
+    }
+
+    /// Takes reports that a balancer relays.
+    pub(crate) fn hear_digest(&mut self, now: Time, digest: &[(NodeId, Report)]) {
+        for (node, report) in digest {
+            let known = self.directory.state(now, *node);
+            let changed = self.directory.hear(now, *node, report);
+            self.tell_host(changed, known, *node, report);
+        }
+    }
+
+    /// Reports to relay, if not every balancer hears every agent.
+    pub(crate) fn digest(&mut self, now: Time) -> Vec<(NodeId, Report)> {
+        let digest = self.directory.digest();
+        if self.fleet.is_relayed(now) {
+            digest
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn tell_host(
+        &self,
+        changed: bool,
+        known: Option<(HostState, Span)>,
+        node: NodeId,
+        report: &Report,
+    ) {
+        if !changed {
             return;
         }
         self.publish();
@@ -137,6 +167,8 @@
             epoch: self.epoch,
             version: self.version(),
             leaving: self.stopping,
+            centre: self.settings.centre.clone(),
+            strength: self.settings.strength,
             balancers: self.fleet.present(now),
             agents: if to_balancers {
                 self.agents()
@@ -166,13 +198,18 @@
             .filter_map(|agent| self.directory.state(now, agent));
         let host = states.any(|(state, _)| state == HostState::Serving);
         let configured = self.version() > Version::default();
-        let ready = configured && !self.stopping && (host || now - self.started > HOSTLESS);
+        let settings = &self.settings;
+        let (own, strength) = (settings.node, settings.strength);
+        let standby = self.fleet.stands_by(now, own, strength, &settings.centre);
+        let hosts = host || now - self.started > HOSTLESS;
+        let ready = configured && !self.stopping && hosts && !standby;
         if ready != self.ready {
             self.ready = ready;
             event::READY.log(&[
                 ("ready", &ready),
                 ("version", &self.version()),
                 ("hosts", &host),
+                ("standby", &standby),
                 ("stopping", &self.stopping),
             ]);
         }
--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -14,6 +14,8 @@
 const HELD: u8 = 0xd2;
 const MISSING: u8 = 0xd3;
 const LAST: u8 = 1;
+// The rank shares a byte with the flag.
+const LOWEST_RANK: u8 = 127;
 const TRIP_BYTES: usize = 28;
 const NO_WAIT: u32 = u32::MAX;
 
@@ -24,6 +26,8 @@
     Report(Report),
     /// A balancer's greeting.
     Hello(Hello),
+    /// Reports that a balancer relays.
+    Digest(Vec<(NodeId, Report)>),
 }
 
 /// Writes a trip and its packet; returns the length.
@@ -34,7 +38,7 @@
     out[0] = TRIP;
     out[1] = trip.hop;
     out[2] = candidates.len() as u8;
-    out[3] = if trip.last { LAST } else { 0 };
+    out[3] = (trip.rank.min(LOWEST_RANK) << 1) | u8::from(trip.last);
     out[4..12].copy_from_slice(&trip.service.bits().to_be_bytes());
     out[12..16].copy_from_slice(&trip.origin.address().octets());
     out[16..20].copy_from_slice(&best.address().octets());
@@ -73,6 +77,7 @@
         hop: head[1],
         best: (wait != NO_WAIT).then_some(best),
         budget: Span::from_millis(u64::from(number_at(head, 24)?)),
+        rank: head[3] >> 1,
         last: head[3] & LAST != 0,
     };
     Some((trip, packet))
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -33,6 +33,7 @@
     FLOW_ACCEPTED = 2211, Info, "flow accepted";
     FLOW_PASSED = 2212, Info, "packet passed to another agent";
     FLOW_MISSING = 2213, Info, "flow not found at any agent";
+    FLOW_HELD = 2214, Info, "flow waits for a slot";
     MALFORMED = 2301, Debug, "malformed input ignored";
     RECEIVE_FAILED = 2302, Warn, "datagrams not received";
     SEND_FAILED = 2303, Debug, "datagram not taken by the system";
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,7 +5,7 @@
 
 use log::LevelFilter;
 use serde::Deserialize;
-use usher_forwarding::NodeId;
+use usher_forwarding::{NodeId, Strength};
 use usher_types::{DataCentre, Span};
 
 use crate::NodeError;
@@ -52,6 +52,8 @@
     pub seeds: Vec<NodeId>,
     /// The platform's store.
     pub store: SocketAddrV4,
+    /// What the machine's processor gives the node.
+    pub strength: Strength,
     /// Longest life of a flow.
     pub flow_life: Span,
     /// Time between the stop signal and the kill.
@@ -95,6 +97,7 @@
     #[serde(default)]
     seeds: String,
     store: String,
+    cores: String,
     flow_life_s: String,
     grace_s: String,
     #[serde(default = "default_level")]
@@ -173,6 +176,7 @@
             peer_port: parse(section, "peer_port", &process.peer_port, "a port")?,
             seeds: seeds?.iter().map(|seed| NodeId::new(*seed.ip())).collect(),
             store: parse(section, "store", &process.store, ADDRESS)?,
+            strength: parse(section, "cores", &process.cores, "a number of cores")?,
             flow_life: seconds(section, "flow_life_s", &process.flow_life_s)?,
             grace: seconds(section, "grace_s", &process.grace_s)?,
             level: parse(
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -7,7 +7,7 @@
 
 const GOOD: &str = "[process]\nrole = agent\nname = side-1\ncentre = kolkata\naddress = 10.1.0.13\n\
     packets = 10.1.0.13:8172\nready = 10.1.0.13:8167\npeer_port = 7720\n\
-    seeds = 10.1.0.10:8166,10.2.0.40:8166\nstore = 10.200.1.7:8169\nflow_life_s = 60\ngrace_s = 6\n\
+    seeds = 10.1.0.10:8166,10.2.0.40:8166\nstore = 10.200.1.7:8169\ncores = 0.055\nflow_life_s = 60\ngrace_s = 6\n\
     log = info\nmetrics = 9464\n\n[agent]\nservice = huvo11a\nbackend = 10.1.0.13:8165\noutbound = 10.1.0.13:8162\n\
     control = 10.1.0.13:8166\n";
 
@@ -63,6 +63,7 @@
             "outbound = ",
             "MU-9103: agent.outbound",
         ),
+        ("cores = 0.055", "cores = 0", "MU-9103: process.cores"),
         ("store = 10.200.1.7:8169\n", "", "MU-9101"),
         ("[agent]", "[other]", "MU-9104"),
     ];
