Queue at the agent bounded by the route's target

Ruled out: a lack of hosts (they stood idle behind taken slots). Change: an opened flow without a request holds a slot for 30 ms; a held packet is told to its balancer, so that copies follow; a flow waits only if it gets a slot within the target of its route and is refused at once otherwise. Tests: a_caller_that_does_not_follow_up_holds_no_slot, flows_wait_for_a_slot.

--- a/crates/forwarding/src/agent/entry.rs
+++ b/crates/forwarding/src/agent/entry.rs
@@ -1,7 +1,13 @@
-use usher_types::Time;
+use usher_types::{Span, Time};
 
 use crate::Head;
 
+// A caller follows up within a round trip of a few milliseconds. One that has given up does not, and
+// must not hold a slot.
+const HANDSHAKE: Span = Span::from_millis(30);
+// The longest work takes under half a second; a flow without an answer by then was lost.
+const LONGEST_WORK: Span = Span::from_secs(3);
+
 /// How far a flow at the backend server has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -21,8 +27,10 @@
     pub(crate) phase: Phase,
     /// Last packet in either direction.
     pub(crate) seen: Time,
-    /// Start of the request that the backend server works on.
-    pub(crate) working: Option<Time>,
+    /// Start of the handshake, or of the request that the backend server works on.
+    working: Option<Time>,
+    /// The caller has sent a request.
+    requested: bool,
     /// Position up to which the caller has received; a reset must be near it.
     pub(crate) received: u32,
     caller_finished: bool,
@@ -35,6 +43,7 @@
             phase,
             seen: now,
             working: Some(now),
+            requested: false,
             received: 0,
             caller_finished: false,
             host_finished: false,
@@ -48,7 +57,10 @@
             self.received = head.acknowledged;
         }
         if head.data > 0 {
-            self.working.get_or_insert(now);
+            if !self.requested {
+                self.working = Some(now);
+            }
+            self.requested = true;
         }
         self.caller_finished |= head.flags.finishing;
         self.close_if_over(head);
@@ -69,7 +81,19 @@
         self.host_finished |= head.flags.finishing;
         self.close_if_over(head);
         let answered = head.data > 0 || head.flags.finishing || head.flags.resetting;
-        self.working.take_if(|_| answered)
+        let requested = self.requested;
+        self.requested &= !answered;
+        self.working.take_if(|_| answered).filter(|_| requested)
+    }
+
+    /// Whether a slot is taken, or will be.
+    pub(crate) fn is_working(&self, now: Time) -> bool {
+        let limit = if self.requested {
+            LONGEST_WORK
+        } else {
+            HANDSHAKE
+        };
+        self.working.is_some_and(|start| now - start < limit)
     }
 
     fn close_if_over(&mut self, head: &Head) {
--- a/crates/forwarding/src/agent/flow_table.rs
+++ b/crates/forwarding/src/agent/flow_table.rs
@@ -7,8 +7,6 @@
 // Late copies of a closed flow's last packets still belong to its backend server. A sender repeats
 // a packet after 1.6 s at the latest.
 const LINGER: Span = Span::from_secs(4);
-// An opening packet that the caller never followed up: callers give up after 1.4 s.
-const OPENING: Span = Span::from_secs(2);
 
 /// The flows of one backend server.
 #[derive(Debug, Clone, Default)]
@@ -40,8 +38,8 @@
     }
 
     /// Requests in work or waiting at the backend server.
-    pub(crate) fn working(&self) -> usize {
-        let working = |entry: &&Entry| entry.working.is_some();
+    pub(crate) fn working(&self, now: Time) -> usize {
+        let working = |entry: &&Entry| entry.is_working(now);
         self.entries.values().filter(working).count()
     }
 
@@ -49,9 +47,6 @@
     pub(crate) fn expire(&mut self, now: Time, idle: Span) {
         self.entries.retain(|_, entry| {
             let silent = now - entry.seen;
-            if matches!(entry.phase, Phase::Opening | Phase::Answered) && silent > OPENING {
-                entry.working = None;
-            }
             match entry.phase {
                 Phase::Closed => silent < LINGER,
                 _ => silent < idle,
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -171,8 +171,9 @@
     }
 
     /// Requests at the backend server, and flows that wait for it.
-    pub fn load(&self) -> Load {
-        self.meter.load(self.flows.working() + self.waiting.len())
+    pub fn load(&self, now: Time) -> Load {
+        self.meter
+            .load(self.flows.working(now) + self.waiting.len())
     }
 
     /// Flows that need not wait any longer: a slot is free, or their callers give up.
@@ -231,7 +232,7 @@
         if self.waiting.len() == 0 && self.has_room(now, AHEAD) {
             return self.admit(now, flow, trip);
         }
-        let wait = self.wait(trip.rank);
+        let wait = self.wait(now, trip.rank);
         if !trip.last {
             return self.hunt(flow, trip, Some(wait), Passed::Busy);
         }
@@ -248,13 +249,13 @@
             return Inbound { step, tell };
         }
         self.waiting.push(now, flow, *trip);
-        let step = Step::Hold;
-        Inbound { step, tell }
+        // Copies of the packet have to come here too, or the flow would open twice.
+        self.told(Step::Hold, trip)
     }
 
     // Time until a new flow of a rank gets a slot.
-    fn wait(&self, rank: u8) -> Span {
-        let ahead = self.flows.working() + self.waiting.ahead(rank);
+    fn wait(&self, now: Time, rank: u8) -> Span {
+        let ahead = self.flows.working(now) + self.waiting.ahead(rank);
         self.meter.load(ahead).wait(self.slots())
     }
 
@@ -265,7 +266,7 @@
     // Whether the backend server has a slot free, or will have one by the end of a handshake.
     fn has_room(&self, now: Time, ahead: u16) -> bool {
         let room = usize::from(self.slots().get() + ahead);
-        self.flows.working() < room && !self.meter.is_full(now)
+        self.flows.working(now) < room && !self.meter.is_full(now)
     }
 
     fn admit(&mut self, now: Time, flow: FlowKey, trip: &Trip) -> Inbound {
--- a/crates/forwarding/src/balancer/path.rs
+++ b/crates/forwarding/src/balancer/path.rs
@@ -217,7 +217,7 @@
         };
         let mut verdict = self.send(chosen.node, candidates, service, placed);
         if let Verdict::Send { trip, .. } = &mut verdict {
-            trip.budget = route.timeout;
+            trip.budget = route.target.min(route.timeout);
             trip.rank = route.rank;
         }
         verdict
--- a/crates/forwarding/src/route.rs
+++ b/crates/forwarding/src/route.rs
@@ -27,6 +27,8 @@
     pub services: Vec<(ServiceKey, u32)>,
     /// Longest time that a request may take.
     pub timeout: Span,
+    /// Time within which an answer is of full use to its caller.
+    pub target: Span,
     /// Rank under load; 0 is served first.
     pub rank: u8,
 }
--- a/crates/forwarding/tests/agent.rs
+++ b/crates/forwarding/tests/agent.rs
@@ -323,7 +323,7 @@
     let trial = agent.on_packet(at(700), &opening(3), &trip(&[3, 4], 0));
     assert_matches!(trial.step, Step::Deliver { opening: true, .. });
     agent.on_host_packet(at(701), &answer(&opening(3), true, 0));
-    assert!(agent.load().working >= 1);
+    assert!(agent.load(at(702)).working >= 1);
 }
 
 /// Guards against new flows for an agent that stops as planned.
@@ -354,9 +354,15 @@
         let held = agent.on_packet(at(2), &opening(port), &last(rank));
         assert_eq!(held.step, Step::Hold);
     }
+    let elsewhere = Trip {
+        last: true,
+        ..trip(&[4, 3], 1)
+    };
+    let held = agent.on_packet(at(2), &opening(7), &elsewhere);
+    assert_eq!(held.tell, Some(node(9)), "copies have to come here");
     let copy = agent.on_packet(at(3), &opening(5), &last(1));
     assert_eq!(copy.step, Step::Drop, "it waits already");
-    assert_eq!(agent.load().working, 6);
+    assert_eq!(agent.load(at(3)).working, 7);
     assert_eq!(agent.release(at(3)), []);
     for (answered, expected) in [(1, 5), (2, 4), (3, 6)] {
         let caller = opening(answered);
@@ -388,6 +394,9 @@
         agent
     };
     let mut agent = busy();
+    for port in 1..=3 {
+        agent.on_packet(at(2), &later(port), &trip(&[3], 0));
+    }
     assert_eq!(agent.release(at(500)), []);
     let released = agent.release(at(501));
     assert_matches!(released[0].inbound.step, Step::Refuse { .. });
@@ -400,3 +409,25 @@
     let released = agent.release(at(2));
     assert_matches!(released[0].inbound.step, Step::Refuse { .. });
 }
+
+/// Guards against callers that have given up and hold the slots of a backend server: after an outage
+/// nearly all opening packets are of that kind, and nobody was served.
+#[test]
+fn a_caller_that_does_not_follow_up_holds_no_slot() {
+    let mut agent = serving();
+    let last = Trip {
+        last: true,
+        ..trip(&[3], 0)
+    };
+    for port in 1..=3 {
+        agent.on_packet(at(1), &opening(port), &last);
+        agent.on_host_packet(at(1), &answer(&opening(port), true, 0));
+    }
+    assert_eq!(agent.on_packet(at(2), &opening(4), &last).step, Step::Hold);
+    assert_eq!(agent.release(at(30)), []);
+    let released = agent.release(at(31));
+    assert_matches!(
+        released[0].inbound.step,
+        Step::Deliver { opening: true, .. }
+    );
+}
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -39,6 +39,7 @@
         name: "r-1".to_owned(),
         services: vec![(ServiceKey::of(service), 100)],
         timeout: Span::from_millis(800),
+        target: Span::from_millis(120),
         rank: 2,
     };
     Arc::new(Configuration {
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -113,7 +113,7 @@
         let metrics = &self.shared.metrics;
         let (flows, working) = {
             let path = self.shared.path();
-            (path.held(), path.load().working)
+            (path.held(), path.load(clock::now()).working)
         };
         metrics.agent(flows, working);
         metrics.text()
@@ -203,7 +203,7 @@
                 born: word.map_or(0, |word| word.born),
                 slots: word.map_or(Slots::new(1), |word| word.slots),
                 warmup: word.map_or(Span::ZERO, |word| word.warmup),
-                load: path.load(),
+                load: path.load(now),
             }
         };
         self.sequence.set(self.sequence.get().next());
