A balancer that has just started does not refuse for lack of hosts

Cause: after a power loss a balancer without any report yet reset opening packets; three tries of a caller ended within milliseconds, 100 ms before hosts were there. Change: for its first 5 s it stays silent and the caller's copies find the hosts. Test: a_service_without_hosts_refuses_once_the_balancer_knows.

--- a/crates/forwarding/src/balancer/path.rs
+++ b/crates/forwarding/src/balancer/path.rs
@@ -193,12 +193,16 @@
             .iter()
             .position(|(cost, host)| known == Some(Known::At(host.node)) && cost.is_fit());
         let first = again.unwrap_or(0);
-        let Some((cost, chosen)) = ranked.get(first) else {
-            return refuse(Refused::NoHost);
+        let Some((_, chosen)) = ranked.get(first).filter(|(cost, _)| cost.serves()) else {
+            // Hosts may not have reported yet to a balancer that has just started; the caller
+            // repeats its packet.
+            let settled = now - view.started >= SETTLE;
+            return if settled {
+                refuse(Refused::NoHost)
+            } else {
+                Verdict::Drop(Refused::Unsettled)
+            };
         };
-        if !cost.serves() && now - view.started >= SETTLE {
-            return refuse(Refused::NoHost);
-        }
         if again.is_none() {
             chosen.cell.place();
         }
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -333,3 +333,27 @@
         assert!(trip.candidates.as_slice().contains(&host));
     }
 }
+
+/// Guards against callers that are refused because the balancer has just started, and against callers
+/// that wait for a service without hosts.
+#[test]
+fn a_service_without_hosts_refuses_once_the_balancer_knows() {
+    let mut fixture = Fixture::new();
+    for last in [3, 4, 5] {
+        let ended = Report {
+            state: HostState::Ended,
+            ..report(2, SERVICE)
+        };
+        fixture.hear(5, last, &ended);
+    }
+    let verdict = fixture.send(100, &opening(1, 0));
+    assert_eq!(verdict, Verdict::Drop(Refused::Unsettled));
+    let verdict = fixture.send(5_000, &opening(2, 0));
+    assert_matches!(
+        verdict,
+        Verdict::Reset {
+            reason: Refused::NoHost,
+            ..
+        }
+    );
+}
