--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -13,11 +13,13 @@
 const QUEUE_LINES: usize = 4_096;
 // Lines are collected for this long, so that a busy node makes few system calls.
 const COLLECT: Duration = Duration::from_millis(50);
+// A pipe takes this much at once, so lines of several nodes do not mix.
+const WRITE_BYTES: usize = 4_096;
 // At the end of the process, the writer gets this long.
 const FLUSH: Duration = Duration::from_millis(200);
 
-// Lines of one event in a second; at the crest a balancer places 50 flows a second.
-const LINES_PER_SECOND: u32 = 200;
+// Lines of one event in a second; a balancer places 50 flows a second, and some hundred after an outage.
+const LINES_PER_SECOND: u32 = 500;
 
 static LOST: AtomicU64 = AtomicU64::new(0);
 
@@ -105,13 +107,10 @@
     let mut out = io::stdout();
     let mut text = String::new();
     while let Ok(Line::Text(line)) = queue.recv() {
-        text.push_str(&line);
-        text.push('\n');
+        add(&mut out, &mut text, &line);
         thread::sleep(COLLECT);
-        let ended = collect(queue, &mut text);
-        // Nothing can be told of a log that cannot be written.
-        let _written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
-        text.clear();
+        let ended = collect(queue, &mut out, &mut text);
+        flush(&mut out, &mut text);
         if ended {
             return;
         }
@@ -122,16 +121,27 @@
     }
 }
 
-// Appends the lines that wait; `true` if the log ends.
-fn collect(queue: &Receiver<Line>, text: &mut String) -> bool {
+// Takes the lines that wait; `true` if the log ends.
+fn collect(queue: &Receiver<Line>, out: &mut impl Write, text: &mut String) -> bool {
     loop {
         match queue.recv_timeout(Duration::ZERO) {
-            Ok(Line::Text(line)) => {
-                text.push_str(&line);
-                text.push('\n');
-            }
+            Ok(Line::Text(line)) => add(out, text, &line),
             Ok(Line::End) => return true,
             Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return false,
         }
     }
 }
+
+fn add(out: &mut impl Write, text: &mut String, line: &str) {
+    if text.len() + line.len() >= WRITE_BYTES {
+        flush(out, text);
+    }
+    text.push_str(line);
+    text.push('\n');
+}
+
+fn flush(out: &mut impl Write, text: &mut String) {
+    // Nothing can be told of a log that cannot be written.
+    let _written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    text.clear();
+}
