Random world of balancers, agents, hosts and callers; a flow of a new process is kept

Cause: the world test found a flow that a restarted backend server took before its first heartbeat was heard; the heartbeat then reset it as a flow of the process before. Change: flows that began less than 2.5 s (two heartbeats) before a new process is heard are left to it; it gives their packets back if it does not hold them.

--- a/crates/forwarding/src/agent/entry.rs
+++ b/crates/forwarding/src/agent/entry.rs
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Entry {
     pub(crate) phase: Phase,
+    /// When the flow's first packet was seen.
+    pub(crate) since: Time,
     /// Last packet in either direction.
     pub(crate) seen: Time,
     /// Start of the handshake, or of the request that the backend server works on.
@@ -41,6 +43,7 @@
     pub(crate) fn new(now: Time, phase: Phase) -> Self {
         Self {
             phase,
+            since: now,
             seen: now,
             working: Some(now),
             requested: false,
--- a/crates/forwarding/src/agent/flow_table.rs
+++ b/crates/forwarding/src/agent/flow_table.rs
@@ -54,6 +54,25 @@
         });
     }
 
+    /// Removes the flows that began before `since`, which are gone; returns those that were open, with
+    /// the position that callers received. Of later flows it is not known whether they are gone.
+    pub(crate) fn clear_before(&mut self, since: Time) -> Vec<(FlowKey, u32)> {
+        let mut gone = Vec::new();
+        self.entries.retain(|flow, entry| {
+            if entry.since >= since {
+                if entry.phase == Phase::Open {
+                    entry.phase = Phase::Answered;
+                }
+                return true;
+            }
+            if entry.phase != Phase::Closed {
+                gone.push((*flow, entry.received));
+            }
+            false
+        });
+        gone
+    }
+
     /// Removes all flows; returns those that were open, with the position that callers received.
     pub(crate) fn clear(&mut self) -> Vec<(FlowKey, u32)> {
         let entries = self.entries.drain(..);
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -16,6 +16,9 @@
 // The same while all hosts are busy: a slot that is idle for a handshake costs more than a short
 // queue at the backend server.
 const AHEAD_BUSY: u16 = 2;
+// A process of the backend server may have taken flows for this long before its first heartbeat
+// is heard: one is lost, and the next one comes 1.2 s later.
+const UNHEARD: Span = Span::from_millis(2_500);
 // Two heartbeats are missing. They come every 1.2 s.
 const SILENT: Span = Span::from_millis(2_700);
 
@@ -78,10 +81,11 @@
         }
         let mut gone = Vec::new();
         if heard == Heard::Started && (!first || fresh) {
-            self.complete_at = now;
             self.meter.forget();
-            if !first {
-                gone = self.flows.clear();
+            if first {
+                self.complete_at = now;
+            } else {
+                gone = self.flows.clear_before(now - UNHEARD);
             }
         }
         (heard, gone)
--- /dev/null
+++ b/crates/forwarding/tests/world/main.rs
@@ -0,0 +1,38 @@
+//! Balancers, agents, backend servers and callers under random faults.
+//!
+//! Guards against what no single table shows: a flow that is lost, reset or opened at another
+//! service by some order of restarts, rotation changes, losses, departures and late messages.
+
+mod model;
+
+use model::{Op, World};
+use proptest::prelude::*;
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => (0..3_usize, 0..2_usize).prop_map(|(via, service)| Op::Open { via, service }),
+        8 => (0..3_usize, any::<prop::sample::Index>())
+            .prop_map(|(via, flow)| Op::Send { via, flow }),
+        1 => (0..3_usize).prop_map(|balancer| Op::RestartBalancer { balancer }),
+        1 => (0..6_usize).prop_map(|agent| Op::RestartAgent { agent }),
+        1 => (0..6_usize).prop_map(|host| Op::RestartHost { host }),
+        1 => (0..6_usize).prop_map(|host| Op::Drain { host }),
+        1 => (0..6_usize, 0..2_usize).prop_map(|(host, service)| Op::Replace { host, service }),
+        2 => any::<bool>().prop_map(|lossy| Op::Lossy { lossy }),
+        4 => (1..3_000_u64).prop_map(|millis| Op::Wait { millis }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn flows_stay_with_their_host(ops in proptest::collection::vec(op(), 1..80), seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        for op in &ops {
+            world.step(op);
+        }
+        world.settle();
+        let lost = world.unreachable_flows();
+        prop_assert!(lost.is_empty(), "flows that do not reach their host: {lost:?}");
+        prop_assert!(world.faults.is_empty(), "{:?}", world.faults);
+    }
+}
--- /dev/null
+++ b/crates/forwarding/tests/world/model.rs
@@ -0,0 +1,526 @@
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+use proptest::sample::Index;
+use usher_forwarding::{
+    AgentPath, BalancerPath, Configuration, Directory, Flags, FlowKey, Head, Hint, HostWord,
+    Inbound, NodeId, Outbound, Report, Route, ServiceKey, Step, Trip, Verdict, View,
+};
+use usher_types::{Sequence, Slots, Span, Time, Version};
+
+const SERVICES: [&str; 2] = ["namedesk", "pedigree"];
+const BALANCERS: usize = 3;
+const HOSTS: usize = 6;
+const FLOW_LIFE: Span = Span::from_secs(60);
+const REPORT: Span = Span::from_millis(100);
+const HEARTBEAT: Span = Span::from_millis(1_200);
+const SLOTS: u16 = 3;
+const LOSS: u64 = 5;
+
+#[derive(Debug, Clone)]
+pub enum Op {
+    Open { via: usize, service: usize },
+    Send { via: usize, flow: Index },
+    RestartBalancer { balancer: usize },
+    RestartAgent { agent: usize },
+    RestartHost { host: usize },
+    Drain { host: usize },
+    Replace { host: usize, service: usize },
+    Lossy { lossy: bool },
+    Wait { millis: u64 },
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    ToBalancer(usize, Head),
+    ToAgent(NodeId, Head, Trip),
+    ToHost(NodeId, Head),
+    FromHost(NodeId, Head),
+    Told(NodeId, Hint),
+    ToCaller(Head),
+    Reset(FlowKey),
+}
+
+struct Balancer {
+    path: BalancerPath,
+    directory: Directory,
+    view: View,
+}
+
+struct Host {
+    service: usize,
+    word: HostWord,
+    flows: HashSet<FlowKey>,
+    agent: AgentPath,
+    epoch: u64,
+    reports: u32,
+    processes: u64,
+    next_beat: Time,
+}
+
+// A caller's flow: where it is open, and in which process there.
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    service: usize,
+    open: Option<(usize, u64)>,
+}
+
+pub struct World {
+    pub faults: Vec<String>,
+    now: Time,
+    random: u64,
+    lossy: bool,
+    balancers: Vec<Balancer>,
+    hosts: Vec<Host>,
+    callers: HashMap<FlowKey, Caller>,
+    opened: Vec<FlowKey>,
+    reached: HashSet<FlowKey>,
+    queue: VecDeque<Message>,
+    epochs: u64,
+}
+
+fn host_node(host: usize) -> NodeId {
+    NodeId::new([10, 1, 0, host as u8 + 1].into())
+}
+
+fn balancer_node(balancer: usize) -> NodeId {
+    NodeId::new([10, 2, 0, balancer as u8 + 1].into())
+}
+
+fn host_of(node: NodeId) -> usize {
+    usize::from(node.address().octets()[3]) - 1
+}
+
+fn address(service: usize) -> std::net::SocketAddrV4 {
+    format!("198.18.0.{}:443", service + 1).parse().unwrap()
+}
+
+fn configuration() -> Arc<Configuration> {
+    let routes = SERVICES.iter().enumerate().map(|(index, service)| {
+        let route = Route {
+            name: (*service).to_owned(),
+            services: vec![(ServiceKey::of(service), 100)],
+            timeout: Span::from_millis(800),
+            target: Span::from_millis(200),
+            rank: 2,
+        };
+        (address(index), route)
+    });
+    Arc::new(Configuration {
+        version: Version::new(1),
+        routes: routes.collect(),
+        ..Configuration::default()
+    })
+}
+
+fn head(flow: &FlowKey, opening: bool) -> Head {
+    Head {
+        source: flow.caller,
+        target: flow.address,
+        flags: Flags {
+            opening,
+            acknowledging: !opening,
+            ..Flags::default()
+        },
+        sequence: 1,
+        acknowledged: 0,
+        data: if opening { 0 } else { 10 },
+        token: 0,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut world = Self {
+            faults: Vec::new(),
+            now: Time::ZERO,
+            random: seed | 1,
+            lossy: false,
+            balancers: Vec::new(),
+            hosts: Vec::new(),
+            callers: HashMap::new(),
+            opened: Vec::new(),
+            reached: HashSet::new(),
+            queue: VecDeque::new(),
+            epochs: 0,
+        };
+        for host in 0..HOSTS {
+            let service = usize::from(host >= 4);
+            let host = world.new_host(host, service, 1);
+            world.hosts.push(host);
+        }
+        for balancer in 0..BALANCERS {
+            let balancer = world.new_balancer(balancer);
+            world.balancers.push(balancer);
+        }
+        world.wait(6_000);
+        world
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random
+    }
+
+    fn new_balancer(&self, balancer: usize) -> Balancer {
+        let directory = Directory::new("kolkata".parse().unwrap(), self.now);
+        Balancer {
+            path: BalancerPath::new(balancer_node(balancer)),
+            view: directory.view(configuration(), &View::default()),
+            directory,
+        }
+    }
+
+    fn new_host(&mut self, host: usize, service: usize, process: u64) -> Host {
+        self.epochs += 1;
+        let word = HostWord {
+            id: format!("i-{host}-{process}"),
+            service: SERVICES[service].to_owned(),
+            born: 1_000 + self.now.as_micros(),
+            sequence: Sequence::new(1),
+            slots: Slots::new(SLOTS),
+            draining: false,
+            warmup: Span::ZERO,
+        };
+        let mut agent = AgentPath::new(host_node(host), SERVICES[service], self.now, FLOW_LIFE);
+        agent.hear(self.now, word.clone());
+        Host {
+            service,
+            word,
+            flows: HashSet::new(),
+            agent,
+            epoch: self.epochs,
+            reports: 0,
+            processes: process,
+            next_beat: self.now + HEARTBEAT,
+        }
+    }
+
+    pub fn step(&mut self, op: &Op) {
+        match op {
+            Op::Open { via, service } => {
+                let port = 1_000 + self.opened.len() as u16;
+                let flow = FlowKey {
+                    caller: format!("100.64.0.7:{port}").parse().unwrap(),
+                    address: address(*service),
+                };
+                let caller = Caller {
+                    service: *service,
+                    open: None,
+                };
+                self.callers.insert(flow, caller);
+                self.opened.push(flow);
+                self.queue
+                    .push_back(Message::ToBalancer(*via, head(&flow, true)));
+            }
+            Op::Send { via, flow } => {
+                if !self.opened.is_empty() {
+                    let flow = self.opened[flow.index(self.opened.len())];
+                    self.send(*via, flow);
+                }
+            }
+            Op::RestartBalancer { balancer } => {
+                self.balancers[*balancer] = self.new_balancer(*balancer);
+            }
+            Op::RestartAgent { agent } => self.restart_agent(*agent),
+            Op::RestartHost { host } => self.restart_host(*host),
+            Op::Drain { host } => {
+                self.hosts[*host].word.draining = true;
+                self.beat(*host);
+            }
+            Op::Replace { host, service } => {
+                let process = self.hosts[*host].processes + 1;
+                self.hosts[*host] = self.new_host(*host, *service, process);
+            }
+            Op::Lossy { lossy } => self.lossy = *lossy,
+            Op::Wait { millis } => self.wait(*millis),
+        }
+        self.run();
+    }
+
+    /// Waits until all losses are over and all nodes have heard each other.
+    pub fn settle(&mut self) {
+        self.lossy = false;
+        for host in 0..HOSTS {
+            self.beat(host);
+        }
+        self.wait(6_000);
+        self.run();
+    }
+
+    /// Open flows whose packets do not get to their host, which holds them.
+    pub fn unreachable_flows(&mut self) -> Vec<FlowKey> {
+        let mut lost = Vec::new();
+        for flow in self.opened.clone() {
+            if !self.is_held(&flow) {
+                continue;
+            }
+            for via in 0..BALANCERS {
+                self.reached.clear();
+                // A caller repeats a packet up to eight times.
+                for _copy in 0..8 {
+                    self.send(via, flow);
+                    self.run();
+                }
+                if !self.reached.contains(&flow) {
+                    lost.push(flow);
+                }
+            }
+        }
+        lost
+    }
+
+    fn is_held(&self, flow: &FlowKey) -> bool {
+        let open = self.callers[flow].open;
+        open.is_some_and(|(host, process)| {
+            self.hosts[host].processes == process && self.hosts[host].flows.contains(flow)
+        })
+    }
+
+    fn send(&mut self, via: usize, flow: FlowKey) {
+        if self.callers[&flow].open.is_some() {
+            self.queue
+                .push_back(Message::ToBalancer(via, head(&flow, false)));
+        }
+    }
+
+    fn beat(&mut self, host: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[host];
+        host.next_beat = now + HEARTBEAT;
+        host.word.sequence = host.word.sequence.next();
+        let (_, gone) = host.agent.hear(now, host.word.clone());
+        for (flow, _) in gone {
+            self.queue.push_back(Message::Reset(flow));
+        }
+    }
+
+    fn restart_agent(&mut self, agent: usize) {
+        self.epochs += 1;
+        let host = &mut self.hosts[agent];
+        host.epoch = self.epochs;
+        host.reports = 0;
+        host.agent = AgentPath::new(
+            host_node(agent),
+            SERVICES[host.service],
+            self.now,
+            FLOW_LIFE,
+        );
+        // Half of the agents hear a heartbeat before the next packet.
+        if self.draw().is_multiple_of(2) {
+            self.beat(agent);
+        }
+    }
+
+    fn restart_host(&mut self, host: usize) {
+        self.hosts[host].flows.clear();
+        self.hosts[host].processes += 1;
+        let word = &mut self.hosts[host].word;
+        word.born += 1;
+        word.draining = false;
+        word.sequence = Sequence::new(0);
+        if self.draw().is_multiple_of(2) {
+            self.beat(host);
+        }
+    }
+
+    fn wait(&mut self, millis: u64) {
+        let end = self.now + Span::from_millis(millis);
+        while self.now < end {
+            self.now = self.now + REPORT;
+            for host in 0..HOSTS {
+                if self.hosts[host].next_beat <= self.now {
+                    self.beat(host);
+                }
+                self.release(host);
+                self.report(host);
+            }
+            for balancer in &mut self.balancers {
+                balancer.directory.expire(self.now);
+                balancer.view = balancer.directory.view(configuration(), &balancer.view);
+            }
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        host.reports += 1;
+        let word = host.agent.word();
+        let report = Report {
+            epoch: host.epoch,
+            sequence: Sequence::new(host.reports),
+            centre: "kolkata".parse().unwrap(),
+            service: ServiceKey::of(SERVICES[host.service]),
+            state: host.agent.state(),
+            born: word.map_or(0, |word| word.born),
+            slots: Slots::new(SLOTS),
+            warmup: Span::ZERO,
+            load: host.agent.load(self.now),
+        };
+        for balancer in 0..BALANCERS {
+            if self.lossy && self.draw().is_multiple_of(LOSS) {
+                continue;
+            }
+            let directory = &mut self.balancers[balancer].directory;
+            directory.hear(self.now, host_node(index), &report);
+        }
+    }
+
+    // Delivers messages until none is left; the order is that of a queue.
+    fn run(&mut self) {
+        let mut budget = 10_000;
+        while let Some(message) = self.queue.pop_front() {
+            budget -= 1;
+            if budget == 0 {
+                self.faults.push("packets travel for ever".to_owned());
+                return;
+            }
+            if self.lossy && self.draw().is_multiple_of(LOSS) {
+                continue;
+            }
+            self.deliver(&message);
+        }
+    }
+
+    fn deliver(&mut self, message: &Message) {
+        match *message {
+            Message::ToBalancer(index, head) => {
+                let balancer = &mut self.balancers[index];
+                let verdict = balancer.path.on_packet(self.now, &head, &balancer.view);
+                self.carry_out(&verdict, Some(head));
+            }
+            Message::Told(node, hint) => {
+                let balancer = &mut self.balancers[host_of(node)];
+                let verdict = balancer.path.on_hint(self.now, &hint, &balancer.view);
+                if let Some(verdict) = verdict {
+                    self.carry_out(&verdict, None);
+                }
+            }
+            Message::ToAgent(node, head, trip) => {
+                let agent = &mut self.hosts[host_of(node)].agent;
+                let inbound = agent.on_packet(self.now, &head, &trip);
+                self.inbound(node, head, &inbound);
+            }
+            Message::ToHost(node, head) => self.host(node, head),
+            Message::FromHost(node, head) => {
+                let agent = &mut self.hosts[host_of(node)].agent;
+                match agent.on_host_packet(self.now, &head) {
+                    Outbound::ToCaller { .. } => self.queue.push_back(Message::ToCaller(head)),
+                    Outbound::Inward(inbound) => {
+                        let mut head = head;
+                        head.flags.returned = false;
+                        head.token = 0;
+                        self.inbound(node, head, &inbound);
+                    }
+                }
+                self.release(host_of(node));
+            }
+            Message::ToCaller(head) => self.caller(node_of(&head), &head),
+            Message::Reset(flow) => {
+                if self.is_held(&flow) {
+                    self.faults
+                        .push(format!("{flow} was reset, but its host lives"));
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, verdict: &Verdict, head: Option<Head>) {
+        match (verdict, head) {
+            (Verdict::Send { to, trip, .. }, Some(head)) => {
+                self.queue.push_back(Message::ToAgent(*to, head, *trip));
+            }
+            (Verdict::Reset { flow, .. }, _) => self.queue.push_back(Message::Reset(*flow)),
+            _ => {}
+        }
+    }
+
+    fn inbound(&mut self, node: NodeId, head: Head, inbound: &Inbound) {
+        let flow = head.inbound();
+        match inbound.step {
+            Step::Deliver { token, .. } => {
+                let head = Head { token, ..head };
+                self.queue.push_back(Message::ToHost(node, head));
+            }
+            Step::Forward { to, trip, .. } => {
+                self.queue.push_back(Message::ToAgent(to, head, trip));
+            }
+            Step::Refuse { flow, .. } => self.queue.push_back(Message::Reset(flow)),
+            Step::Missing {
+                flow,
+                origin,
+                received,
+            } => {
+                let hint = Hint::Missing { flow, received };
+                self.queue.push_back(Message::Told(origin, hint));
+            }
+            Step::Hold | Step::Drop => {}
+        }
+        if let Some(origin) = inbound.tell {
+            let hint = Hint::Held { flow, node };
+            self.queue.push_back(Message::Told(origin, hint));
+        }
+    }
+
+    fn release(&mut self, host: usize) {
+        for release in self.hosts[host].agent.release(self.now) {
+            let head = head(&release.flow, true);
+            self.inbound(host_node(host), head, &release.inbound);
+        }
+    }
+
+    // The backend server: holds a flow or gives the packet back.
+    fn host(&mut self, node: NodeId, packet: Head) {
+        let host = &mut self.hosts[host_of(node)];
+        let flow = packet.inbound();
+        let service = self.callers[&flow].service;
+        let held = host.flows.contains(&flow);
+        if packet.opens() && host.service != service {
+            let fault = format!("{flow} reached service {}", SERVICES[host.service]);
+            self.faults.push(fault);
+        }
+        let full = host.flows.len() >= usize::from(SLOTS) * 20;
+        if !held && (!packet.opens() || full) {
+            let mut returned = packet;
+            returned.flags.returned = true;
+            self.queue.push_back(Message::FromHost(node, returned));
+            return;
+        }
+        host.flows.insert(flow);
+        if !packet.opens() {
+            self.reached.insert(flow);
+        }
+        let answer = Head {
+            source: packet.target,
+            target: packet.source,
+            flags: Flags {
+                opening: packet.opens(),
+                acknowledging: true,
+                ..Flags::default()
+            },
+            // The model names the host and its process in place of a random position.
+            sequence: host_of(node) as u32,
+            acknowledged: host.processes as u32,
+            data: u16::from(!packet.opens()),
+            token: 0,
+        };
+        self.queue.push_back(Message::FromHost(node, answer));
+    }
+
+    // The flow opens at the host whose answer comes first.
+    fn caller(&mut self, flow: FlowKey, answer: &Head) {
+        let Some(caller) = self.callers.get_mut(&flow) else {
+            return;
+        };
+        if answer.flags.opening && caller.open.is_none() {
+            let process = u64::from(answer.acknowledged);
+            caller.open = Some((answer.sequence as usize, process));
+        }
+    }
+}
+
+fn node_of(answer: &Head) -> FlowKey {
+    answer.outbound()
+}
