An agent's first heartbeat does not prove that its host holds no flow

Cause: the world test found a flow that one agent gave to a restarted backend server before its first heartbeat; the next agent heard sequence 1, held its empty table to be complete and passed the flow's packets on for ever. Ruled out: taking the order of heartbeats as a sign of a fresh process. Change: a table is complete only after the longest life of a flow; until then the backend server answers for flows that the agent does not know.

--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -73,20 +73,14 @@
             return (Heard::Foreign, Vec::new());
         }
         let first = self.life.word().is_none();
-        // The first words of a process come before any flow of it.
-        let fresh = word.sequence.get() <= 1;
         let heard = self.life.hear(word, now - self.heard > SILENT);
         if heard != Heard::Late {
             self.heard = now;
         }
         let mut gone = Vec::new();
-        if heard == Heard::Started && (!first || fresh) {
+        if heard == Heard::Started && !first {
             self.meter.forget();
-            if first {
-                self.complete_at = now;
-            } else {
-                gone = self.flows.clear_before(now - UNHEARD);
-            }
+            gone = self.flows.clear_before(now - UNHEARD);
         }
         (heard, gone)
     }
