--- a/crates/forwarding/src/agent/mod.rs
+++ b/crates/forwarding/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod flow_table;
 mod host;
+mod hunt;
 mod life;
 mod meter;
 mod path;
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -3,11 +3,11 @@
 use super::decision::{Inbound, Outbound, Passed, Release, Step};
 use super::entry::{Entry, Phase};
 use super::flow_table::FlowTable;
+use super::hunt::{hunt, pass, refuse};
 use super::life::{Heard, Life};
 use super::meter::Meter;
 use super::trips::Trips;
 use super::waiting::Waiting;
-use crate::trip::Best;
 use crate::{FlowKey, Head, HostState, HostWord, Load, NodeId, ServiceKey, Trip};
 
 // Requests beyond its slots that a backend server is given while others may be free: the next one
@@ -213,10 +213,10 @@
 
     fn on_opening(&mut self, now: Time, flow: FlowKey, trip: &Trip) -> Inbound {
         if trip.service != self.service {
-            return self.hunt(flow, trip, None, Passed::OtherService);
+            return hunt(self.node, flow, trip, None, Passed::OtherService);
         }
         if self.state() != HostState::Serving {
-            return self.hunt(flow, trip, None, Passed::NotServing);
+            return hunt(self.node, flow, trip, None, Passed::NotServing);
         }
         if self.waiting.contains(&flow) {
             return Inbound {
@@ -225,14 +225,14 @@
             };
         }
         if !trip.last && self.meter.is_silent(now) {
-            return self.hunt(flow, trip, None, Passed::Silent);
+            return hunt(self.node, flow, trip, None, Passed::Silent);
         }
         if self.waiting.len() == 0 && self.has_room(now, AHEAD) {
             return self.admit(now, flow, trip);
         }
         let wait = self.wait(now, trip.rank);
         if !trip.last {
-            return self.hunt(flow, trip, Some(wait), Passed::Busy);
+            return hunt(self.node, flow, trip, Some(wait), Passed::Busy);
         }
         if self.waiting.len() == 0 && self.has_room(now, AHEAD_BUSY) {
             return self.admit(now, flow, trip);
@@ -278,42 +278,6 @@
         self.told(step, trip)
     }
 
-    // Passes an opening packet on; at the end of the trip it goes to the shortest queue seen.
-    fn hunt(&self, flow: FlowKey, trip: &Trip, wait: Option<Span>, reason: Passed) -> Inbound {
-        let tell = None;
-        let mine = wait.map(|wait| Best {
-            node: self.node,
-            wait,
-        });
-        let best = [trip.best, mine]
-            .into_iter()
-            .flatten()
-            .min_by_key(|best| best.wait);
-        if let Some((to, next)) = trip.next().filter(|_| !trip.last) {
-            let trip = Trip { best, ..next };
-            let step = Step::Forward { to, trip, reason };
-            return Inbound { step, tell };
-        }
-        let limit = Waiting::limit(trip);
-        let step = match best.filter(|best| !trip.last && best.wait <= limit) {
-            Some(best) => Step::Forward {
-                to: best.node,
-                trip: Trip {
-                    best: None,
-                    last: true,
-                    ..*trip
-                },
-                reason,
-            },
-            None => Step::Refuse {
-                flow,
-                received: 0,
-                wait: best.map(|best| best.wait),
-            },
-        };
-        Inbound { step, tell }
-    }
-
     fn on_returned(&mut self, now: Time, head: &Head) -> Inbound {
         let flow = head.inbound();
         let Some(trip) = self.trips.take(&flow, head.token) else {
@@ -333,7 +297,7 @@
         if head.opens() {
             self.meter.heard_host();
             self.meter.returned_opening(now);
-            return self.hunt(flow, &trip, None, Passed::Returned);
+            return hunt(self.node, flow, &trip, None, Passed::Returned);
         }
         pass(head, &trip, Passed::Returned)
     }
@@ -345,28 +309,3 @@
         Inbound { step, tell }
     }
 }
-
-// Passes a packet of an existing flow to the next agent that may hold it.
-fn pass(head: &Head, trip: &Trip, reason: Passed) -> Inbound {
-    let step = match trip.next() {
-        Some((to, trip)) => Step::Forward { to, trip, reason },
-        None => Step::Missing {
-            flow: head.inbound(),
-            origin: trip.origin,
-            received: head.acknowledged,
-        },
-    };
-    Inbound { step, tell: None }
-}
-
-fn refuse(flow: FlowKey) -> Release {
-    let step = Step::Refuse {
-        flow,
-        received: 0,
-        wait: None,
-    };
-    Release {
-        flow,
-        inbound: Inbound { step, tell: None },
-    }
-}
--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -1,6 +1,6 @@
 use indexmap::IndexMap;
+use usher_placement::rendezvous;
 use usher_types::{DataCentre, Span, Time, Version};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Hello, NodeId, Strength};
 
@@ -16,7 +16,7 @@
 // Two, so that the death of one leaves no gap.
 const RELAYS: usize = 2;
 // Factor by which a relay of the own data centre is preferred.
-const NEAR: f64 = 1_000.0;
+const NEAR: u32 = 1_000;
 // A balancer stands by if another one of its data centre is this many times as strong: it would
 // be the first to drop packets at an even share.
 const WEAK: u32 = 4;
@@ -201,11 +201,9 @@
     }
 }
 
-// Weighted rendezvous score -w / ln(u), with u uniform in (0, 1).
 fn score(agent: NodeId, balancer: NodeId, strength: Strength, near: bool) -> f64 {
-    let seed = u64::from(u32::from(agent.address()));
-    let hash = xxh3_64_with_seed(&balancer.address().octets(), seed);
-    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    let weight = f64::from(strength.millicores()) * if near { NEAR } else { 1.0 };
-    -weight / uniform.ln()
+    let key = u64::from(u32::from(agent.address()));
+    let preference = if near { NEAR } else { 1 };
+    let weight = strength.millicores().saturating_mul(preference);
+    rendezvous(key, &balancer.address().octets(), weight)
 }
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -7,19 +7,19 @@
 
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval};
+use usher_clock::SuspendWatch;
 use usher_forwarding::{AgentPath, Fleet, Heard, Hello, HostState, NodeId, Report, ServiceKey};
 use usher_platform::{Call, heartbeat, heartbeat_reply};
 use usher_types::{Sequence, Slots, Span, Time};
 
 use super::traffic::Shared;
-use crate::clock::SuspendWatch;
 use crate::codec::PeerMessage;
-use crate::control::{Peers, Signal, Signals, list_balancers, serve_metrics};
+use crate::control::{Peers, Signal, Signals, list_balancers, reload, serve_metrics};
 use crate::http::{Answer, Client, serve};
 use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
 use crate::socket::open_udp;
-use crate::{NodeError, Settings, clock, event};
+use crate::{NodeError, Settings, event};
 
 // A host that is silent for some of these is avoided; 1 % of a small balancer's processor.
 const REPORT: Duration = Duration::from_millis(100);
@@ -38,7 +38,7 @@
     let Some(own) = settings.agent.clone() else {
         return Err(NodeError::NoAgent);
     };
-    let now = clock::now();
+    let now = usher_clock::now();
     let path = AgentPath::new(settings.node, &own.service, now, settings.flow_life);
     let shared = Shared {
         path: Arc::new(Mutex::new(path)),
@@ -55,7 +55,7 @@
         peers: Peers::open(&settings)?,
         fleet: RefCell::new(Fleet::default()),
         sequence: Cell::new(Sequence::default()),
-        epoch: clock::epoch(),
+        epoch: usher_clock::epoch(),
         stopping: Cell::new(None),
         shared,
         own,
@@ -113,7 +113,7 @@
         let metrics = &self.shared.metrics;
         let (flows, working) = {
             let path = self.shared.path();
-            (path.held(), path.load(clock::now()).working)
+            (path.held(), path.load(usher_clock::now()).working)
         };
         metrics.agent(flows, working);
         metrics.text()
@@ -142,7 +142,7 @@
         let mut ticks = interval(REPORT);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut suspends = SuspendWatch::new();
-        let mut expired = clock::now();
+        let mut expired = usher_clock::now();
         loop {
             tokio::select! {
                 (node, message) = self.peers.receive() => {
@@ -154,7 +154,7 @@
                     if let Some(span) = suspends.check() {
                         event::RESUMED.log(&[("for", &span)]);
                     }
-                    let now = clock::now();
+                    let now = usher_clock::now();
                     self.shared.release();
                     self.report(now);
                     if now - expired >= EXPIRE {
@@ -168,14 +168,14 @@
                 signal = signals.next() => match signal {
                     Signal::Stop if self.stopping.get().is_none() => self.stop(),
                     Signal::Stop => return,
-                    Signal::Reload => self.reload(file),
+                    Signal::Reload => reload(file),
                 },
             }
         }
     }
 
     fn on_hello(&self, node: NodeId, hello: &Hello) {
-        let now = clock::now();
+        let now = usher_clock::now();
         let mut fleet = self.fleet.borrow_mut();
         let mut new = fleet.hear(now, node, hello);
         if new {
@@ -246,7 +246,7 @@
                 return 400;
             }
         };
-        let now = clock::now();
+        let now = usher_clock::now();
         let (born, sequence, slots) = (word.born, word.sequence, word.slots);
         let service = word.service.clone();
         let (heard, gone) = self.shared.path().hear(now, word);
@@ -277,7 +277,7 @@
     }
 
     fn on_leave(&self, id: &str) {
-        let now = clock::now();
+        let now = usher_clock::now();
         let gone = self.shared.path().leave(now, id);
         let Some(gone) = gone else {
             event::HEARTBEAT_LATE.log(&[("id", &id), ("call", &"leave")]);
@@ -292,7 +292,7 @@
     }
 
     fn stop(&self) {
-        let now = clock::now();
+        let now = usher_clock::now();
         let span = LINGER.min(self.settings.grace - END_MARGIN);
         self.shared.path().stop();
         self.stopping.set(Some(now + span));
@@ -309,27 +309,17 @@
         now >= end || path.open() == 0 || path.state() == HostState::Ended
     }
 
-    fn reload(&self, file: &Path) {
-        match Settings::read(file) {
-            Ok(settings) => {
-                log::set_max_level(settings.level);
-                event::SETTINGS_READ.log(&[("level", &settings.level)]);
-            }
-            Err(fault) => event::SETTINGS_REFUSED.log(&[("fault", &fault)]),
-        }
-    }
-
     async fn find_balancers(self: Rc<Self>) {
         let mut client = Client::new(self.settings.store, Arc::clone(&self.shared.metrics));
         loop {
             if let Some(nodes) = list_balancers(&mut client).await {
-                let now = clock::now();
+                let now = usher_clock::now();
                 let mut fleet = self.fleet.borrow_mut();
                 for node in nodes {
                     fleet.learn(now, node);
                 }
             }
-            let alone = self.fleet.borrow().present(clock::now()).is_empty();
+            let alone = self.fleet.borrow().present(usher_clock::now()).is_empty();
             tokio::time::sleep(if alone { SEARCH } else { RELIST }).await;
         }
     }
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -6,9 +6,9 @@
 use usher_platform::{clear_returned, head, reset, set_token};
 
 use crate::codec::{DATAGRAM_BYTES, read_trip, write_hint, write_trip};
+use crate::event;
 use crate::metrics::{Direction, Metrics};
 use crate::socket::{receive_all, send};
-use crate::{clock, event};
 
 /// What both traffic threads and the control thread of an agent use.
 #[derive(Debug, Clone)]
@@ -63,7 +63,7 @@
                 }
             };
             self.metrics.packet(Direction::Outbound, packet.len());
-            let decision = self.path().on_host_packet(clock::now(), &head);
+            let decision = self.path().on_host_packet(usher_clock::now(), &head);
             match decision {
                 Outbound::ToCaller { work } => {
                     if let Some(work) = work {
@@ -86,7 +86,7 @@
         let mut ready = Vec::new();
         {
             let mut path = self.path();
-            for release in path.release(clock::now()) {
+            for release in path.release(usher_clock::now()) {
                 if let Some(packet) = self.held().swap_remove(&release.flow) {
                     ready.push((packet, release.inbound));
                 }
@@ -107,7 +107,7 @@
     // The packet is put aside before another thread can release its flow.
     fn decide(&self, packet: &[u8], head: &Head, trip: &Trip) -> Inbound {
         let mut path = self.path();
-        let decision = path.on_packet(clock::now(), head, trip);
+        let decision = path.on_packet(usher_clock::now(), head, trip);
         if decision.step == Step::Hold {
             self.held().insert(head.inbound(), packet.to_vec());
         }
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -10,19 +10,19 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+use usher_clock::SuspendWatch;
 use usher_forwarding::View;
 use usher_platform::Call;
 use usher_types::{Span, Time};
 
 use super::state::State;
 use super::{feed, traffic};
-use crate::clock::SuspendWatch;
 use crate::codec::PeerMessage;
-use crate::control::{Peers, Signal, Signals, serve_metrics};
+use crate::control::{Peers, Signal, Signals, reload, serve_metrics};
 use crate::http::{Answer, serve};
 use crate::metrics::Metrics;
 use crate::socket::open_udp;
-use crate::{NodeError, Settings, clock, event};
+use crate::{NodeError, Settings, event};
 
 /// Path under which balancers give each other the configuration.
 pub(crate) const CONFIGURATION_PATH: &str = "/configuration";
@@ -59,7 +59,7 @@
         })?;
     for seed in &settings.seeds {
         if *seed != settings.node {
-            state.borrow_mut().fleet.learn(clock::now(), *seed);
+            state.borrow_mut().fleet.learn(usher_clock::now(), *seed);
         }
     }
     let again = Rc::new(Notify::new());
@@ -137,7 +137,7 @@
             tokio::select! {
                 (node, message) = self.peers.receive() => self.on_message(node, &message),
                 _ = ticks.tick() => {
-                    let now = clock::now();
+                    let now = usher_clock::now();
                     self.relay(now);
                     if greeted.is_none_or(|greeted| now - greeted >= GREET) {
                         greeted = Some(now);
@@ -147,7 +147,7 @@
                 signal = signals.next() => match signal {
                     Signal::Stop if end.is_none() => end = Some(self.stop()),
                     Signal::Stop => return,
-                    Signal::Reload => self.reload(file),
+                    Signal::Reload => reload(file),
                 },
                 () = ending => return,
             }
@@ -155,7 +155,7 @@
     }
 
     fn on_message(&self, node: usher_forwarding::NodeId, message: &PeerMessage) {
-        let now = clock::now();
+        let now = usher_clock::now();
         let mut state = self.state.borrow_mut();
         match message {
             PeerMessage::Report(report) => state.hear_agent(now, node, report),
@@ -209,7 +209,7 @@
 
     // Turns traffic away; returns when the process ends.
     fn stop(&self) -> Instant {
-        let now = clock::now();
+        let now = usher_clock::now();
         let mut state = self.state.borrow_mut();
         state.stopping = true;
         let span = TURN_AWAY.min(state.settings.grace - END_MARGIN);
@@ -218,14 +218,4 @@
         self.peers.send(&balancers, &state.hello(now, true));
         Instant::now() + Duration::from_micros(span.as_micros())
     }
-
-    fn reload(&self, file: &Path) {
-        match Settings::read(file) {
-            Ok(settings) => {
-                log::set_max_level(settings.level);
-                event::SETTINGS_READ.log(&[("level", &settings.level)]);
-            }
-            Err(fault) => event::SETTINGS_REFUSED.log(&[("fault", &fault)]),
-        }
-    }
 }
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -169,7 +169,7 @@
     register(&mut client, &name, node).await;
     loop {
         if let Some(nodes) = list_balancers(&mut client).await {
-            let now = crate::clock::now();
+            let now = usher_clock::now();
             let mut state = state.borrow_mut();
             for other in nodes.into_iter().filter(|other| *other != node) {
                 state.fleet.learn(now, other);
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -8,7 +8,7 @@
 
 use crate::codec::PeerMessage;
 use crate::metrics::Metrics;
-use crate::{Settings, clock, event};
+use crate::{Settings, event};
 
 // Without any host after this time, the balancer is ready all the same: it refuses at once what
 // nobody can serve.
@@ -32,14 +32,14 @@
 
 impl State {
     pub(crate) fn new(settings: Settings, view: Arc<ArcSwap<View>>, metrics: Arc<Metrics>) -> Self {
-        let started = clock::now();
+        let started = usher_clock::now();
         Self {
             directory: Directory::new(settings.centre.clone(), started),
             settings,
             fleet: Fleet::default(),
             stopping: false,
             metrics,
-            epoch: clock::epoch(),
+            epoch: usher_clock::epoch(),
             started,
             in_force: InForce::default(),
             document: Value::Null,
@@ -191,7 +191,7 @@
 
     /// Whether the platform may send traffic here.
     pub(crate) fn is_ready(&mut self) -> bool {
-        let now = clock::now();
+        let now = usher_clock::now();
         let mut states = self
             .directory
             .agents()
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -6,9 +6,9 @@
 use usher_types::Time;
 
 use crate::codec::{DATAGRAM_BYTES, HINT_BYTES, read_hint, write_trip};
+use crate::event;
 use crate::metrics::{Direction, Metrics};
 use crate::socket::{receive_all, send};
-use crate::{clock, event};
 
 /// Forwards packets for ever.
 pub(crate) fn run(
@@ -28,7 +28,7 @@
     let mut buffer = [0; DATAGRAM_BYTES];
     receive_all(socket, &mut buffer, |bytes| {
         let view = view.load();
-        traffic.on_datagram(clock::now(), bytes, &view);
+        traffic.on_datagram(usher_clock::now(), bytes, &view);
     });
 }
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,10 +2,12 @@
 
 mod metrics;
 mod peers;
+mod reload;
 mod signals;
 mod store;
 
 pub(crate) use metrics::serve_metrics;
 pub(crate) use peers::Peers;
+pub(crate) use reload::reload;
 pub(crate) use signals::{Signal, Signals};
 pub(crate) use store::{Backoff, list_balancers, register};
--- /dev/null
+++ b/crates/node/src/control/reload.rs
@@ -0,0 +1,14 @@
+use std::path::Path;
+
+use crate::{Settings, event};
+
+/// Reads the settings again and takes the level of the log from them.
+pub(crate) fn reload(file: &Path) {
+    match Settings::read(file) {
+        Ok(settings) => {
+            log::set_max_level(settings.level);
+            event::SETTINGS_READ.log(&[("level", &settings.level)]);
+        }
+        Err(fault) => event::SETTINGS_REFUSED.log(&[("fault", &fault)]),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,6 @@
 mod agent;
 mod args;
 mod balancer;
-mod clock;
 mod codec;
 mod control;
 mod error;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use bucket::bucket_of;
 pub use key::key_of;
-pub use rank::{first, rank};
+pub use rank::{first, rank, rendezvous};
--- a/crates/placement/src/rank.rs
+++ b/crates/placement/src/rank.rs
@@ -41,9 +41,21 @@
         .map(|(_, host)| host)
 }
 
-// Weighted rendezvous score -w / ln(u), with u uniform in (0, 1).
 fn score(key: u64, host: &HostId, weight: Weight) -> f64 {
-    let hash = xxh3_64_with_seed(host.as_str().as_bytes(), key);
+    rendezvous(key, host.as_str().as_bytes(), weight.get())
+}
+
+/// Weighted rendezvous score of a member for a key; the highest comes first.
+///
+/// A member's share of first places is proportional to its weight.
+///
+/// ```
+/// use usher_placement::rendezvous;
+/// assert!(rendezvous(7, b"a", 1) > 0.0);
+/// ```
+pub fn rendezvous(key: u64, member: &[u8], weight: u32) -> f64 {
+    // -w / ln(u), with u uniform in (0, 1).
+    let hash = xxh3_64_with_seed(member, key);
     let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    -f64::from(weight.get()) / uniform.ln()
+    -f64::from(weight) / uniform.ln()
 }
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -15,9 +15,9 @@
 
 use super::phase::Phase;
 use super::worker_event::WorkerEvent;
-use crate::clock::now;
 use crate::control::{Call, ControlEvent, Core, edit_roster, log_suspicion};
 use crate::{AgentSettings, RuntimeError, event};
+use usher_clock::now;
 
 const IDLE: Duration = Duration::from_secs(1);
 // Packets on their way to this agent are passed on for this long after it has left the roster.
--- a/crates/runtime/src/agent/worker.rs
+++ b/crates/runtime/src/agent/worker.rs
@@ -18,10 +18,10 @@
 use super::worker_event::WorkerEvent;
 use super::{deliver, handover};
 use crate::backend::{Command, Report};
-use crate::clock::now;
 use crate::control::{Content, ControlEvent, HandoverRequest};
 use crate::metrics::Metrics;
 use crate::{AgentSettings, event, metric, socket};
+use usher_clock::now;
 
 const IDLE: Span = Span::from_secs(1);
 const REPORT: Span = Span::from_millis(500);
--- a/crates/runtime/src/backend.rs
+++ b/crates/runtime/src/backend.rs
@@ -17,8 +17,8 @@
 use usher_types::{Outcome, Payload, Span};
 use usher_wire::{RUN_NOT_STARTED, RunRequest};
 
-use crate::clock::now;
 use crate::event;
+use usher_clock::now;
 
 const RECONNECT: Duration = Duration::from_millis(200);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -15,10 +15,10 @@
 use usher_types::{HostId, Incarnation, PastRoster, Peer, Roster, ServiceName, Time, Version};
 
 use super::fleet_entry::FleetEntry;
-use crate::clock::now;
 use crate::control::{Call, ControlEvent, Core, log_suspicion};
 use crate::metrics::Metrics;
 use crate::{BalancerSettings, RuntimeError, event, metric};
+use usher_clock::now;
 
 const IDLE: Duration = Duration::from_secs(1);
 
--- a/crates/runtime/src/control/core.rs
+++ b/crates/runtime/src/control/core.rs
@@ -12,8 +12,8 @@
 use usher_types::{Message, Peer, ServiceName, Time, Version};
 
 use super::{CatchUp, ControlEvent, State, follow, serve};
-use crate::clock::now;
 use crate::{Common, RuntimeError, socket};
+use usher_clock::now;
 
 /// What the control threads of both roles do alike: configuration and membership.
 pub(crate) struct Core {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -3,7 +3,6 @@
 mod agent;
 mod backend;
 mod balancer;
-mod clock;
 mod control;
 mod error;
 mod event;
@@ -14,9 +13,9 @@
 
 pub use agent::run_agent;
 pub use balancer::run_balancer;
-pub use clock::now;
 pub use error::RuntimeError;
 pub use event::EVENTS;
 pub use metric::{METRICS, Metric, MetricKind};
 pub use settings::{AgentSettings, BalancerSettings, Common};
+pub use usher_clock::now;
 pub use usher_events::Event;
