Test of copies detects a copy that goes to another host

Cause: with the rule broken the test stayed green, since three equal hosts gave the same choice twice. Change: twelve flows and their copies are compared.

--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -142,11 +142,10 @@
 #[test]
 fn copies_follow_the_first_packet_while_its_host_is_heard() {
     let mut fixture = Fixture::new();
-    let first = fixture.place(10, 1, 0);
-    for port in 2..=6 {
-        fixture.place(10, port, 0);
-    }
-    assert_eq!(fixture.place(200, 1, 1), first);
+    let placed: Vec<NodeId> = (1..=12).map(|port| fixture.place(10, port, 0)).collect();
+    let copies: Vec<NodeId> = (1..=12).map(|port| fixture.place(200, port, 1)).collect();
+    assert_eq!(copies, placed);
+    let first = placed[0];
     for last in [3, 4, 5].into_iter().filter(|last| node(*last) != first) {
         fixture.hear(600, last, &report(2, SERVICE));
     }
--- a/crates/forwarding/tests/world/model.rs
+++ b/crates/forwarding/tests/world/model.rs
@@ -5,8 +5,8 @@
 
 use proptest::sample::Index;
 use usher_forwarding::{
-    AgentPath, BalancerPath, Configuration, Directory, Flags, FlowKey, Head, Hint, HostWord, NodeId,
-    Report, Route, ServiceKey, Trip, View,
+    AgentPath, BalancerPath, Configuration, Directory, Flags, FlowKey, Head, Hint, HostWord,
+    NodeId, Report, Route, ServiceKey, Trip, View,
 };
 use usher_types::{Sequence, Slots, Span, Time, Version};
 
