A flow waits only as long as its work still ends in time; silent balancers leave the store

Entries of balancers that are gone stayed in the store for ever. Ruled out: idle slots (57 of at most 62 slots were at work). Change: the wait is bounded by the target less three mean times of work, at least a quarter of the target. The first of the balancers that hear each other removes an entry, conditionally, after 60 s of silence.

--- a/crates/forwarding/src/agent/hunt.rs
+++ b/crates/forwarding/src/agent/hunt.rs
@@ -1,21 +1,20 @@
 use usher_types::Span;
 
 use super::decision::{Inbound, Passed, Release, Step};
-use super::waiting::Waiting;
 use crate::trip::Best;
-use crate::{FlowKey, Head, NodeId, Trip};
+use crate::{FlowKey, Head, Trip};
 
-/// Passes an opening packet on; at the end of the trip it goes to the shortest queue seen.
+/// Passes an opening packet on; at the end of the trip it goes to the shortest queue seen, unless its
+/// wait exceeds the limit.
 pub(crate) fn hunt(
-    node: NodeId,
     flow: FlowKey,
     trip: &Trip,
-    wait: Option<Span>,
+    own: Option<Best>,
+    limit: Span,
     reason: Passed,
 ) -> Inbound {
     let tell = None;
-    let mine = wait.map(|wait| Best { node, wait });
-    let best = [trip.best, mine]
+    let best = [trip.best, own]
         .into_iter()
         .flatten()
         .min_by_key(|best| best.wait);
@@ -24,7 +23,6 @@
         let step = Step::Forward { to, trip, reason };
         return Inbound { step, tell };
     }
-    let limit = Waiting::limit(trip);
     let step = match best.filter(|best| !trip.last && best.wait <= limit) {
         Some(best) => Step::Forward {
             to: best.node,
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -8,6 +8,7 @@
 use super::meter::Meter;
 use super::trips::Trips;
 use super::waiting::Waiting;
+use crate::trip::Best;
 use crate::{FlowKey, Head, HostState, HostWord, Load, NodeId, ServiceKey, Trip};
 
 // Requests beyond its slots that a backend server is given while others may be free: the next one
@@ -213,10 +214,10 @@
 
     fn on_opening(&mut self, now: Time, flow: FlowKey, trip: &Trip) -> Inbound {
         if trip.service != self.service {
-            return hunt(self.node, flow, trip, None, Passed::OtherService);
+            return self.pass_on(now, flow, trip, None, Passed::OtherService);
         }
         if self.state() != HostState::Serving {
-            return hunt(self.node, flow, trip, None, Passed::NotServing);
+            return self.pass_on(now, flow, trip, None, Passed::NotServing);
         }
         if self.waiting.contains(&flow) {
             return Inbound {
@@ -225,20 +226,21 @@
             };
         }
         if !trip.last && self.meter.is_silent(now) {
-            return hunt(self.node, flow, trip, None, Passed::Silent);
+            return self.pass_on(now, flow, trip, None, Passed::Silent);
         }
         if self.waiting.len() == 0 && self.has_room(now, AHEAD) {
             return self.admit(now, flow, trip);
         }
         let wait = self.wait(now, trip.rank);
         if !trip.last {
-            return hunt(self.node, flow, trip, Some(wait), Passed::Busy);
+            return self.pass_on(now, flow, trip, Some(wait), Passed::Busy);
         }
         if self.waiting.len() == 0 && self.has_room(now, AHEAD_BUSY) {
             return self.admit(now, flow, trip);
         }
         let tell = None;
-        if wait > Waiting::limit(trip) || self.waiting.is_full() {
+        let limit = self.limit(now, trip);
+        if wait > limit || self.waiting.is_full() {
             let step = Step::Refuse {
                 flow,
                 received: 0,
@@ -246,7 +248,7 @@
             };
             return Inbound { step, tell };
         }
-        self.waiting.push(now, flow, *trip);
+        self.waiting.push(now, flow, *trip, limit);
         // Copies of the packet have to come here too, or the flow would open twice.
         self.told(Step::Hold, trip)
     }
@@ -257,6 +259,23 @@
         self.meter.load(ahead).wait(self.slots())
     }
 
+    fn pass_on(
+        &self,
+        now: Time,
+        flow: FlowKey,
+        trip: &Trip,
+        wait: Option<Span>,
+        reason: Passed,
+    ) -> Inbound {
+        let node = self.node;
+        let own = wait.map(|wait| Best { node, wait });
+        hunt(flow, trip, own, self.limit(now, trip), reason)
+    }
+
+    fn limit(&self, now: Time, trip: &Trip) -> Span {
+        Waiting::limit(trip, self.load(now).work())
+    }
+
     fn slots(&self) -> Slots {
         self.life.word().map_or(Slots::new(1), |word| word.slots)
     }
@@ -297,7 +316,7 @@
         if head.opens() {
             self.meter.heard_host();
             self.meter.returned_opening(now);
-            return hunt(self.node, flow, &trip, None, Passed::Returned);
+            return self.pass_on(now, flow, &trip, None, Passed::Returned);
         }
         pass(head, &trip, Passed::Returned)
     }
--- a/crates/forwarding/src/agent/waiting.rs
+++ b/crates/forwarding/src/agent/waiting.rs
@@ -9,6 +9,10 @@
 const CAPACITY: usize = 256;
 // A caller gives up 1.4 s after its first opening packet.
 const PATIENCE: Span = Span::from_millis(1_200);
+// Mean times of work that are kept free after the wait: nine of ten requests take less.
+const WORK_RESERVE: u64 = 3;
+// Share of the target that a flow may wait at least, where work takes most of it.
+const LEAST_SHARE: f64 = 0.25;
 
 /// Opening packets that wait for a slot, the most urgent first.
 #[derive(Debug, Clone, Default)]
@@ -43,19 +47,20 @@
         self.queue.range(..(rank, u64::MAX)).count()
     }
 
-    /// Longest wait that is of use to the caller of a trip.
-    pub(crate) fn limit(trip: &Trip) -> Span {
-        trip.budget.min(PATIENCE)
+    /// Longest wait after which work of the usual length still ends within the target of the route.
+    pub(crate) fn limit(trip: &Trip, work: Span) -> Span {
+        let least = trip.budget.scale(LEAST_SHARE);
+        (trip.budget - work * WORK_RESERVE).max(least).min(PATIENCE)
     }
 
     pub(crate) fn is_full(&self) -> bool {
         self.queue.len() >= CAPACITY
     }
 
-    pub(crate) fn push(&mut self, now: Time, flow: FlowKey, trip: Trip) {
+    pub(crate) fn push(&mut self, now: Time, flow: FlowKey, trip: Trip, limit: Span) {
         self.arrivals += 1;
         let place = (trip.rank, self.arrivals);
-        let until = now + Self::limit(&trip);
+        let until = now + limit;
         self.places.insert(flow, place);
         self.queue.insert(place, Waiter { flow, trip, until });
     }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod balancer;
 mod candidates;
+mod departures;
 mod fleet;
 mod flow_key;
 mod head;
@@ -24,6 +25,7 @@
 pub use agent::{AgentPath, Heard, Inbound, Outbound, Passed, Release, Step};
 pub use balancer::{BalancerPath, Directory, Found, Refused, Verdict, View};
 pub use candidates::Candidates;
+pub use departures::Departures;
 pub use fleet::Fleet;
 pub use flow_key::FlowKey;
 pub use head::{Flags, Head};
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Which balancers a process knows and sends to, and which configuration is in force.
 
-use usher_forwarding::{Configuration, Fleet, Hello, InForce, NodeId};
+use usher_forwarding::{Configuration, Departures, Fleet, Hello, InForce, NodeId};
 use usher_types::{Span, Time, Version};
 
 fn node(last: u8) -> NodeId {
@@ -159,3 +159,31 @@
     fleet.hear(at(1_500), node(5), &strong(1, "0.5", "kolkata"));
     assert!(!fleet.stands_by(at(1_500), node(1), equal, &centre));
 }
+
+/// Guards against entries of the dead that pile up in the store, and against a balancer that removes
+/// the living because it is cut off.
+#[test]
+fn entries_of_silent_balancers_are_removed_once() {
+    let listed = [node(1), node(2), node(3), node(4)];
+    let mut first = Departures::default();
+    let mut second = Departures::default();
+    let mut alone = Departures::default();
+    for seconds in [0, 15, 30, 45, 59] {
+        let now = at(seconds * 1_000);
+        assert_eq!(first.observe(now, node(1), &listed, &[node(2)]), []);
+        assert_eq!(second.observe(now, node(2), &listed, &[node(1)]), []);
+        assert_eq!(alone.observe(now, node(1), &listed, &[]), []);
+    }
+    let now = at(60_000);
+    assert_eq!(
+        first.observe(now, node(1), &listed, &[node(2), node(4)]),
+        [node(3)]
+    );
+    assert_eq!(second.observe(now, node(2), &listed, &[node(1)]), []);
+    assert_eq!(alone.observe(now, node(1), &listed, &[]), []);
+    // Node 4 was heard in between, so its time begins anew.
+    assert_eq!(
+        first.observe(at(75_000), node(1), &listed, &[node(2)]),
+        [node(3)]
+    );
+}
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -315,8 +315,8 @@
             if let Some(nodes) = list_balancers(&mut client).await {
                 let now = usher_clock::now();
                 let mut fleet = self.fleet.borrow_mut();
-                for node in nodes {
-                    fleet.learn(now, node);
+                for listed in nodes {
+                    fleet.learn(now, listed.node);
                 }
             }
             let alone = self.fleet.borrow().present(usher_clock::now()).is_empty();
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -7,12 +7,12 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::Notify;
-use usher_forwarding::NodeId;
+use usher_forwarding::{Departures, NodeId};
 use usher_platform::{Listing, Request, Watched};
 use usher_types::{Span, Version};
 
 use super::state::State;
-use crate::control::{Backoff, list_balancers, register};
+use crate::control::{Backoff, Listed, list_balancers, register, remove};
 use crate::event;
 use crate::http::Client;
 
@@ -167,14 +167,27 @@
     let metrics = Arc::clone(&state.borrow().metrics);
     let mut client = Client::new(store, metrics);
     register(&mut client, &name, node).await;
+    let mut departures = Departures::default();
     loop {
-        if let Some(nodes) = list_balancers(&mut client).await {
-            let now = usher_clock::now();
-            let mut state = state.borrow_mut();
-            for other in nodes.into_iter().filter(|other| *other != node) {
-                state.fleet.learn(now, other);
+        if let Some(listed) = list_balancers(&mut client).await {
+            let gone = learn(&state, &mut departures, &listed);
+            for entry in listed.iter().filter(|entry| gone.contains(&entry.node)) {
+                remove(&mut client, entry).await;
             }
         }
         tokio::time::sleep(RELIST).await;
     }
 }
+
+// Learns of the balancers in the list; returns those whose entries are to be removed.
+fn learn(state: &RefCell<State>, departures: &mut Departures, listed: &[Listed]) -> Vec<NodeId> {
+    let now = usher_clock::now();
+    let mut state = state.borrow_mut();
+    let own = state.settings.node;
+    let nodes: Vec<NodeId> = listed.iter().map(|entry| entry.node).collect();
+    for node in nodes.iter().filter(|node| **node != own) {
+        state.fleet.learn(now, *node);
+    }
+    let present = state.fleet.present(now);
+    departures.observe(now, own, &nodes, &present)
+}
--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use usher_forwarding::NodeId;
 use usher_platform::{Listing, Object, Request};
-use usher_types::Span;
+use usher_types::{Span, Version};
 
 use crate::event;
 use crate::http::Client;
@@ -74,9 +74,32 @@
     event::REGISTERED.log(&[("node", &node)]);
 }
 
+/// A balancer that the store lists.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Listed {
+    pub(crate) node: NodeId,
+    name: String,
+    version: Version,
+}
+
+/// Removes a balancer's entry, unless it has changed since it was listed. An answer that is lost is
+/// settled by the next list.
+pub(crate) async fn remove(client: &mut Client, listed: &Listed) {
+    let request = Request::delete(BALANCERS, &listed.name, listed.version);
+    let outcome = match client.call("remove", &request, CALL).await {
+        Ok(reply) => format!("status {}", reply.status),
+        Err(fault) => fault.to_string(),
+    };
+    event::BALANCER_REMOVED.log(&[
+        ("balancer", &listed.node),
+        ("version", &listed.version),
+        ("outcome", &outcome),
+    ]);
+}
+
 /// Balancers that the store lists; the list may be some seconds old. `None` if the store does not
 /// serve this node.
-pub(crate) async fn list_balancers(client: &mut Client) -> Option<Vec<NodeId>> {
+pub(crate) async fn list_balancers(client: &mut Client) -> Option<Vec<Listed>> {
     let mut nodes = Vec::new();
     let mut after: Option<String> = None;
     loop {
@@ -102,7 +125,11 @@
         after = listing.objects.last().map(|object| object.name.clone());
         for object in listing.objects {
             match serde_json::from_value::<Entry>(object.spec) {
-                Ok(entry) if !object.deleting => nodes.push(entry.address),
+                Ok(entry) if !object.deleting => nodes.push(Listed {
+                    node: entry.address,
+                    name: object.name,
+                    version: object.version,
+                }),
                 Ok(_) => {}
                 Err(fault) => {
                     event::MALFORMED.log(&[("balancer", &object.name), ("fault", &fault)]);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -18,6 +18,7 @@
     REGISTERED = 2114, Info, "balancer registered in the store";
     BALANCER_FOUND = 2121, Info, "balancer heard";
     BALANCER_FORGOTTEN = 2122, Info, "balancer forgotten";
+    BALANCER_REMOVED = 2123, Info, "entry of a silent balancer removed from the store";
     HOST_CHANGED = 2131, Info, "host changed";
     HOSTS_FORGOTTEN = 2132, Info, "silent hosts forgotten";
     BACKEND_STARTED = 2141, Info, "backend server started";
