A control socket that fails pauses instead of spinning

Cause: the receive loop of the control thread went on at once after an error, so a lasting error would have kept the processor busy. Change: one pause for all sockets that fail.

--- a/crates/node/src/control/peers.rs
+++ b/crates/node/src/control/peers.rs
@@ -4,7 +4,7 @@
 use usher_forwarding::NodeId;
 
 use crate::codec::{DATAGRAM_BYTES, PeerMessage, read_message, write_message};
-use crate::socket::{open_udp, send};
+use crate::socket::{FAILED_PAUSE, open_udp, send};
 use crate::{NodeError, Settings, event};
 
 /// Messages between the control threads of nodes.
@@ -57,7 +57,7 @@
                 Ok(received) => received,
                 Err(fault) => {
                     event::RECEIVE_FAILED.log(&[("fault", &fault)]);
-                    tokio::task::yield_now().await;
+                    tokio::time::sleep(FAILED_PAUSE).await;
                     continue;
                 }
             };
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -1,7 +1,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -13,13 +12,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use crate::socket::watch_connection;
+use crate::socket::{FAILED_PAUSE, watch_connection};
 use crate::{NodeError, event};
 
 // Heartbeats are a few hundred bytes.
 const BODY_BYTES: usize = 16_384;
-// A listener that fails, for lack of descriptors say, is tried again at this pace.
-const FAILED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Status and body of an answer.
 #[derive(Debug)]
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -9,8 +9,8 @@
 
 // Packets that wait while the node is not scheduled; about 600 long ones.
 const RECEIVE_BUFFER: usize = 1_048_576;
-// A socket that fails is tried again at this pace.
-const FAILED_PAUSE: Duration = Duration::from_millis(20);
+/// A socket that fails, for lack of descriptors say, is tried again at this pace.
+pub(crate) const FAILED_PAUSE: Duration = Duration::from_millis(20);
 // A connection that has gone silent is found within 3 s, less than the bound of configuration.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
