--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -24,8 +24,6 @@
 const RELIST: Duration = Duration::from_secs(15);
 const OK: u16 = 200;
 const GONE: u16 = 410;
-const KIND: &str = "config";
-const NAME: &str = "main";
 
 /// Follows the operator's configuration in the store.
 pub(crate) async fn follow(state: Rc<RefCell<State>>, store: SocketAddrV4, again: Rc<Notify>) {
@@ -72,7 +70,7 @@
 
 // Reads the configuration; returns the version to watch from.
 async fn read(state: &RefCell<State>, client: &mut Client) -> Result<Option<Version>, String> {
-    let request = Request::list(KIND, None, false);
+    let request = Request::configuration();
     let reply = client
         .call("read", &request, CALL)
         .await
@@ -81,16 +79,12 @@
         return Err(format!("status {}", reply.status));
     }
     let listing = Listing::parse(&reply.body).map_err(|fault| fault.to_string())?;
-    let main = listing
-        .objects
-        .into_iter()
-        .find(|object| object.name == NAME);
-    if let Some(object) = main {
-        state
-            .borrow_mut()
-            .adopt(object.version, object.spec, "store");
+    let at = listing.at;
+    if let Some(object) = listing.configuration() {
+        let mut state = state.borrow_mut();
+        state.adopt(object.version, object.spec, "store");
     }
-    Ok(Some(listing.at))
+    Ok(Some(at))
 }
 
 // Waits for changes; returns the version to watch from, or none if all has to be read again.
@@ -112,14 +106,12 @@
         return Err(format!("status {}", reply.status));
     }
     let watched = Watched::parse(&reply.body).map_err(|fault| fault.to_string())?;
-    for (object, removed) in watched.changes {
-        if object.name == NAME && !removed {
-            state
-                .borrow_mut()
-                .adopt(object.version, object.spec, "store");
-        }
+    let at = watched.at.max(since);
+    for object in watched.configurations() {
+        let mut state = state.borrow_mut();
+        state.adopt(object.version, object.spec, "store");
     }
-    Ok(Some(watched.at.max(since)))
+    Ok(Some(at))
 }
 
 #[derive(Debug, Deserialize)]
