--- /dev/null
+++ b/crates/forwarding/tests/agent/fixture.rs
@@ -0,0 +1,129 @@
+use assert_matches::assert_matches;
+use usher_forwarding::{
+    AgentPath, Candidates, Flags, Head, HostWord, NodeId, ServiceKey, Step, Trip,
+};
+use usher_types::{Sequence, Slots, Span, Time};
+
+pub const SERVICE: &str = "namedesk";
+pub const FLOW_LIFE: Span = Span::from_secs(60);
+
+pub fn node(last: u8) -> NodeId {
+    NodeId::new([10, 1, 0, last].into())
+}
+
+pub fn at(millis: u64) -> Time {
+    Time::ZERO + Span::from_millis(millis)
+}
+
+pub fn word(id: &str, born: u64, sequence: u32) -> HostWord {
+    HostWord {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        born,
+        sequence: Sequence::new(sequence),
+        slots: Slots::new(1),
+        draining: false,
+        warmup: Span::ZERO,
+    }
+}
+
+pub fn agent() -> AgentPath {
+    AgentPath::new(node(3), SERVICE, Time::ZERO, FLOW_LIFE)
+}
+
+// An agent that has run for longer than any flow lives, so it knows all flows of its host.
+pub fn serving() -> AgentPath {
+    let mut agent = AgentPath::new(node(3), SERVICE, Time::ZERO, Span::ZERO);
+    agent.hear(at(0), word("i-1", 100, 1));
+    agent
+}
+
+pub fn head(port: u16, flags: Flags) -> Head {
+    Head {
+        source: format!("100.64.0.7:{port}").parse().unwrap(),
+        target: "198.18.0.1:443".parse().unwrap(),
+        flags,
+        sequence: 1,
+        acknowledged: 0,
+        data: 0,
+        token: 0,
+    }
+}
+
+pub fn opening(port: u16) -> Head {
+    let opening = true;
+    head(
+        port,
+        Flags {
+            opening,
+            ..Flags::default()
+        },
+    )
+}
+
+pub fn later(port: u16) -> Head {
+    let acknowledging = true;
+    let flags = Flags {
+        acknowledging,
+        ..Flags::default()
+    };
+    Head {
+        acknowledged: 77,
+        data: 10,
+        ..head(port, flags)
+    }
+}
+
+// What the backend server sends on the flow of a caller's packet.
+pub fn answer(caller: &Head, opening: bool, data: u16) -> Head {
+    let acknowledging = true;
+    Head {
+        source: caller.target,
+        target: caller.source,
+        flags: Flags {
+            opening,
+            acknowledging,
+            ..Flags::default()
+        },
+        data,
+        ..*caller
+    }
+}
+
+pub fn returned(caller: &Head, token: u32) -> Head {
+    let flags = Flags {
+        returned: true,
+        ..caller.flags
+    };
+    Head {
+        flags,
+        token,
+        ..*caller
+    }
+}
+
+pub fn trip(candidates: &[u8], hop: u8) -> Trip {
+    let mut list = Candidates::default();
+    for last in candidates {
+        list.push(node(*last));
+    }
+    Trip {
+        service: ServiceKey::of(SERVICE),
+        origin: node(9),
+        candidates: list,
+        hop,
+        best: None,
+        budget: Span::from_millis(500),
+        rank: 2,
+        last: false,
+    }
+}
+
+pub fn open(agent: &mut AgentPath, port: u16) {
+    let caller = opening(port);
+    let inbound = agent.on_packet(at(1), &caller, &trip(&[3, 4], 0));
+    assert_matches!(inbound.step, Step::Deliver { opening: true, .. });
+    agent.on_host_packet(at(1), &answer(&caller, true, 0));
+    agent.on_packet(at(2), &later(port), &trip(&[3, 4], 0));
+    agent.on_host_packet(at(3), &answer(&later(port), false, 0));
+}
--- /dev/null
+++ b/crates/forwarding/tests/agent/queue.rs
@@ -0,0 +1,142 @@
+use assert_matches::assert_matches;
+use usher_forwarding::{Best, HostWord, Passed, Step, Trip};
+use usher_types::Span;
+
+use crate::fixture::{answer, at, later, node, open, opening, serving, trip, word};
+
+/// Guards against a busy host that queues a flow while another one is free, and against a flow
+/// that is refused although a host could serve it in time.
+#[test]
+fn a_busy_host_passes_on_and_the_shortest_queue_takes_it() {
+    let mut agent = serving();
+    open(&mut agent, 1);
+    open(&mut agent, 2);
+    let busy = agent.on_packet(at(4), &opening(3), &trip(&[3, 4], 0));
+    let passed = assert_matches!(
+        busy.step,
+        Step::Forward { to, trip, reason: Passed::Busy } if to == node(4) => trip
+    );
+    assert_eq!(passed.best.unwrap().node, node(3));
+    // The other host is busier, so the flow comes back and is taken.
+    let last = Trip {
+        last: true,
+        ..passed
+    };
+    let taken = agent.on_packet(at(5), &opening(3), &last);
+    assert_matches!(taken.step, Step::Deliver { opening: true, .. });
+}
+
+/// Guards against a wait that the caller cannot use.
+#[test]
+fn a_flow_that_cannot_be_served_in_time_is_refused_at_once() {
+    let mut agent = serving();
+    open(&mut agent, 1);
+    open(&mut agent, 2);
+    let hopeless = Trip {
+        budget: Span::from_millis(5),
+        best: Some(Best {
+            node: node(4),
+            wait: Span::from_millis(50),
+        }),
+        ..trip(&[4, 3], 1)
+    };
+    let inbound = agent.on_packet(at(4), &opening(3), &hopeless);
+    assert_matches!(inbound.step, Step::Refuse { wait: Some(_), .. });
+}
+
+/// Guards against a backend server that sheds what its agent could hold back, and against a read
+/// that goes before a booking.
+#[test]
+fn flows_wait_for_a_slot_the_most_urgent_first() {
+    let mut agent = serving();
+    let last = |rank| Trip {
+        rank,
+        last: true,
+        ..trip(&[3], 0)
+    };
+    for port in 1..=3 {
+        let taken = agent.on_packet(at(1), &opening(port), &last(2));
+        assert_matches!(taken.step, Step::Deliver { .. });
+    }
+    for (port, rank) in [(4, 2), (5, 1), (6, 2)] {
+        let held = agent.on_packet(at(2), &opening(port), &last(rank));
+        assert_eq!(held.step, Step::Hold);
+    }
+    let elsewhere = Trip {
+        last: true,
+        ..trip(&[4, 3], 1)
+    };
+    let held = agent.on_packet(at(2), &opening(7), &elsewhere);
+    assert_eq!(held.tell, Some(node(9)), "copies have to come here");
+    let copy = agent.on_packet(at(3), &opening(5), &last(1));
+    assert_eq!(copy.step, Step::Drop, "it waits already");
+    assert_eq!(agent.load(at(3)).working, 7);
+    assert_eq!(agent.release(at(3)), []);
+    for (answered, expected) in [(1, 5), (2, 4), (3, 6)] {
+        let caller = opening(answered);
+        agent.on_host_packet(at(4), &answer(&caller, true, 0));
+        agent.on_host_packet(at(5), &answer(&caller, false, 100));
+        let released = agent.release(at(5));
+        assert_eq!(released.len(), 1);
+        assert_eq!(released[0].flow, opening(expected).inbound());
+        assert_matches!(
+            released[0].inbound.step,
+            Step::Deliver { opening: true, .. }
+        );
+    }
+}
+
+/// Guards against a caller that waits for a slot which it can no longer use, and against flows that
+/// wait for a backend server that leaves.
+#[test]
+fn waiting_flows_are_refused_when_waiting_is_of_no_use() {
+    let busy = || {
+        let mut agent = serving();
+        let last = Trip {
+            last: true,
+            ..trip(&[3], 0)
+        };
+        for port in 1..=4 {
+            agent.on_packet(at(1), &opening(port), &last);
+        }
+        agent
+    };
+    let mut agent = busy();
+    for port in 1..=3 {
+        agent.on_packet(at(2), &later(port), &trip(&[3], 0));
+    }
+    // The target of 500 ms less three mean times of work, counted from the arrival at 1 ms.
+    assert_eq!(agent.release(at(440)), []);
+    let released = agent.release(at(441));
+    assert_matches!(released[0].inbound.step, Step::Refuse { .. });
+    let mut agent = busy();
+    let draining = HostWord {
+        draining: true,
+        ..word("i-1", 100, 2)
+    };
+    agent.hear(at(2), draining);
+    let released = agent.release(at(2));
+    assert_matches!(released[0].inbound.step, Step::Refuse { .. });
+}
+
+/// Guards against callers that have given up and hold the slots of a backend server: after an outage
+/// nearly all opening packets are of that kind, and nobody was served.
+#[test]
+fn a_caller_that_does_not_follow_up_holds_no_slot() {
+    let mut agent = serving();
+    let last = Trip {
+        last: true,
+        ..trip(&[3], 0)
+    };
+    for port in 1..=3 {
+        agent.on_packet(at(1), &opening(port), &last);
+        agent.on_host_packet(at(1), &answer(&opening(port), true, 0));
+    }
+    assert_eq!(agent.on_packet(at(2), &opening(4), &last).step, Step::Hold);
+    assert_eq!(agent.release(at(30)), []);
+    let released = agent.release(at(31));
+    assert_matches!(
+        released[0].inbound.step,
+        Step::Deliver { opening: true, .. }
+    );
+}
