One client and one stand-in for the platform's store

Cause: two store clients stood side by side. crates/store spoke an HTTP interface that only our own stand-in had, over surf; the node called the platform's store through platform/ and a client of its own. There were two stand-in stores as well, one of them with an HTTP parser written by hand.

Ruled out: a translation in the stand-in (it would keep both protocols), and one kind of the store for each of our kinds (five watches for each process, and no common order between them).

Change: usher_platform::Client makes all calls. crates/store keeps our own objects under one kind of the platform's store; the id of a write stands in the object, a deletion writes an empty value, 410 and cut pages are handled. The stand-in store speaks the platform's protocol for both front ends and gains the fault 'history dropped'. surf is gone, with two of the HTTP stacks.

Before: 10 contract tests against our own interface. After: 13 against the platform's, among them a dropped history, a list of two pages and a removal by another tool. A roster whose tombstone is replaced at its version was refused by the old stand-in and is accepted now. Process tests of both front ends, command-line tests and the demo pass.

--- a/crates/cli/tests/cli/shell.rs
+++ b/crates/cli/tests/cli/shell.rs
@@ -1,27 +1,29 @@
 //! A command line in front of a store of its own.
 
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::{env, fs, process};
 
-use async_std::task;
 use serde_json::Value as Json;
 use usher_cli::{ExitStatus, run};
-use usher_standins::store::serve;
+use usher_platform_standin::store::Store;
 
 pub struct Shell {
     pub store: String,
+    server: Store,
     folder: PathBuf,
 }
 
 impl Shell {
     pub fn new(test: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let store = listener.local_addr().unwrap().to_string();
-        task::spawn(serve(listener));
+        let server = Store::start("127.0.0.1:0".parse().unwrap());
+        let store = server.address.to_string();
         let folder = env::temp_dir().join(format!("usher-cli-{}-{test}", process::id()));
         fs::create_dir_all(&folder).unwrap();
-        Self { store, folder }
+        Self {
+            store,
+            server,
+            folder,
+        }
     }
 
     pub fn run(&self, line: &str) -> (ExitStatus, String) {
@@ -52,15 +54,12 @@
     }
 
     pub fn faults(&self, faults: &Json) {
-        let url = format!("http://{}/faults", self.store);
-        let request = surf::put(url).body_json(faults).unwrap();
-        assert_eq!(task::block_on(request).unwrap().status(), 204);
+        let faults = serde_json::from_value(faults.clone()).unwrap();
+        self.server.set_faults(faults);
     }
 
-    pub fn writes(&self) -> Json {
-        let url = format!("http://{}/v1/stats", self.store);
-        let stats: Json = task::block_on(surf::get(url).recv_json()).unwrap();
-        stats["writes"].clone()
+    pub fn writes(&self) -> u64 {
+        self.server.stats().writes
     }
 }
 
--- a/crates/daemon/tests/processes/deployment.rs
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -1,5 +1,5 @@
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
@@ -13,7 +13,9 @@
 use jsonrpsee::server::ServerHandle;
 use serde_json::{Value as Json, json};
 use usher_config::{Condition, Kind, ObjectKey, Value};
-use usher_standins::{Backend, BackendArgs, Caller, Fabric, Switches, store};
+use usher_platform::{Client, Request};
+use usher_platform_standin::store;
+use usher_standins::{Backend, BackendArgs, Caller, Fabric, Switches};
 use usher_store::{Limits, Store};
 use usher_types::{Profile, RequestKey, Service, Span, Version};
 
@@ -78,7 +80,7 @@
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
         let store = SocketAddrV4::new(ip, STORE_PORT);
-        task::spawn(store::serve(TcpListener::bind(store).unwrap()));
+        store::Store::start(store);
         let callers = SocketAddrV4::new(ip, FABRIC_PORT);
         let answers = SocketAddrV4::new(ip, FABRIC_PORT + 1);
         let deployment = Self {
@@ -239,12 +241,15 @@
 
     /// Sets the fault switches of the store.
     pub fn store_faults(&self, faults: &Json) {
-        let url = format!("http://{}:{STORE_PORT}/faults", self.ip);
-        let status = task::block_on(async {
-            let request = surf::put(url).body_json(faults).unwrap();
-            request.await.unwrap().status()
-        });
-        assert_eq!(status, 204);
+        let request = Request {
+            method: "PUT",
+            path: "/faults".to_owned(),
+            body: faults.to_string(),
+        };
+        let mut client = Client::new(SocketAddrV4::new(self.ip, STORE_PORT));
+        let limit = Span::from_micros(CALL.as_micros() as u64);
+        let reply = task::block_on(async { client.call(&request, limit).await });
+        assert_eq!(reply.unwrap().status, 204);
     }
 
     pub fn store_works(&self) {
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -11,8 +11,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
+use usher_platform::watch_connection;
 
-use crate::socket::{FAILED_PAUSE, watch_connection};
+use crate::socket::FAILED_PAUSE;
 use crate::{NodeError, event};
 
 // Heartbeats are a few hundred bytes.
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::Duration;
 
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 
 use crate::{NodeError, event};
 
@@ -11,10 +11,6 @@
 const RECEIVE_BUFFER: usize = 1_048_576;
 /// A socket that fails, for lack of descriptors say, is tried again at this pace.
 pub(crate) const FAILED_PAUSE: Duration = Duration::from_millis(20);
-// A connection that has gone silent is found within 3 s, less than the bound of configuration.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-const KEEPALIVE_PROBES: u32 = 2;
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Opens a UDP socket for packets.
 pub(crate) fn open_udp(address: SocketAddrV4, what: &'static str) -> Result<UdpSocket, NodeError> {
@@ -51,15 +47,3 @@
         event::SEND_FAILED.log(&[("to", &to), ("fault", &fault)]);
     }
 }
-
-/// Makes a connection notice when its other end has gone.
-pub(crate) fn watch_connection(stream: &tokio::net::TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    stream.set_nodelay(true)
-}
--- a/crates/runtime/src/control/core.rs
+++ b/crates/runtime/src/control/core.rs
@@ -17,7 +17,7 @@
 
 /// What the control threads of both roles do alike: configuration and membership.
 pub(crate) struct Core {
-    /// Client of the platform's object API.
+    /// The project's objects in the platform's store.
     pub(crate) store: Store,
     /// Configuration and rosters that this process knows.
     pub(crate) state: State,
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -7,7 +7,7 @@
 pub struct Common {
     /// Data centre of the process.
     pub centre: DataCentre,
-    /// TCP address of the platform's object API.
+    /// TCP address of the platform's store.
     pub store: SocketAddrV4,
     /// TCP address of the administration RPC.
     pub admin: SocketAddrV4,
--- a/crates/standins/src/args.rs
+++ b/crates/standins/src/args.rs
@@ -3,8 +3,9 @@
 
 use argh::FromArgs;
 use async_std::task;
+use usher_platform_standin::store;
 
-use crate::{Backend, BackendArgs, CallerArgs, FabricArgs, ProbeArgs, store};
+use crate::{Backend, BackendArgs, CallerArgs, FabricArgs, ProbeArgs};
 
 /// Test stand-ins for the platform, a backend server and a caller.
 #[derive(Debug, FromArgs)]
@@ -27,7 +28,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "store")]
 struct StoreArgs {
-    /// TCP address of the object API
+    /// TCP address of the store
     #[argh(option)]
     listen: SocketAddrV4,
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,4 +1,4 @@
-//! Test stand-ins for the platform's store and fabric, a backend server and a caller.
+//! Test stand-ins for the platform's fabric, a backend server and a caller.
 
 mod args;
 mod backend;
@@ -6,7 +6,6 @@
 mod clock;
 mod fabric;
 mod probe;
-pub mod store;
 
 pub use args::Args;
 pub use backend::{Backend, BackendArgs, Behaviour, Switches};
--- a/crates/store/src/backoff.rs
+++ b/crates/store/src/backoff.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
-use async_std::task;
 use rand::Rng;
+use tokio::time::sleep;
 use usher_types::Span;
 
 use crate::Limits;
@@ -31,7 +31,7 @@
         if Instant::now() + pause >= self.deadline {
             return false;
         }
-        task::sleep(pause).await;
+        sleep(pause).await;
         true
     }
 }
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -1,9 +1,9 @@
-use serde::Deserialize;
-use serde_json::Value as Json;
-use usher_config::{Cache, Kind, Object, ObjectKey, WriteId};
+use indexmap::IndexSet;
+use usher_config::{Cache, Object};
+use usher_platform::{Listing, Object as Stored, Watched};
 use usher_types::Version;
 
-use crate::{PlatformError, decode};
+use crate::{PlatformError, Record};
 
 /// Objects above a version, in version order and with tombstones.
 #[derive(Debug)]
@@ -41,85 +41,55 @@
         cache.adopt_since(self.after, self.through, self.objects)
     }
 
-    pub(crate) fn parse(after: Version, bytes: &[u8]) -> Result<Self, PlatformError> {
-        let page: Page = serde_json::from_slice(bytes)
-            .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
-        let mut batch = Self {
-            after,
-            through: page.revision,
+    /// A batch from the beginning, with nothing in it yet.
+    pub(crate) fn empty(through: Version) -> Self {
+        Self {
+            after: Version::default(),
+            through,
             objects: Vec::new(),
             unreadable: Vec::new(),
-        };
-        for entry in page.objects {
-            match entry.parse() {
-                Ok(object) => batch.objects.push(object),
-                Err(error) => batch.unreadable.push(error),
-            }
         }
-        Ok(batch)
     }
-}
-
-#[derive(Debug, Deserialize)]
-struct Page {
-    revision: Version,
-    objects: Vec<Row>,
-}
 
-#[derive(Debug, Deserialize)]
-struct Row {
-    kind: String,
-    name: String,
-    version: Version,
-    write_id: String,
-    value: Option<Json>,
-}
+    /// Adds one page of a list.
+    pub(crate) fn add(&mut self, page: Listing) {
+        self.count_foreign(page.ignored);
+        for stored in page.objects {
+            self.take(stored, None);
+        }
+    }
 
-impl Row {
-    fn parse(self) -> Result<Object, PlatformError> {
-        let fault = |cause: String| PlatformError::Value {
-            key: format!("{}/{}", self.kind, self.name),
-            cause,
-        };
-        let kind: Kind = self
-            .kind
-            .parse()
-            .map_err(|error| fault(format!("{error}")))?;
-        let name = self
-            .name
-            .parse()
-            .map_err(|error| fault(format!("{error}")))?;
-        let key = ObjectKey::new(kind, name);
-        let write_id = parse_write_id(&self.write_id);
-        parse_object(key, self.version, write_id, self.value)
+    /// The last change of each object since a version.
+    pub(crate) fn changes(after: Version, watched: Watched) -> Self {
+        let mut batch = Self::empty(watched.at.max(after));
+        batch.after = after;
+        batch.count_foreign(watched.ignored);
+        let mut seen = IndexSet::new();
+        for (stored, removed) in watched.changes.into_iter().rev() {
+            if seen.insert(stored.name.clone()) {
+                // A removal has no version of its own; it happened at `through` or before.
+                batch.take(stored, removed.then_some(watched.at));
+            }
+        }
+        batch.objects.sort_by_key(|object| object.version);
+        batch
     }
-}
 
-// Writes of other tools may carry no id or one of another form; it then equals none of ours.
-pub(crate) fn parse_write_id(text: &str) -> WriteId {
-    text.parse().unwrap_or_default()
-}
+    fn take(&mut self, stored: Stored, removed: Option<Version>) {
+        let record = Record::try_from(stored).map(|record| match removed {
+            Some(version) => record.tombstone(version),
+            None => record,
+        });
+        match record.and_then(Record::object) {
+            Ok(object) => self.objects.push(object),
+            Err(fault) => self.unreadable.push(fault),
+        }
+    }
 
-pub(crate) fn parse_object(
-    key: ObjectKey,
-    version: Version,
-    write_id: WriteId,
-    json: Option<Json>,
-) -> Result<Object, PlatformError> {
-    let value = match json.map(|json| decode(key.kind, json)).transpose() {
-        Ok(value) => value,
-        Err(error) => {
-            return Err(PlatformError::Value {
-                key: key.to_string(),
-                cause: error.to_string(),
-            });
+    fn count_foreign(&mut self, count: usize) {
+        if count > 0 {
+            let text = format!("{count} entries that are no objects");
+            self.unreadable.push(PlatformError::Unreadable(text));
         }
-    };
-    Ok(Object {
-        kind: key.kind,
-        name: key.name,
-        version,
-        write_id,
-        value,
-    })
+    }
 }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -43,7 +43,7 @@
     /// The store refused the request itself.
     #[error("MU-3005: the store answered with status {0}")]
     Status(u16),
-    /// The answer is not what the object API defines.
+    /// The answer is not one of the platform's store.
     #[error("MU-3006: the store's answer cannot be read: {0}")]
     Unreadable(String),
     /// The value of one object is not valid for its kind.
--- a/crates/store/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -1,161 +1,115 @@
-use std::io;
+use std::fmt::Display;
 use std::net::SocketAddrV4;
 
-use async_std::future::timeout;
-use surf::http::Method;
-use surf::{Client, Config, Request, Url};
-use usher_config::{Condition, Object, ObjectKey, Write};
+use usher_config::ObjectKey;
+use usher_platform::{CallError, Client, Listing, Reply, Request, Watched};
 use usher_types::{Span, Version};
 
-use crate::backoff::duration;
-use crate::batch::{parse_object, parse_write_id};
-use crate::{PlatformError, encode};
+use crate::record::KIND;
+use crate::{Batch, PlatformError, Record};
 
 pub(crate) const OK: u16 = 200;
 pub(crate) const CREATED: u16 = 201;
 pub(crate) const NOT_FOUND: u16 = 404;
-pub(crate) const PRECONDITION_FAILED: u16 = 412;
-const WRITE_ID: &str = "x-write-id";
+pub(crate) const CONFLICT: u16 = 409;
+const GONE: u16 = 410;
 
 /// Sends single requests, without repeating any.
 #[derive(Debug, Clone)]
 pub(crate) struct Exchange {
-    client: Client,
-    base: Url,
+    address: SocketAddrV4,
+    limit: Span,
 }
 
 /// Why a request got no usable answer.
 #[derive(Debug)]
 pub(crate) enum Failure {
-    /// The connection was refused, so the store did not see the request.
+    /// There was no connection, so the store did not see the request.
     NotSent(String),
     /// The store may have acted on the request.
     NoAnswer(String),
-}
-
-impl Failure {
-    pub(crate) fn cause(self) -> String {
-        match self {
-            Self::NotSent(cause) | Self::NoAnswer(cause) => cause,
-        }
-    }
-}
-
-/// An answer of the store.
-#[derive(Debug)]
-pub(crate) struct Reply {
-    pub(crate) status: u16,
-    pub(crate) version: Option<Version>,
-    pub(crate) bytes: Vec<u8>,
-    write_id: String,
-}
-
-impl Reply {
-    /// The object that the answer shows; `None` when it never existed.
-    pub(crate) fn object(&self, key: &ObjectKey) -> Result<Option<Object>, PlatformError> {
-        let Some(version) = self.version else {
-            return Ok(None);
-        };
-        let json = match self.bytes.as_slice() {
-            [] => None,
-            bytes => Some(
-                serde_json::from_slice(bytes)
-                    .map_err(|error| PlatformError::Unreadable(error.to_string()))?,
-            ),
-        };
-        parse_object(key.clone(), version, parse_write_id(&self.write_id), json).map(Some)
-    }
+    /// The store answered; a repetition would be answered the same way.
+    Final(PlatformError),
 }
 
 impl Exchange {
-    pub(crate) fn new(address: SocketAddrV4) -> Self {
-        // Pooled connections are reused after a timed-out request, and the late answer would then
-        // be taken for the answer to the next request.
-        let config = Config::new().set_http_keep_alive(false).set_timeout(None);
-        let client = Client::try_from(config).unwrap_or_else(|error| match error {});
-        let base = format!("http://{address}/v1/objects/");
-        Self {
-            client,
-            base: base.parse().expect("an address makes a valid URL"),
-        }
+    pub(crate) fn new(address: SocketAddrV4, limit: Span) -> Self {
+        Self { address, limit }
     }
 
-    pub(crate) fn get(&self, key: &ObjectKey) -> Request {
-        Request::new(Method::Get, self.url(key))
+    /// Sends one request over a connection of its own.
+    pub(crate) async fn send(&self, request: &Request, wait: Span) -> Result<Reply, Failure> {
+        let call = Client::new(self.address)
+            .call(request, self.limit + wait)
+            .await;
+        match call {
+            Ok(reply) if reply.status >= 500 => {
+                Err(Failure::NoAnswer(format!("status {}", reply.status)))
+            }
+            Ok(reply) => Ok(reply),
+            Err(fault @ CallError::Connect(_)) => Err(Failure::NotSent(fault.to_string())),
+            Err(fault) => Err(Failure::NoAnswer(fault.to_string())),
+        }
     }
 
-    pub(crate) fn list(&self, kind: Option<&str>, since: Version, wait: Span) -> Request {
-        let mut url = self.base.clone();
-        url.set_path("/v1/objects");
-        let mut query = url.query_pairs_mut();
-        if let Some(kind) = kind {
-            query.append_pair("kind", kind);
+    /// Reads one object; `None` if it never existed.
+    pub(crate) async fn get(&self, key: &ObjectKey) -> Result<Option<Record>, Failure> {
+        let request = Request::get(KIND, &Record::name(key));
+        let reply = self.send(&request, Span::ZERO).await?;
+        match reply.status {
+            OK => Ok(Some(Record::parse(&reply.body)?)),
+            NOT_FOUND => Ok(None),
+            status => Err(PlatformError::Status(status).into()),
         }
-        query.append_pair("since", &since.to_string());
-        query.append_pair("wait_ms", &wait.as_millis().to_string());
-        drop(query);
-        Request::new(Method::Get, url)
     }
 
-    pub(crate) fn write(&self, write: &Write) -> Result<Request, PlatformError> {
-        let change = &write.change;
-        let url = self.url(&change.key);
-        let mut request = match &change.value {
-            None => Request::new(Method::Delete, url),
-            Some(value) => {
-                let bytes = encode(value).map_err(|error| PlatformError::Value {
-                    key: change.key.to_string(),
-                    cause: error.to_string(),
-                })?;
-                let mut request = Request::new(Method::Put, url);
-                request.body_bytes(bytes);
-                request
+    /// Reads what has changed since a version, or all objects if the store no longer knows.
+    pub(crate) async fn since(&self, since: Version, wait: Span) -> Result<Batch, Failure> {
+        if since == Version::default() {
+            return self.list().await;
+        }
+        let request = Request::watch(KIND, since, wait);
+        let reply = self.send(&request, wait).await?;
+        match reply.status {
+            OK => {
+                let watched = Watched::parse(&reply.body).map_err(unreadable)?;
+                Ok(Batch::changes(since, watched))
             }
-        };
-        match change.condition {
-            Condition::Absent => request.set_header("if-none-match", "*"),
-            Condition::Version(version) => request.set_header("if-match", format!("\"{version}\"")),
+            GONE => self.list().await,
+            status => Err(PlatformError::Status(status).into()),
         }
-        request.set_header(WRITE_ID, write.id.to_string());
-        Ok(request)
     }
 
-    pub(crate) async fn send(&self, request: Request, limit: Span) -> Result<Reply, Failure> {
-        match timeout(duration(limit), self.receive(request)).await {
-            Ok(Ok(reply)) if reply.status >= 500 => {
-                Err(Failure::NoAnswer(format!("status {}", reply.status)))
+    // What changes behind the first page shows in the next watch.
+    async fn list(&self) -> Result<Batch, Failure> {
+        let mut batch: Option<Batch> = None;
+        let mut after: Option<String> = None;
+        loop {
+            let request = Request::list(KIND, after.as_deref(), false);
+            let reply = self.send(&request, Span::ZERO).await?;
+            if reply.status != OK {
+                return Err(PlatformError::Status(reply.status).into());
+            }
+            let page = Listing::parse(&reply.body).map_err(unreadable)?;
+            let more = page.more;
+            after = page.objects.last().map(|object| object.name.clone());
+            batch.get_or_insert_with(|| Batch::empty(page.at)).add(page);
+            if !more || after.is_none() {
+                break;
             }
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(error)) => match error.downcast_ref::<io::Error>() {
-                Some(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
-                    Err(Failure::NotSent(cause.to_string()))
-                }
-                _ => Err(Failure::NoAnswer(error.to_string())),
-            },
-            Err(_) => Err(Failure::NoAnswer(format!("no answer within {limit}"))),
         }
+        let mut batch = batch.unwrap_or_else(|| Batch::empty(Version::default()));
+        batch.objects.sort_by_key(|object| object.version);
+        Ok(batch)
     }
+}
 
-    async fn receive(&self, request: Request) -> Result<Reply, surf::Error> {
-        let mut response = self.client.send(request).await?;
-        let version = response.header("etag").and_then(|values| {
-            let text = values.as_str().strip_prefix('"')?.strip_suffix('"')?;
-            text.parse().ok()
-        });
-        let write_id = response
-            .header(WRITE_ID)
-            .map_or("", |values| values.as_str());
-        Ok(Reply {
-            status: response.status().into(),
-            version,
-            write_id: write_id.to_owned(),
-            bytes: response.body_bytes().await?,
-        })
+impl From<PlatformError> for Failure {
+    fn from(fault: PlatformError) -> Self {
+        Self::Final(fault)
     }
+}
 
-    fn url(&self, key: &ObjectKey) -> Url {
-        self.base
-            .join(&key.to_string())
-            .expect("names need no escaping")
-    }
+fn unreadable(fault: impl Display) -> Failure {
+    Failure::Final(PlatformError::Unreadable(fault.to_string()))
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,4 +1,5 @@
-//! Client of the platform's object API.
+//! The project's own objects in the platform's store: conditional writes whose outcome is found out,
+//! lists and watches.
 
 mod backoff;
 mod batch;
@@ -6,6 +7,7 @@
 mod error;
 mod exchange;
 mod limits;
+mod record;
 mod store;
 mod transport;
 
@@ -14,3 +16,5 @@
 pub use error::PlatformError;
 pub use limits::Limits;
 pub use store::Store;
+
+pub(crate) use record::Record;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,11 +3,10 @@
 use usher_config::{Change, Condition, Kind, Object, ObjectKey, Value, Write, WriteId};
 use usher_types::{Span, Version};
 
-use crate::exchange::{Exchange, NOT_FOUND, OK};
 use crate::transport::Transport;
-use crate::{Batch, Limits, PlatformError};
+use crate::{Batch, Limits, PlatformError, Record};
 
-/// Client of the object API.
+/// The project's own objects in the platform's store.
 ///
 /// Calls are repeated within the limits; the outcome of a write whose answer was lost is read back.
 ///
@@ -61,12 +60,8 @@
     /// # }).unwrap();
     /// ```
     pub async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, PlatformError> {
-        let request = |exchange: &Exchange| exchange.get(key);
-        let reply = self.transport.read(Span::ZERO, request).await?;
-        match reply.status {
-            OK | NOT_FOUND => reply.object(key),
-            status => Err(PlatformError::Status(status)),
-        }
+        let record = self.transport.get(key).await?;
+        record.map(Record::object).transpose()
     }
 
     /// Reads all objects above a version, of one kind or of all.
@@ -104,13 +99,11 @@
         since: Version,
         wait: Span,
     ) -> Result<Batch, PlatformError> {
-        let kind = kind.map(Kind::as_str);
-        let request = |exchange: &Exchange| exchange.list(kind, since, wait);
-        let reply = self.transport.read(wait, request).await?;
-        match reply.status {
-            OK => Batch::parse(since, &reply.bytes),
-            status => Err(PlatformError::Status(status)),
+        let mut batch = self.transport.since(since, wait).await?;
+        if let Some(kind) = kind {
+            batch.objects.retain(|object| object.kind == kind);
         }
+        Ok(batch)
     }
 
     /// Creates or replaces an object, if the condition holds.
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -3,13 +3,13 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use surf::Request;
-use usher_config::{Answer, Change, Lost, Pending, Step, Write, WriteId};
+use usher_config::{Answer, Change, Lost, ObjectKey, Pending, Step, Write, WriteId};
 use usher_types::{ByteCount, Span, Version};
 
 use crate::backoff::{Backoff, fraction};
-use crate::exchange::{CREATED, Exchange, Failure, NOT_FOUND, OK, PRECONDITION_FAILED, Reply};
-use crate::{Limits, PlatformError, encode};
+use crate::exchange::{CONFLICT, CREATED, Exchange, Failure, NOT_FOUND, OK};
+use crate::record::{expected, write_request};
+use crate::{Batch, Limits, PlatformError, Record, encode};
 
 /// Repeats requests within the limits until their outcome is known.
 #[derive(Debug, Clone)]
@@ -25,7 +25,7 @@
         Self {
             address,
             limits,
-            exchange: Exchange::new(address),
+            exchange: Exchange::new(address, limits.attempt),
             random: Arc::new(Mutex::new(Pcg64::from_os_rng())),
         }
     }
@@ -41,8 +41,9 @@
         let mut pending = Pending::new(write);
         let mut lost = false;
         loop {
-            let answer = match self.transmit(pending.write()).await? {
+            let answer = match self.transmit(pending.write()).await {
                 Ok(answer) => answer,
+                Err(Failure::Final(fault)) => return Err(fault),
                 Err(Failure::NotSent(cause)) => {
                     if backoff.pause(self.jitter()).await {
                         continue;
@@ -69,19 +70,34 @@
         }
     }
 
-    async fn transmit(&self, write: &Write) -> Result<Result<Answer, Failure>, PlatformError> {
-        let request = self.exchange.write(write)?;
-        let reply = match self.exchange.send(request, self.limits.attempt).await {
-            Ok(reply) => reply,
-            Err(failure) => return Ok(Err(failure)),
-        };
-        match (reply.status, reply.version) {
-            (OK | CREATED, Some(version)) => Ok(Ok(Answer::Written(version))),
-            (PRECONDITION_FAILED, _) => {
-                let current = reply.object(&write.change.key)?;
-                Ok(Ok(Answer::Refused(current)))
+    // A deleted object stands in the store; one that may not exist replaces it.
+    async fn transmit(&self, write: &Write) -> Result<Answer, Failure> {
+        let replaced = expected(write.change.condition);
+        let answer = self.attempt(write, replaced).await?;
+        match &answer {
+            Answer::Refused(Some(current))
+                if replaced.is_none()
+                    && current.value.is_none()
+                    && current.write_id != write.id =>
+            {
+                self.attempt(write, Some(current.version)).await
             }
-            (status, _) => Err(PlatformError::Status(status)),
+            _ => Ok(answer),
+        }
+    }
+
+    async fn attempt(&self, write: &Write, replaced: Option<Version>) -> Result<Answer, Failure> {
+        let request = write_request(write, replaced)?;
+        let reply = self.exchange.send(&request, Span::ZERO).await?;
+        match reply.status {
+            // An answer that cannot be read tells as little as one that is lost.
+            OK | CREATED => Ok(match Record::parse(&reply.body) {
+                Ok(record) => Answer::Written(record.version),
+                Err(_unreadable) => Answer::Lost,
+            }),
+            CONFLICT => Ok(Answer::Refused(Some(Record::parse(&reply.body)?.object()?))),
+            NOT_FOUND => Ok(Answer::Refused(None)),
+            status => Err(PlatformError::Status(status).into()),
         }
     }
 
@@ -93,13 +109,13 @@
         let key = pending.write().change.key.clone();
         let mut cause = "no answer".to_owned();
         while backoff.pause(self.jitter()).await {
-            let request = self.exchange.get(&key);
-            match self.exchange.send(request, self.limits.attempt).await {
-                Ok(reply) if matches!(reply.status, OK | NOT_FOUND) => {
-                    return Ok(pending.read(reply.object(&key)?));
+            match self.exchange.get(&key).await {
+                Ok(record) => {
+                    let current = record.map(Record::object).transpose()?;
+                    return Ok(pending.read(current));
                 }
-                Ok(reply) => cause = format!("status {}", reply.status),
-                Err(failure) => cause = failure.cause(),
+                Err(Failure::NotSent(fault) | Failure::NoAnswer(fault)) => cause = fault,
+                Err(Failure::Final(fault)) => cause = fault.to_string(),
             }
         }
         Err(self.gave_up(pending.write(), true, cause))
@@ -121,28 +137,45 @@
         PlatformError::Unreachable { address, cause }
     }
 
-    pub(crate) async fn read(
-        &self,
-        wait: Span,
-        request: impl Fn(&Exchange) -> Request,
-    ) -> Result<Reply, PlatformError> {
+    /// Reads one object; `None` if it never existed.
+    pub(crate) async fn get(&self, key: &ObjectKey) -> Result<Option<Record>, PlatformError> {
+        let mut backoff = Backoff::new(&self.limits, Span::ZERO);
+        loop {
+            let found = self.exchange.get(key).await;
+            if let Some(found) = self.settle(found, &mut backoff).await? {
+                return Ok(found);
+            }
+        }
+    }
+
+    /// Reads what has changed since a version; waits for a change.
+    pub(crate) async fn since(&self, since: Version, wait: Span) -> Result<Batch, PlatformError> {
         let mut backoff = Backoff::new(&self.limits, wait);
         loop {
-            match self
-                .exchange
-                .send(request(&self.exchange), self.limits.attempt + wait)
-                .await
-            {
-                Ok(reply) => return Ok(reply),
-                Err(failure) => {
-                    if !backoff.pause(self.jitter()).await {
-                        return Err(self.unreachable(failure.cause()));
-                    }
-                }
+            let found = self.exchange.since(since, wait).await;
+            if let Some(found) = self.settle(found, &mut backoff).await? {
+                return Ok(found);
             }
         }
     }
 
+    // What a read found; `None` if it is to be repeated, after a pause.
+    async fn settle<T>(
+        &self,
+        found: Result<T, Failure>,
+        backoff: &mut Backoff,
+    ) -> Result<Option<T>, PlatformError> {
+        let cause = match found {
+            Ok(found) => return Ok(Some(found)),
+            Err(Failure::Final(fault)) => return Err(fault),
+            Err(Failure::NotSent(cause) | Failure::NoAnswer(cause)) => cause,
+        };
+        if backoff.pause(self.jitter()).await {
+            return Ok(None);
+        }
+        Err(self.unreachable(cause))
+    }
+
     fn check_size(&self, change: &Change) -> Result<(), PlatformError> {
         let encoded = change.value.as_ref().and_then(|value| encode(value).ok());
         let size = ByteCount::new(encoded.map_or(0, |bytes| bytes.len() as u64));
--- a/crates/standins/tests/store_contract.rs
+++ b/crates/store/tests/contract.rs
@@ -1,39 +1,35 @@
-//! Contract of the platform's client with the object API, fault by fault.
+//! Contract of the client with the platform's store, fault by fault.
 
-use std::net::{SocketAddrV4, TcpListener};
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
 use async_std::task;
-use serde_json::json;
+use serde_json::{Value as Json, json};
 use usher_config::{Cache, Condition, Kind, Object, ObjectKey, Value};
-use usher_standins::store::{Stats, serve};
+use usher_platform::{Client, Request};
+use usher_platform_standin::store as standin;
 use usher_store::{Limits, PlatformError, Store};
 use usher_types::{Profile, Span, Version};
 
+// The kind under which the store has the project's objects.
+const KIND: &str = "marigoldusher";
+
 struct Bench {
-    address: SocketAddrV4,
+    server: standin::Store,
     store: Store,
 }
 
 impl Bench {
     fn new() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap().to_string().parse().unwrap();
-        task::spawn(serve(listener));
-        let store = Store::new(address, limits());
-        Self { address, store }
-    }
-
-    async fn faults(&self, faults: serde_json::Value) {
-        let url = format!("http://{}/faults", self.address);
-        let request = surf::put(url).body_json(&faults).unwrap();
-        assert_eq!(request.await.unwrap().status(), 204);
+        let server = standin::Store::start("127.0.0.1:0".parse().unwrap());
+        let store = Store::new(address(&server), limits());
+        Self { server, store }
     }
 
-    async fn stats(&self) -> Stats {
-        let url = format!("http://{}/v1/stats", self.address);
-        surf::get(url).recv_json().await.unwrap()
+    fn faults(&self, faults: Json) {
+        let faults = serde_json::from_value(faults).unwrap();
+        self.server.set_faults(faults);
     }
 
     async fn create(&self, name: &str) -> Version {
@@ -42,6 +38,18 @@
             .await
             .unwrap()
     }
+
+    // What another tool writes, past the client.
+    async fn write(&self, name: &str, spec: &Json) -> u16 {
+        let request = Request::create(KIND, name, spec);
+        let mut client = Client::new(address(&self.server));
+        let reply = client.call(&request, Span::from_secs(2)).await;
+        reply.unwrap().status
+    }
+}
+
+fn address(server: &standin::Store) -> SocketAddrV4 {
+    server.address.to_string().parse().unwrap()
 }
 
 fn limits() -> Limits {
@@ -121,11 +129,11 @@
 #[async_std::test]
 async fn lost_answers_are_read_back() {
     let bench = Bench::new();
-    bench.faults(json!({ "lose_answers": 1 })).await;
+    bench.faults(json!({ "lose_answers": 1 }));
     let version = bench.create("fast").await;
     assert_eq!(version, Version::new(1));
-    assert_eq!(bench.stats().await.writes, 1);
-    bench.faults(json!({ "lose_answers": 1 })).await;
+    assert_eq!(bench.server.stats().writes, 1);
+    bench.faults(json!({ "lose_answers": 1 }));
     let deleted = bench.store.delete(key("fast"), version).await.unwrap();
     assert_eq!(deleted, Version::new(2));
 }
@@ -134,11 +142,9 @@
 #[async_std::test]
 async fn lost_answer_with_stale_reads_is_written_once() {
     let bench = Bench::new();
-    bench
-        .faults(json!({ "lose_answers": 1, "stale": true }))
-        .await;
+    bench.faults(json!({ "lose_answers": 1, "stale": true }));
     assert_eq!(bench.create("fast").await, Version::new(1));
-    bench.faults(json!({})).await;
+    bench.faults(json!({}));
     let listed = bench.store.list(None, Version::default()).await.unwrap();
     assert_eq!(listed.through, Version::new(1));
 }
@@ -149,10 +155,10 @@
     let bench = Bench::new();
     bench.create("slow").await;
     bench.create("fast").await;
-    bench.faults(json!({ "delay_ms": 300 })).await;
+    bench.faults(json!({ "delay_ms": 300 }));
     let late = bench.store.get(&key("slow")).await;
     assert_matches!(late, Err(PlatformError::Unreachable { .. }));
-    bench.faults(json!({})).await;
+    bench.faults(json!({}));
     for _ in 0..20 {
         let object = bench.store.get(&key("fast")).await.unwrap().unwrap();
         assert_eq!(object.version, Version::new(2));
@@ -165,7 +171,7 @@
 async fn outages_end_in_time_with_the_right_error() {
     let bench = Bench::new();
     for down in ["refuse", "hang"] {
-        bench.faults(json!({ "down": down })).await;
+        bench.faults(json!({ "down": down }));
         let start = Instant::now();
         let read = bench.store.get(&key("fast")).await;
         assert_matches!(read, Err(PlatformError::Unreachable { .. }));
@@ -185,12 +191,12 @@
 #[async_std::test]
 async fn short_outage_is_ridden_out() {
     let bench = Bench::new();
-    bench.faults(json!({ "down": "refuse" })).await;
+    bench.faults(json!({ "down": "refuse" }));
     let store = bench.store.clone();
     let writer =
         task::spawn(async move { store.put(key("fast"), Condition::Absent, profile(5)).await });
     task::sleep(Duration::from_millis(300)).await;
-    bench.faults(json!({})).await;
+    bench.faults(json!({}));
     assert_eq!(writer.await.unwrap(), Version::new(1));
 }
 
@@ -202,7 +208,7 @@
     let store = bench.store.clone();
     let wait = Span::from_secs(2);
     let watch = task::spawn(async move { store.watch(None, since, wait).await });
-    while bench.stats().await.waiting == 0 {
+    while bench.server.stats().waiting == 0 {
         task::sleep(Duration::from_millis(5)).await;
     }
     let start = Instant::now();
@@ -210,7 +216,7 @@
     let batch = watch.await.unwrap();
     assert!(start.elapsed() < Duration::from_secs(1));
     assert_eq!(batch.objects.len(), 1);
-    assert_eq!(bench.stats().await.reads, 1);
+    assert_eq!(bench.server.stats().reads, 1);
     let mut cache = Cache::default();
     batch.adopt_into(&mut cache);
     assert_eq!(
@@ -225,42 +231,78 @@
         .await
         .unwrap();
     assert!(empty.objects.is_empty());
-    assert_eq!(bench.stats().await.waiting, 0);
+    assert_eq!(bench.server.stats().waiting, 0);
 }
 
 // Guards against one object of a later release that hides all others.
 #[async_std::test]
 async fn unreadable_objects_do_not_hide_others() {
     let bench = Bench::new();
-    let url = format!("http://{}/v1/objects/profile/odd", bench.address);
-    let body = json!({ "colour": "orange" });
-    let request = surf::put(url)
-        .header("if-none-match", "*")
-        .body_json(&body)
-        .unwrap();
-    assert_eq!(request.await.unwrap().status(), 200);
+    let odd = json!({ "value": { "colour": "orange" } });
+    assert_eq!(bench.write("profile.odd", &odd).await, 201);
+    assert_eq!(bench.write("painting.odd", &odd).await, 201);
     bench.create("fast").await;
     let batch = bench.store.list(None, Version::default()).await.unwrap();
     assert_eq!(batch.objects.len(), 1);
-    assert_matches!(batch.unreadable.as_slice(), [PlatformError::Value { .. }]);
+    assert_eq!(batch.unreadable.len(), 2);
+    for fault in batch.unreadable {
+        assert_matches!(fault, PlatformError::Value { .. });
+    }
 }
 
-// Guards against the limit on values, and writes without a condition, being accepted.
+// Guards against a value above the limit that is sent, or accepted.
 #[async_std::test]
-async fn store_enforces_its_limits() {
+async fn values_have_a_limit() {
     let bench = Bench::new();
-    let url = format!("http://{}/v1/objects/profile/big", bench.address);
-    let bare = surf::put(&url).body("{}").await.unwrap();
-    assert_eq!(bare.status(), 428);
-    let big = format!("\"{}\"", "x".repeat(1 << 20));
-    let request = surf::put(&url).header("if-none-match", "*").body(big);
-    assert_eq!(request.await.unwrap().status(), 413);
+    let big = json!({ "value": "x".repeat(1 << 20) });
+    assert_eq!(bench.write("profile.big", &big).await, 413);
     let small = Limits {
         value: usher_types::ByteCount::new(10),
         ..limits()
     };
-    let store = Store::new(bench.address, small);
+    let store = Store::new(address(&bench.server), small);
     let refused = store.put(key("big"), Condition::Absent, profile(5)).await;
     assert_matches!(refused, Err(PlatformError::TooLarge { .. }));
-    assert_eq!(bench.stats().await.writes, 0);
+    assert_eq!(bench.server.stats().writes, 0);
+}
+
+// Guards against a watch that ends for good when the store has dropped its history.
+#[async_std::test]
+async fn dropped_history_is_read_again() {
+    let bench = Bench::new();
+    let since = bench.create("fast").await;
+    bench.create("other").await;
+    bench.faults(json!({ "forget": true }));
+    let batch = bench.store.watch(None, since, Span::ZERO).await.unwrap();
+    assert_eq!(batch.objects.len(), 2);
+    assert_eq!(batch.through, Version::new(2));
+}
+
+// Guards against objects that a list of several pages leaves out.
+#[async_std::test]
+async fn lists_have_all_pages() {
+    let bench = Bench::new();
+    let object = json!({ "value": Profile::default() });
+    for number in 0..501 {
+        let name = format!("profile.p-{number}");
+        assert_eq!(bench.write(&name, &object).await, 201);
+    }
+    let batch = bench.store.list(None, Version::default()).await.unwrap();
+    assert_eq!(batch.objects.len(), 501);
+    assert!(batch.objects.is_sorted_by_key(|object| object.version));
+}
+
+// Guards against an object that stays in force after a tool has removed it from the store.
+#[async_std::test]
+async fn removal_by_another_tool_is_a_deletion() {
+    let bench = Bench::new();
+    let since = bench.create("fast").await;
+    let request = Request::delete(KIND, "profile.fast", since);
+    let mut client = Client::new(address(&bench.server));
+    let reply = client.call(&request, Span::from_secs(2)).await.unwrap();
+    assert_eq!(reply.status, 200);
+    let batch = bench.store.watch(None, since, Span::ZERO).await.unwrap();
+    assert_matches!(batch.objects.as_slice(), [object] => {
+        assert_eq!((object.version, &object.value), (Version::new(2), &None));
+    });
 }
