--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -1,3 +1,4 @@
+use std::fs;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -10,6 +11,9 @@
 use crate::output::Output;
 use crate::session::change;
 
+// Begins the name of a field in a template of settings.
+const PLACEHOLDER: &str = "{{";
+
 /// Checks a file for `apply`, or the settings of a process, without a store.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -19,7 +23,7 @@
     note = "The file has to be complete in itself: profiles that its services select have to be in it. `apply` also checks it against the objects in the store."
 )]
 pub(crate) struct Check {
-    /// JSON file with profiles and services, or INI file of a balancer or agent
+    /// JSON file with profiles and services, INI file of a balancer or agent, or a template of one
     #[argh(positional)]
     file: PathBuf,
 
@@ -49,10 +53,20 @@
     }
 
     fn settings(&self) -> Result<Output, CliError> {
-        Settings::load(&self.file)?;
+        let text = fs::read_to_string(&self.file).map_err(|cause| CliError::File {
+            path: self.file.clone(),
+            cause: cause.to_string(),
+        })?;
+        let what = if text.contains(PLACEHOLDER) {
+            usher_node::Settings::check_template(&self.file)?;
+            "template"
+        } else {
+            Settings::load(&self.file)?;
+            "settings"
+        };
         Ok(Output {
-            text: format!("{}: settings are valid\n", self.file.display()),
-            json: json!({ "settings": self.file, "faults": [] }),
+            text: format!("{}: {what}, no fault\n", self.file.display()),
+            json: json!({ what: self.file, "faults": [] }),
         })
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -97,6 +97,10 @@
     #[diagnostic(transparent)]
     Settings(#[from] SettingsError),
 
+    #[error(transparent)]
+    #[diagnostic(help("`docs/settings.md` has the keys of a node"))]
+    Template(#[from] usher_node::NodeError),
+
     #[error(transparent)]
     #[diagnostic(help("check the address of the store and whether it is up"))]
     Platform(#[from] PlatformError),
--- a/crates/cli/tests/cli/pages.rs
+++ b/crates/cli/tests/cli/pages.rs
@@ -62,3 +62,33 @@
     let text = String::from_utf8(err).unwrap();
     assert!(text.contains("MU-8002: missing.json"), "{text}");
 }
+
+// Guards against a template that breaks every node at its start and passes the check before.
+#[test]
+fn the_deployed_template_is_checked() {
+    let deployed = root().join("deploy/node.ini");
+    let template = fs::read_to_string(&deployed).unwrap();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let check = |name: &str, text: &str| {
+        let file = folder.join(format!("{name}.ini"));
+        fs::write(&file, text).unwrap();
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let status = run(&["check", file.to_str().unwrap()], &mut out, &mut err);
+        out.extend(err);
+        (status, String::from_utf8(out).unwrap())
+    };
+    assert_eq!(check("deployed", &template).0, ExitStatus::Ok);
+    let cases = [
+        ("{{zone}}", "{{zones}}", "MU-9208"),
+        ("cores = ", "kernels = ", "MU-9101"),
+        ("grace_s = ", "grace_s = x", "MU-9103"),
+        ("outbound = ", "outbound = x", "MU-9103"),
+        ("[agent]", "[agents]", "MU-9104"),
+    ];
+    for (index, (from, to, expected)) in cases.into_iter().enumerate() {
+        assert!(template.contains(from));
+        let (status, text) = check(&format!("case-{index}"), &template.replacen(from, to, 1));
+        assert_eq!(status, ExitStatus::Failed, "{from}: {text}");
+        assert!(text.contains(expected), "{from}: {text}");
+    }
+}
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -42,6 +42,9 @@
         /// What the system reports.
         cause: io::Error,
     },
+    /// A template of settings cannot be rendered.
+    #[error(transparent)]
+    Template(usher_platform::DecodeError),
     /// A thread, the runtime or the log cannot be started.
     #[error("MU-9106: cannot start {what}: {cause}")]
     Start {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,7 @@
 use log::LevelFilter;
 use serde::Deserialize;
 use usher_forwarding::{NodeId, Strength};
+use usher_platform::render_example;
 use usher_types::{DataCentre, Span};
 
 use crate::NodeError;
@@ -138,8 +139,36 @@
             reason,
         };
         let text = fs::read_to_string(file).map_err(|fault| unreadable(fault.to_string()))?;
-        let parsed: File =
-            serde_ini::from_str(&text).map_err(|fault| unreadable(fault.to_string()))?;
+        Self::parse(&text, file)
+    }
+
+    /// Checks a template of settings, as it comes out for a balancer and for an agent.
+    ///
+    /// # Errors
+    /// `MU-9101`, `MU-9103` or `MU-9104` as for a file, and what the template itself lacks.
+    ///
+    /// ```
+    /// let fault = usher_node::Settings::check_template("/missing").unwrap_err();
+    /// assert!(fault.to_string().starts_with("MU-9101"));
+    /// ```
+    pub fn check_template(file: impl AsRef<Path>) -> Result<(), NodeError> {
+        let file = file.as_ref();
+        let template = fs::read_to_string(file).map_err(|fault| NodeError::Unreadable {
+            file: file.to_owned(),
+            reason: fault.to_string(),
+        })?;
+        for beside in [false, true] {
+            let text = render_example(&template, beside).map_err(NodeError::Template)?;
+            Self::parse(&text, file)?;
+        }
+        Ok(())
+    }
+
+    fn parse(text: &str, file: &Path) -> Result<Self, NodeError> {
+        let parsed: File = serde_ini::from_str(text).map_err(|fault| NodeError::Unreadable {
+            file: file.to_owned(),
+            reason: fault.to_string(),
+        })?;
         Self::check(parsed)
     }
 
