Circular imports untied; the agent's calls in a file of their own

Cause: queue and task of admission, history and ledger of dedupe, and arguments and driver of the stand-in caller imported each other.

Change: Rank, Origin and the caller's run have files of their own. No behaviour changes; the tests of these crates pass.

--- a/crates/admission/src/arrival.rs
+++ b/crates/admission/src/arrival.rs
@@ -5,7 +5,7 @@
 use crate::class::Class;
 use crate::entry::Entry;
 use crate::job::{Job, Queued};
-use crate::queue::Rank;
+use crate::rank::Rank;
 use crate::task::{Caller, Doubt, Task};
 use crate::{Action, Counter, QueueOrder, Scheduler};
 
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod policy;
 mod queue;
+mod rank;
 mod recent;
 mod running;
 mod runs;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -3,15 +3,9 @@
 use usher_types::{Priority, RequestId, Span, Time};
 
 use crate::forecast::Forecast;
+use crate::rank::Rank;
 use crate::task::Task;
 
-/// Position in a queue: by deadline, then by arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Rank {
-    pub(crate) deadline: Time,
-    pub(crate) sequence: u64,
-}
-
 /// Whether a queued request may be dispatched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Readiness {
--- a/crates/admission/src/task.rs
+++ b/crates/admission/src/task.rs
@@ -3,7 +3,7 @@
 use usher_types::{Request, RequestId, Span, Time};
 
 use crate::class::Class;
-use crate::queue::Rank;
+use crate::rank::Rank;
 
 /// Who receives the outcome of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/dedupe/src/history.rs
+++ b/crates/dedupe/src/history.rs
@@ -4,8 +4,8 @@
 use usher_types::{HostId, PastRoster, RequestKey, Roster, Span, Time, Version};
 
 use crate::event::Lineage;
-use crate::ledger::Origin;
 use crate::limits::{FOLD_AFTER, LEASE, longer, shorter};
+use crate::origin::Origin;
 use crate::ownership::{Agent, activation_quorum, is_member, owner_of};
 use crate::transfer::{Cover, Transfer};
 
--- a/crates/dedupe/src/ledger.rs
+++ b/crates/dedupe/src/ledger.rs
@@ -12,20 +12,12 @@
 use crate::handover::Handovers;
 use crate::history::History;
 use crate::lease::{Lease, Renewal};
+use crate::origin::Origin;
 use crate::ownership::{Agent, owner_of};
 use crate::record::State;
 use crate::table::Table;
 use crate::transfer::Transfer;
 
-/// How a process came to its first roster.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
-    /// This process created the service's roster, so no earlier owner exists.
-    Created,
-    /// The service had rosters before.
-    Joined,
-}
-
 /// Decides, as the owner of keys, which holder may dispatch a request.
 ///
 /// ```
--- /dev/null
+++ b/crates/node/src/agent/calls.rs
@@ -0,0 +1,78 @@
+use usher_forwarding::Heard;
+use usher_platform::{Call, heartbeat, heartbeat_reply};
+
+use super::control::Control;
+use crate::event;
+use crate::http::Answer;
+
+impl Control {
+    /// Answers a call of the platform or of the backend server.
+    pub(super) fn on_call(&self, call: Option<Call>, body: &[u8]) -> Answer {
+        let status = match call {
+            Some(Call::Ready) => {
+                let stopping = self.stopping.get().is_some();
+                if stopping { 503 } else { 200 }
+            }
+            Some(Call::Heartbeat { id }) => self.on_heartbeat(&id, body),
+            Some(Call::Leave { id }) => {
+                self.on_leave(&id);
+                200
+            }
+            None => 404,
+        };
+        Answer::json(status, heartbeat_reply())
+    }
+
+    fn on_heartbeat(&self, id: &str, body: &[u8]) -> u16 {
+        let word = match heartbeat(id, body) {
+            Ok(word) => word,
+            Err(fault) => {
+                event::HEARTBEAT_REFUSED.log(&[("id", &id), ("fault", &fault)]);
+                return 400;
+            }
+        };
+        let now = usher_clock::now();
+        let (born, sequence, slots) = (word.born, word.sequence, word.slots);
+        let service = word.service.clone();
+        let (heard, gone) = self.shared.path().hear(now, word);
+        for (flow, received) in &gone {
+            self.shared.reset(flow, *received);
+            event::FLOW_RESET.log(&[("flow", flow), ("reason", &"backend-restarted")]);
+        }
+        let state = self.shared.path().state();
+        let event = match heard {
+            Heard::Started => event::BACKEND_STARTED,
+            Heard::Changed => event::BACKEND_CHANGED,
+            Heard::Late => event::HEARTBEAT_LATE,
+            Heard::Foreign => {
+                event::HEARTBEAT_REFUSED.log(&[("id", &id), ("service", &service)]);
+                return 400;
+            }
+            Heard::Confirmed => return 200,
+        };
+        event.log(&[
+            ("id", &id),
+            ("born", &born),
+            ("sequence", &sequence),
+            ("slots", &slots),
+            ("state", &state),
+        ]);
+        self.report(now);
+        200
+    }
+
+    fn on_leave(&self, id: &str) {
+        let now = usher_clock::now();
+        let gone = self.shared.path().leave(now, id);
+        let Some(gone) = gone else {
+            event::HEARTBEAT_LATE.log(&[("id", &id), ("call", &"leave")]);
+            return;
+        };
+        event::BACKEND_LEFT.log(&[("id", &id), ("flows", &gone.len())]);
+        for (flow, received) in &gone {
+            self.shared.reset(flow, *received);
+            event::FLOW_RESET.log(&[("flow", flow), ("reason", &"backend-left")]);
+        }
+        self.report(now);
+    }
+}
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -8,14 +8,14 @@
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval};
 use usher_clock::SuspendWatch;
-use usher_forwarding::{AgentPath, Fleet, Heard, Hello, HostState, NodeId, Report, ServiceKey};
-use usher_platform::{Call, heartbeat, heartbeat_reply};
+use usher_forwarding::{AgentPath, Fleet, Hello, HostState, NodeId, Report, ServiceKey};
+use usher_platform::Call;
 use usher_types::{Sequence, Slots, Span, Time};
 
 use super::traffic::Shared;
 use crate::codec::PeerMessage;
 use crate::control::{Peers, Signal, Signals, list_balancers, reload, serve_metrics};
-use crate::http::{Answer, Client, serve};
+use crate::http::{Client, serve};
 use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
 use crate::socket::open_udp;
@@ -78,17 +78,18 @@
     Ok(())
 }
 
+/// Control state of an agent.
 #[derive(Debug)]
-struct Control {
+pub(super) struct Control {
     settings: Settings,
     own: AgentSettings,
-    shared: Shared,
+    pub(super) shared: Shared,
     peers: Peers,
     fleet: RefCell<Fleet>,
     sequence: Cell<Sequence>,
     epoch: u64,
     /// End of the wait for open flows, once a planned stop has begun.
-    stopping: Cell<Option<Time>>,
+    pub(super) stopping: Cell<Option<Time>>,
 }
 
 impl Control {
@@ -190,7 +191,7 @@
         }
     }
 
-    fn report(&self, now: Time) {
+    pub(super) fn report(&self, now: Time) {
         let report = {
             let path = self.shared.path();
             let word = path.word();
@@ -222,75 +223,6 @@
         }
     }
 
-    fn on_call(&self, call: Option<Call>, body: &[u8]) -> Answer {
-        let status = match call {
-            Some(Call::Ready) => {
-                let stopping = self.stopping.get().is_some();
-                if stopping { 503 } else { 200 }
-            }
-            Some(Call::Heartbeat { id }) => self.on_heartbeat(&id, body),
-            Some(Call::Leave { id }) => {
-                self.on_leave(&id);
-                200
-            }
-            None => 404,
-        };
-        Answer::json(status, heartbeat_reply())
-    }
-
-    fn on_heartbeat(&self, id: &str, body: &[u8]) -> u16 {
-        let word = match heartbeat(id, body) {
-            Ok(word) => word,
-            Err(fault) => {
-                event::HEARTBEAT_REFUSED.log(&[("id", &id), ("fault", &fault)]);
-                return 400;
-            }
-        };
-        let now = usher_clock::now();
-        let (born, sequence, slots) = (word.born, word.sequence, word.slots);
-        let service = word.service.clone();
-        let (heard, gone) = self.shared.path().hear(now, word);
-        for (flow, received) in &gone {
-            self.shared.reset(flow, *received);
-            event::FLOW_RESET.log(&[("flow", flow), ("reason", &"backend-restarted")]);
-        }
-        let state = self.shared.path().state();
-        let event = match heard {
-            Heard::Started => event::BACKEND_STARTED,
-            Heard::Changed => event::BACKEND_CHANGED,
-            Heard::Late => event::HEARTBEAT_LATE,
-            Heard::Foreign => {
-                event::HEARTBEAT_REFUSED.log(&[("id", &id), ("service", &service)]);
-                return 400;
-            }
-            Heard::Confirmed => return 200,
-        };
-        event.log(&[
-            ("id", &id),
-            ("born", &born),
-            ("sequence", &sequence),
-            ("slots", &slots),
-            ("state", &state),
-        ]);
-        self.report(now);
-        200
-    }
-
-    fn on_leave(&self, id: &str) {
-        let now = usher_clock::now();
-        let gone = self.shared.path().leave(now, id);
-        let Some(gone) = gone else {
-            event::HEARTBEAT_LATE.log(&[("id", &id), ("call", &"leave")]);
-            return;
-        };
-        event::BACKEND_LEFT.log(&[("id", &id), ("flows", &gone.len())]);
-        for (flow, received) in &gone {
-            self.shared.reset(flow, *received);
-            event::FLOW_RESET.log(&[("flow", flow), ("reason", &"backend-left")]);
-        }
-        self.report(now);
-    }
-
     fn stop(&self) {
         let now = usher_clock::now();
         let span = LINGER.min(self.settings.grace - END_MARGIN);
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -1,5 +1,6 @@
 //! An agent: a control thread, and a traffic thread for each direction.
 
+mod calls;
 mod control;
 mod traffic;
 
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod load;
 mod request;
+mod run;
 mod single;
 mod tally;
 
--- a/crates/standins/src/caller/args.rs
+++ b/crates/standins/src/caller/args.rs
@@ -1,10 +1,8 @@
-use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use argh::FromArgs;
 use usher_types::Span;
 
-use super::driver::Driver;
 use super::load::Load;
 
 /// caller with an open-loop load over many flows
@@ -36,20 +34,3 @@
     #[argh(switch)]
     pub progress: bool,
 }
-
-impl CallerArgs {
-    /// Runs the load and prints the result; true if no flow broke and no answer was misrouted.
-    ///
-    /// # Errors
-    /// Fails when the socket cannot be opened.
-    pub fn run(self) -> io::Result<bool> {
-        let json = self.json;
-        let tally = Driver::new(self)?.run()?;
-        if json {
-            println!("{}", tally.json());
-        } else {
-            println!("{tally}");
-        }
-        Ok(tally.is_clean())
-    }
-}
--- /dev/null
+++ b/crates/standins/src/caller/run.rs
@@ -0,0 +1,21 @@
+use std::io;
+
+use super::args::CallerArgs;
+use super::driver::Driver;
+
+impl CallerArgs {
+    /// Runs the load and prints the result; true if no flow broke and no answer was misrouted.
+    ///
+    /// # Errors
+    /// Fails when the socket cannot be opened.
+    pub fn run(self) -> io::Result<bool> {
+        let json = self.json;
+        let tally = Driver::new(self)?.run()?;
+        if json {
+            println!("{}", tally.json());
+        } else {
+            println!("{tally}");
+        }
+        Ok(tally.is_clean())
+    }
+}
