Control traffic of large fleets stays within data centres

Cause: beyond eight balancers each one still greeted all others and all agents every 300 ms, named all agents in it, and sent its digest to all balancers every 100 ms. A greeting of 500 names would not have fitted the receiver's buffer.

Ruled out: slower greetings alone (the product of balancers and nodes stays), and fewer relays for each agent (two is what the death of one needs).

Change: in a fleet of more than eight a balancer greets those of its data centre, two of each other one, and those that ask for it; agents are greeted by their relays and the next one. Digests go to the data centre every 100 ms and to two balancers of each other one every 500 ms, or at once when a host changes state; those hand them on. Reports say whether they have to be relayed, so that nodes need not agree on the size of the fleet. Hosts of other data centres are suspected after 1.5 s there instead of 0.3 s. Greetings name at most 64 balancers and 256 agents, others in each turn. Who is told what is code of its own (forwarding::Exchange).

--- a/crates/forwarding/src/balancer/directory.rs
+++ b/crates/forwarding/src/balancer/directory.rs
@@ -4,6 +4,7 @@
 use usher_types::{DataCentre, Span, Time};
 
 use super::host_record::HostRecord;
+use super::pace::Pace;
 use super::view::{HostView, ServiceView, View};
 use crate::{Configuration, HostState, NodeId, Report, ServiceKey};
 
@@ -18,8 +19,12 @@
 pub struct Directory {
     centre: DataCentre,
     hosts: IndexMap<NodeId, HostRecord>,
-    /// Reports that agents sent here since the last digest.
-    direct: IndexMap<NodeId, Report>,
+    /// Reports for the balancers of this data centre since the last digest.
+    inward: IndexMap<NodeId, Report>,
+    /// Reports for other data centres since the last digest.
+    outward: IndexMap<NodeId, Report>,
+    /// Whether one of the reports for other data centres tells more than a load.
+    urgent: bool,
     since: Time,
 }
 
@@ -37,30 +42,71 @@
         Self {
             centre,
             hosts: IndexMap::new(),
-            direct: IndexMap::new(),
+            inward: IndexMap::new(),
+            outward: IndexMap::new(),
+            urgent: false,
             since: now,
         }
     }
 
-    /// Takes a report that its agent sent here; it goes into the next digest. `true` if the view
-    /// has to be published again.
+    /// Takes a report that its agent sent here; `true` if the view has to be published again.
+    ///
+    /// It goes into the next digests if its agent reports to few balancers.
     pub fn hear_direct(&mut self, now: Time, node: NodeId, report: &Report) -> bool {
-        self.direct.insert(node, report.clone());
-        self.hear(now, node, report)
+        let changed = self.hear(now, node, report, Pace::Fast);
+        if report.few {
+            self.inward.insert(node, report.clone());
+            self.outward.insert(node, report.clone());
+            self.urgent |= changed;
+        }
+        changed
+    }
+
+    /// Takes a report that another balancer relays; `true` if the view has to be published again.
+    ///
+    /// What comes from another data centre goes into the next digest for this one.
+    pub fn hear_relayed(
+        &mut self,
+        now: Time,
+        node: NodeId,
+        report: &Report,
+        from: Option<&DataCentre>,
+    ) -> bool {
+        let host = self.hosts.get(&node);
+        let overtaken = host.is_some_and(|host| host.overtakes(report));
+        if !overtaken && from.is_some_and(|centre| *centre != self.centre) {
+            self.inward.insert(node, report.clone());
+        }
+        let pace = if report.centre == self.centre {
+            Pace::Fast
+        } else {
+            Pace::Slow
+        };
+        self.hear(now, node, report, pace)
     }
 
-    /// The reports that agents sent here since the last call.
-    pub fn digest(&mut self) -> Vec<(NodeId, Report)> {
-        self.direct.drain(..).collect()
+    /// Reports for the other balancers of this data centre, since the last call.
+    pub fn inward_digest(&mut self) -> Vec<(NodeId, Report)> {
+        self.inward.drain(..).collect()
     }
 
-    /// Takes a report; `true` if the view has to be published again.
-    pub fn hear(&mut self, now: Time, node: NodeId, report: &Report) -> bool {
+    /// Whether reports for other data centres tell more than a load, and should not wait.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
+    /// Reports for other data centres, since the last call.
+    pub fn outward_digest(&mut self) -> Vec<(NodeId, Report)> {
+        self.urgent = false;
+        self.outward.drain(..).collect()
+    }
+
+    fn hear(&mut self, now: Time, node: NodeId, report: &Report, pace: Pace) -> bool {
         match self.hosts.get_mut(&node) {
             Some(host) if host.overtakes(report) => false,
-            Some(host) => host.update(now, report),
+            Some(host) => host.update(now, report, pace),
             None => {
-                self.hosts.insert(node, HostRecord::new(now, report));
+                self.hosts.insert(node, HostRecord::new(now, report, pace));
                 true
             }
         }
@@ -90,6 +136,11 @@
         self.hosts.keys().copied()
     }
 
+    /// Agents with the data centres of their hosts.
+    pub fn centres(&self) -> impl Iterator<Item = (NodeId, &DataCentre)> {
+        self.hosts.iter().map(|(node, host)| (*node, &host.centre))
+    }
+
     /// State and age of what is known of a host.
     pub fn state(&self, now: Time, node: NodeId) -> Option<(HostState, Span)> {
         let host = self.hosts.get(&node)?;
@@ -109,6 +160,7 @@
                 state: host.state,
                 slots: host.slots,
                 warm_at: host.warm_at,
+                pace: host.pace,
                 cell: Arc::clone(&host.cell),
             });
             view.changed = view.changed.max(host.first_heard);
--- a/crates/forwarding/src/balancer/host_record.rs
+++ b/crates/forwarding/src/balancer/host_record.rs
@@ -3,6 +3,7 @@
 use usher_types::{DataCentre, Sequence, Slots, Span, Time};
 
 use super::load_cell::LoadCell;
+use super::pace::Pace;
 use crate::{HostState, Report, ServiceKey};
 
 /// What a balancer knows of one host.
@@ -20,11 +21,12 @@
     pub(crate) warm_at: Time,
     pub(crate) first_heard: Time,
     pub(crate) heard: Time,
+    pub(crate) pace: Pace,
     pub(crate) cell: Arc<LoadCell>,
 }
 
 impl HostRecord {
-    pub(crate) fn new(now: Time, report: &Report) -> Self {
+    pub(crate) fn new(now: Time, report: &Report, pace: Pace) -> Self {
         let cell = Arc::new(LoadCell::default());
         cell.report(now, report.load);
         Self {
@@ -39,6 +41,7 @@
             warm_at: now + report.warmup,
             first_heard: now,
             heard: now,
+            pace,
             cell,
         }
     }
@@ -52,9 +55,15 @@
     }
 
     /// Takes a newer report; `true` if anything but load has changed.
-    pub(crate) fn update(&mut self, now: Time, report: &Report) -> bool {
-        let before = (self.service, self.state, self.born, self.slots);
-        let after = (report.service, report.state, report.born, report.slots);
+    pub(crate) fn update(&mut self, now: Time, report: &Report, pace: Pace) -> bool {
+        let before = (self.service, self.state, self.born, self.slots, self.pace);
+        let after = (
+            report.service,
+            report.state,
+            report.born,
+            report.slots,
+            pace,
+        );
         let warm_at = now + report.warmup;
         let warmed = report.warmup == Span::ZERO && self.warm_at > now;
         if self.epoch != report.epoch {
@@ -63,7 +72,7 @@
         }
         self.sequence = report.sequence;
         self.centre = report.centre.clone();
-        (self.service, self.state, self.born, self.slots) = after;
+        (self.service, self.state, self.born, self.slots, self.pace) = after;
         self.warm_at = warm_at;
         self.heard = now;
         self.cell.report(now, report.load);
--- a/crates/forwarding/src/balancer/mod.rs
+++ b/crates/forwarding/src/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod flow_cache;
 mod host_record;
 mod load_cell;
+mod pace;
 mod path;
 mod placement;
 mod search;
--- a/crates/forwarding/src/balancer/path.rs
+++ b/crates/forwarding/src/balancer/path.rs
@@ -8,8 +8,6 @@
 
 // Time that a balancer gives the hosts to report before it concludes that one is gone.
 const SETTLE: Span = Span::from_secs(5);
-// Reports come every 100 ms; a host whose last report is older may be cut off.
-const FRESH: Span = Span::from_millis(350);
 // Hosts among which a new flow is placed. Fewer than a search visits, so that some hosts may join
 // a large service before the first round of a search misses a flow.
 const PLACES: usize = 12;
@@ -160,7 +158,7 @@
             return None;
         }
         self.cache.remove(&flow);
-        if !view.is_settled(now, SETTLE, FRESH) {
+        if !view.is_settled(now, SETTLE) {
             return Some(Verdict::Drop(Refused::Unsettled));
         }
         Some(Verdict::Reset {
--- a/crates/forwarding/src/balancer/placement.rs
+++ b/crates/forwarding/src/balancer/placement.rs
@@ -3,8 +3,6 @@
 use super::view::HostView;
 use crate::{FlowKey, HostState, Load};
 
-// Reports come every 100 ms, and digests of them too: two are missing.
-const SUSPECT: Span = Span::from_millis(300);
 // Expected gain below which a flow stays in its data centre: the crossing there and back, and the
 // price of the answer's bytes.
 const CROSSING: Span = Span::from_millis(8);
@@ -36,7 +34,7 @@
     pub(crate) fn of(now: Time, latest: Time, host: &HostView, flow: &FlowKey) -> Self {
         let unfit = if host.state != HostState::Serving {
             Unfit::NotServing
-        } else if latest - host.cell.heard() > SUSPECT {
+        } else if latest - host.cell.heard() > host.pace.suspect() {
             Unfit::Suspected
         } else {
             Unfit::Fit
--- a/crates/forwarding/src/balancer/view.rs
+++ b/crates/forwarding/src/balancer/view.rs
@@ -5,6 +5,7 @@
 use usher_types::{Slots, Span, Time, Version};
 
 use super::load_cell::LoadCell;
+use super::pace::Pace;
 use crate::{Configuration, HostState, NodeId, Route, ServiceKey};
 
 // Services that a route had in earlier configurations may still hold its flows.
@@ -37,6 +38,7 @@
     pub(crate) state: HostState,
     pub(crate) slots: Slots,
     pub(crate) warm_at: Time,
+    pub(crate) pace: Pace,
     pub(crate) cell: Arc<LoadCell>,
 }
 
@@ -86,14 +88,15 @@
 
     /// Whether all hosts that could hold a flow of the route are present: all are heard, none has
     /// joined lately, and the balancer has run for long enough to know them.
-    pub(crate) fn is_settled(&self, now: Time, settle: Span, fresh: Span) -> bool {
+    pub(crate) fn is_settled(&self, now: Time, settle: Span) -> bool {
         let mut hosts = self.services.values().flat_map(|view| &view.hosts);
         let joined = self.services.values().map(|view| view.changed).max();
         now - self.started >= settle
             && joined.is_some_and(|joined| now - joined >= settle)
             && hosts.all(|host| {
                 host.state == HostState::Ended
-                    || (host.state != HostState::Unheard && now - host.cell.heard() < fresh)
+                    || (host.state != HostState::Unheard
+                        && now - host.cell.heard() < host.pace.fresh())
             })
     }
 }
--- a/crates/forwarding/src/departures.rs
+++ b/crates/forwarding/src/departures.rs
@@ -14,7 +14,7 @@
 
 impl Departures {
     /// Takes the list of the store and the balancers that are heard; returns the entries that `own`
-    /// has to remove.
+    /// has to remove. Balancers that others watch are not to be in the list.
     ///
     /// Nobody removes anything while it hears nobody, and of those that hear each other the first
     /// one removes.
--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -2,19 +2,24 @@
 use usher_placement::rendezvous;
 use usher_types::{DataCentre, Span, Time, Version};
 
+use crate::member::{Member, SILENT};
 use crate::{Hello, NodeId, Strength};
 
-// A balancer greets every 300 ms; after three missing greetings it is treated as silent.
-const SILENT: Span = Span::from_secs(1);
 // A node that was never heard, or not for this long, is forgotten.
 const FORGET: Span = Span::from_secs(60);
 // Nodes that are silent are greeted at this pace, to find them when a partition heals.
 const RETRY: Span = Span::from_secs(1);
 
-// Up to this many balancers hear every agent directly.
+// Up to this many other balancers, each hears every agent and every balancer directly.
 const SMALL: usize = 8;
 // Two, so that the death of one leaves no gap.
 const RELAYS: usize = 2;
+// One more than the relays, so that an agent knows its next relay before it loses one.
+const GREETERS: usize = 3;
+// Balancers of each other data centre to which a balancer is linked; two, as for relays.
+const LINKS: usize = 2;
+// Balancers that an agent tries in one round while it hears fewer than its relays.
+const PROBES: usize = 3;
 // Factor by which a relay of the own data centre is preferred.
 const NEAR: u32 = 1_000;
 // A balancer stands by if another one of its data centre is this many times as strong: it would
@@ -27,19 +32,6 @@
     members: IndexMap<NodeId, Member>,
 }
 
-#[derive(Debug, Clone)]
-struct Member {
-    learned: Time,
-    heard: Option<Time>,
-    sent: Option<Time>,
-    epoch: u64,
-    former: u64,
-    version: Version,
-    leaving: bool,
-    centre: Option<DataCentre>,
-    strength: Strength,
-}
-
 impl Fleet {
     /// Learns of a balancer that was named by the store, the settings or another process;
     /// `true` if it is new.
@@ -54,17 +46,9 @@
     /// ```
     pub fn learn(&mut self, now: Time, node: NodeId) -> bool {
         let new = !self.members.contains_key(&node);
-        self.members.entry(node).or_insert(Member {
-            learned: now,
-            heard: None,
-            sent: None,
-            epoch: 0,
-            former: 0,
-            version: Version::default(),
-            leaving: false,
-            centre: None,
-            strength: Strength::default(),
-        });
+        self.members
+            .entry(node)
+            .or_insert_with(|| Member::named(now));
         new
     }
 
@@ -87,9 +71,102 @@
         member.leaving = hello.leaving;
         member.centre = Some(hello.centre.clone());
         member.strength = hello.strength;
+        if hello.ask {
+            member.asked = Some(now);
+        }
         new
     }
 
+    /// Whether the fleet is too large for everybody to hear everybody. Balancers then hear those of
+    /// their data centre and a few of each other one, and agents report to a few.
+    pub fn is_large(&self) -> bool {
+        // A balancer is not among its members.
+        self.members.len() >= SMALL
+    }
+
+    /// Data centre of a balancer, once it was heard.
+    pub fn centre(&self, node: NodeId) -> Option<&DataCentre> {
+        self.members.get(&node)?.centre.as_ref()
+    }
+
+    /// Balancers that a balancer greets at `now`, and whether it asks each to greet it as well.
+    ///
+    /// In a large fleet these are those of its own data centre, a few of each other one, those
+    /// that ask for it, and now and then those whose data centre is not known.
+    pub fn greeted(&mut self, now: Time, own: NodeId, centre: &DataCentre) -> Vec<(NodeId, bool)> {
+        if !self.is_large() {
+            return self.due(now).into_iter().map(|node| (node, true)).collect();
+        }
+        let links = self.links(now, own, centre);
+        let mut greeted = Vec::new();
+        for (node, member) in &mut self.members {
+            let wanted = match &member.centre {
+                Some(other) => other == centre || links.contains(node),
+                None => true,
+            };
+            let waits = member.sent.is_some_and(|sent| now - sent < RETRY);
+            let asked = member.asked.is_some_and(|asked| now - asked <= SILENT);
+            let due = wanted && (member.is_present(now) || !waits);
+            if due || asked {
+                member.sent = Some(now);
+                greeted.push((*node, wanted));
+            }
+        }
+        greeted
+    }
+
+    /// Balancers of the own data centre that are heard.
+    pub fn near(&self, now: Time, centre: &DataCentre) -> Vec<NodeId> {
+        let near = self.members.iter();
+        near.filter(|(_, member)| member.is_present(now) && member.is_in(centre))
+            .map(|(node, _)| *node)
+            .collect()
+    }
+
+    /// The balancers of other data centres to which a balancer is linked, preferably such as are
+    /// heard; the strong ones more often.
+    pub fn links(&self, now: Time, own: NodeId, centre: &DataCentre) -> Vec<NodeId> {
+        let mut scored: IndexMap<&DataCentre, Vec<(bool, f64, NodeId)>> = IndexMap::new();
+        for (node, member) in &self.members {
+            if let Some(other) = member.centre.as_ref().filter(|other| *other != centre) {
+                let heard = member.is_present(now) && !member.leaving;
+                let score = score(own, *node, member.strength, false);
+                scored.entry(other).or_default().push((heard, score, *node));
+            }
+        }
+        let mut links = Vec::new();
+        for mut members in scored.into_values() {
+            members.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+            links.extend(members.iter().take(LINKS).map(|(_, _, node)| *node));
+        }
+        links
+    }
+
+    /// Whether a balancer is among those that greet an agent which has not reported to it. In a
+    /// large fleet these are the agent's relays and the next one.
+    pub fn greets(
+        &self,
+        now: Time,
+        own: (NodeId, Strength, &DataCentre),
+        agent: NodeId,
+        centre: &DataCentre,
+    ) -> bool {
+        if !self.is_large() {
+            return true;
+        }
+        let (node, strength, own_centre) = own;
+        let present = self.members.iter();
+        let present = present.filter(|(_, member)| member.is_present(now) && !member.leaving);
+        if own_centre != centre && present.clone().any(|(_, member)| member.is_in(centre)) {
+            return false;
+        }
+        let own_score = score(agent, node, strength, own_centre == centre);
+        let better = present.filter(|(node, member)| {
+            score(agent, **node, member.strength, member.is_in(centre)) > own_score
+        });
+        better.take(GREETERS).count() < GREETERS
+    }
+
     /// Balancers that are sent to at `now`: those that are heard, and now and then the others.
     pub fn due(&mut self, now: Time) -> Vec<NodeId> {
         let mut due = Vec::new();
@@ -107,38 +184,57 @@
 
     /// Balancers that are heard.
     pub fn present(&self, now: Time) -> Vec<NodeId> {
-        let present = |member: &Member| member.heard.is_some_and(|heard| now - heard <= SILENT);
         let members = self.members.iter();
         members
-            .filter(|(_, member)| present(member))
+            .filter(|(_, member)| member.is_present(now))
             .map(|(node, _)| *node)
             .collect()
     }
 
     /// Balancers that an agent reports to. All of a small fleet; a few of a large one, by weighted
     /// rendezvous hashing, which relay the reports to the others. Nearly all weight is with the
-    /// agent's own data centre, and none with balancers that are about to stop.
+    /// agent's own data centre, and none with balancers that are about to stop. While too few are
+    /// heard, others are tried.
     pub fn relays(&mut self, now: Time, agent: NodeId, centre: &DataCentre) -> Vec<NodeId> {
-        let present = self.present(now);
-        if present.len() <= SMALL {
+        if self.members.len() <= SMALL {
             return self.due(now);
         }
         let mut scored: Vec<(f64, NodeId)> = Vec::new();
         for (node, member) in &self.members {
-            if present.contains(node) && !member.leaving {
-                let near = member.centre.as_ref() == Some(centre);
+            if member.is_present(now) && !member.leaving {
+                let near = member.is_in(centre);
                 scored.push((score(agent, *node, member.strength, near), *node));
             }
         }
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
         scored.truncate(RELAYS);
-        scored.into_iter().map(|(_, node)| node).collect()
+        let mut relays: Vec<NodeId> = scored.into_iter().map(|(_, node)| node).collect();
+        if relays.len() < RELAYS {
+            relays.extend(self.probe(now));
+        }
+        relays
+    }
+
+    // Silent balancers to try, those first that were tried the longest time ago.
+    fn probe(&mut self, now: Time) -> Vec<NodeId> {
+        let silent = self.members.iter_mut();
+        let mut silent: Vec<_> = silent
+            .filter(|(_, member)| {
+                !member.is_present(now) && member.sent.is_none_or(|sent| now - sent >= RETRY)
+            })
+            .collect();
+        silent.sort_by_key(|(_, member)| member.sent);
+        let mut tried = Vec::new();
+        for (node, member) in silent.into_iter().take(PROBES) {
+            member.sent = Some(now);
+            tried.push(*node);
+        }
+        tried
     }
 
-    /// Whether a balancer has to relay the reports that it gets.
-    pub fn is_relayed(&self, now: Time) -> bool {
-        // The balancer itself is not among the members.
-        self.present(now).len() >= SMALL
+    /// Whether an agent's reports have to be relayed, since it sends them to few balancers.
+    pub fn reports_to_few(&self) -> bool {
+        self.members.len() > SMALL
     }
 
     /// Whether a weak balancer leaves the traffic to the stronger ones of its data centre.
@@ -185,19 +281,20 @@
         (newest.1.version > version).then_some((*newest.0, newest.1.version))
     }
 
-    /// Forgets balancers that have been silent for long, unless nobody is heard.
+    /// Forgets balancers that have been silent for long, unless nobody is heard; returns those
+    /// that were heard before.
     pub fn expire(&mut self, now: Time) -> Vec<NodeId> {
         if self.present(now).is_empty() {
             return Vec::new();
         }
         let silent = |member: &Member| now - member.heard.unwrap_or(member.learned) > FORGET;
         let members = self.members.iter();
-        let gone: Vec<NodeId> = members
-            .filter(|(_, member)| silent(member))
+        let lost: Vec<NodeId> = members
+            .filter(|(_, member)| silent(member) && member.heard.is_some())
             .map(|(node, _)| *node)
             .collect();
-        self.members.retain(|node, _| !gone.contains(node));
-        gone
+        self.members.retain(|_, member| !silent(member));
+        lost
     }
 }
 
--- a/crates/forwarding/src/report.rs
+++ b/crates/forwarding/src/report.rs
@@ -24,6 +24,8 @@
     pub warmup: Span,
     /// Requests at the backend server.
     pub load: Load,
+    /// The agent reports to few balancers, which relay the report.
+    pub few: bool,
 }
 
 /// What a balancer tells other balancers and the agents.
@@ -41,6 +43,8 @@
     pub strength: Strength,
     /// Balancers that it hears.
     pub balancers: Vec<NodeId>,
-    /// Agents that it hears; left out in what is sent to agents.
+    /// Agents that it hears; left out in what is sent to agents, and in a large fleet.
     pub agents: Vec<NodeId>,
+    /// The balancer wants to be greeted by the receiver.
+    pub ask: bool,
 }
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -205,6 +205,7 @@
                 slots: word.map_or(Slots::new(1), |word| word.slots),
                 warmup: word.map_or(Span::ZERO, |word| word.warmup),
                 load: path.load(now),
+                few: self.fleet.borrow().reports_to_few(),
             }
         };
         self.sequence.set(self.sequence.get().next());
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -11,7 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use usher_clock::SuspendWatch;
-use usher_forwarding::View;
+use usher_forwarding::{NodeId, Relayed, View};
 use usher_platform::Call;
 use usher_types::{Span, Time};
 
@@ -154,33 +154,31 @@
         }
     }
 
-    fn on_message(&self, node: usher_forwarding::NodeId, message: &PeerMessage) {
+    fn on_message(&self, node: NodeId, message: &PeerMessage) {
         let now = usher_clock::now();
         let mut state = self.state.borrow_mut();
         match message {
             PeerMessage::Report(report) => state.hear_agent(now, node, report),
-            PeerMessage::Digest(digest) => state.hear_digest(now, digest),
+            PeerMessage::Digest(digest) => state.hear_digest(now, node, digest),
             PeerMessage::Hello(hello) => {
                 let new = state.hear_balancer(now, node, hello);
                 let agents = state.unknown_agents(now, hello);
                 if new {
-                    self.peers.send([&node], &state.hello(now, true));
+                    self.peers.send([&node], &state.hello_balancer(now, false));
+                }
+                if !agents.is_empty() {
+                    self.peers.send(&agents, &state.hello_agent(now));
                 }
-                self.peers.send(&agents, &state.hello(now, false));
             }
         }
     }
 
     fn relay(&self, now: Time) {
-        let mut state = self.state.borrow_mut();
-        let digest = state.digest(now);
-        if digest.is_empty() {
-            return;
-        }
-        let balancers = state.fleet.present(now);
-        for part in digest.chunks(DIGEST) {
-            let message = PeerMessage::Digest(part.to_vec());
-            self.peers.send(&balancers, &message);
+        let digests = self.state.borrow_mut().digests(now);
+        for Relayed { to, reports } in digests {
+            for part in reports.chunks(DIGEST) {
+                self.peers.send(&to, &PeerMessage::Digest(part.to_vec()));
+            }
         }
     }
 
@@ -191,9 +189,9 @@
         }
         let mut state = self.state.borrow_mut();
         state.expire(now);
-        let balancers = state.fleet.due(now);
-        self.peers.send(&balancers, &state.hello(now, true));
-        self.peers.send(&state.agents(), &state.hello(now, false));
+        self.greet(now, &mut state);
+        let agents = state.greeted_agents(now);
+        self.peers.send(&agents, &state.hello_agent(now));
         let version = state.version();
         let port = state.settings.peer_port;
         if let Some((from, _)) = state.fleet.ahead(now, version)
@@ -207,6 +205,20 @@
         }
     }
 
+    fn greet(&self, now: Time, state: &mut State) {
+        let greeted = state.greeted_balancers(now);
+        for ask in [true, false] {
+            let group: Vec<NodeId> = greeted
+                .iter()
+                .filter(|(_, asked)| *asked == ask)
+                .map(|(node, _)| *node)
+                .collect();
+            if !group.is_empty() {
+                self.peers.send(&group, &state.hello_balancer(now, ask));
+            }
+        }
+    }
+
     // Turns traffic away; returns when the process ends.
     fn stop(&self) -> Instant {
         let now = usher_clock::now();
@@ -214,8 +226,7 @@
         state.stopping = true;
         let span = TURN_AWAY.min(state.settings.grace - END_MARGIN);
         event::STOPPING.log(&[("after", &span)]);
-        let balancers = state.fleet.due(now);
-        self.peers.send(&balancers, &state.hello(now, true));
+        self.greet(now, &mut state);
         Instant::now() + Duration::from_micros(span.as_micros())
     }
 }
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -176,10 +176,20 @@
     let now = usher_clock::now();
     let mut state = state.borrow_mut();
     let own = state.settings.node;
-    let nodes: Vec<NodeId> = listed.iter().map(|entry| entry.node).collect();
-    for node in nodes.iter().filter(|node| **node != own) {
-        state.fleet.learn(now, *node);
+    for entry in listed.iter().filter(|entry| entry.node != own) {
+        state.fleet.learn(now, entry.node);
     }
-    let present = state.fleet.present(now);
-    departures.observe(now, own, &nodes, &present)
+    let (fleet, centre) = (&state.fleet, &state.settings.centre);
+    if !fleet.is_large() {
+        let nodes: Vec<NodeId> = listed.iter().map(|entry| entry.node).collect();
+        return departures.observe(now, own, &nodes, &fleet.present(now));
+    }
+    // Balancers of other data centres are watched there.
+    let watched = |node: &NodeId| fleet.centre(*node).is_none_or(|other| other == centre);
+    let nodes: Vec<NodeId> = listed
+        .iter()
+        .map(|entry| entry.node)
+        .filter(watched)
+        .collect();
+    departures.observe(now, own, &nodes, &fleet.near(now, centre))
 }
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -2,7 +2,9 @@
 
 use arc_swap::ArcSwap;
 use serde_json::Value;
-use usher_forwarding::{Directory, Fleet, Hello, HostState, InForce, NodeId, Report, View};
+use usher_forwarding::{
+    Directory, Exchange, Fleet, Hello, HostState, InForce, NodeId, Relayed, Report, View,
+};
 use usher_platform::configuration;
 use usher_types::{Span, Time, Version};
 
@@ -10,6 +12,9 @@
 use crate::metrics::Metrics;
 use crate::{Settings, event};
 
+// A greeting fits one datagram: four bytes each.
+const NAMED_BALANCERS: usize = 64;
+const NAMED_AGENTS: usize = 256;
 // Without any host after this time, the balancer is ready all the same: it refuses at once what
 // nobody can serve.
 const HOSTLESS: Span = Span::from_secs(3);
@@ -28,11 +33,15 @@
     document: Value,
     view: Arc<ArcSwap<View>>,
     ready: bool,
+    exchange: Exchange,
+    /// Where the next greeting begins to name balancers and agents.
+    turn: usize,
 }
 
 impl State {
     pub(crate) fn new(settings: Settings, view: Arc<ArcSwap<View>>, metrics: Arc<Metrics>) -> Self {
         let started = usher_clock::now();
+        let exchange = Exchange::new(settings.node, settings.strength, settings.centre.clone());
         Self {
             directory: Directory::new(settings.centre.clone(), started),
             settings,
@@ -45,6 +54,8 @@
             document: Value::Null,
             view,
             ready: false,
+            exchange,
+            turn: 0,
         }
     }
 
@@ -85,26 +96,25 @@
     pub(crate) fn hear_agent(&mut self, now: Time, node: NodeId, report: &Report) {
         let known = self.directory.state(now, node);
         let changed = self.directory.hear_direct(now, node, report);
+        self.exchange.hear_agent(now, node);
         self.tell_host(changed, known, node, report);
     }
 
     /// Takes reports that a balancer relays.
-    pub(crate) fn hear_digest(&mut self, now: Time, digest: &[(NodeId, Report)]) {
+    pub(crate) fn hear_digest(&mut self, now: Time, from: NodeId, digest: &[(NodeId, Report)]) {
+        let centre = self.fleet.centre(from).cloned();
         for (node, report) in digest {
             let known = self.directory.state(now, *node);
-            let changed = self.directory.hear(now, *node, report);
+            let directory = &mut self.directory;
+            let changed = directory.hear_relayed(now, *node, report, centre.as_ref());
             self.tell_host(changed, known, *node, report);
         }
     }
 
-    /// Reports to relay, if not every balancer hears every agent.
-    pub(crate) fn digest(&mut self, now: Time) -> Vec<(NodeId, Report)> {
-        let digest = self.directory.digest();
-        if self.fleet.is_relayed(now) {
-            digest
-        } else {
-            Vec::new()
-        }
+    /// Reports to relay, each digest with its receivers.
+    pub(crate) fn digests(&mut self, now: Time) -> [Relayed; 2] {
+        let directory = &mut self.directory;
+        self.exchange.digests(now, &self.fleet, directory)
     }
 
     fn tell_host(
@@ -158,24 +168,43 @@
             .collect()
     }
 
-    pub(crate) fn agents(&self) -> Vec<NodeId> {
-        self.directory.agents().collect()
+    /// Agents that are greeted at `now`: those that report here, and those that may come to.
+    pub(crate) fn greeted_agents(&mut self, now: Time) -> Vec<NodeId> {
+        self.exchange.agents(now, &self.fleet, &self.directory)
+    }
+
+    /// Balancers that are greeted at `now`, and whether each is asked to greet this one.
+    pub(crate) fn greeted_balancers(&mut self, now: Time) -> Vec<(NodeId, bool)> {
+        self.exchange.balancers(now, &mut self.fleet)
+    }
+
+    /// The greeting to other balancers.
+    pub(crate) fn hello_balancer(&mut self, now: Time, ask: bool) -> PeerMessage {
+        let mut hello = self.hello(now);
+        hello.ask = ask;
+        if !self.fleet.is_large() {
+            hello.agents = some_of(self.directory.agents().collect(), NAMED_AGENTS, self.turn);
+        }
+        PeerMessage::Hello(hello)
+    }
+
+    /// The greeting to agents.
+    pub(crate) fn hello_agent(&mut self, now: Time) -> PeerMessage {
+        PeerMessage::Hello(self.hello(now))
     }
 
-    pub(crate) fn hello(&self, now: Time, to_balancers: bool) -> PeerMessage {
-        PeerMessage::Hello(Hello {
+    fn hello(&mut self, now: Time) -> Hello {
+        self.turn = self.turn.wrapping_add(NAMED_BALANCERS);
+        Hello {
             epoch: self.epoch,
             version: self.version(),
             leaving: self.stopping,
             centre: self.settings.centre.clone(),
             strength: self.settings.strength,
-            balancers: self.fleet.present(now),
-            agents: if to_balancers {
-                self.agents()
-            } else {
-                Vec::new()
-            },
-        })
+            balancers: some_of(self.fleet.present(now), NAMED_BALANCERS, self.turn),
+            agents: Vec::new(),
+            ask: false,
+        }
     }
 
     /// Forgets who is gone.
@@ -229,3 +258,13 @@
         self.view.store(Arc::new(view));
     }
 }
+
+// At most `count` of the nodes, others in each turn.
+fn some_of(mut nodes: Vec<NodeId>, count: usize, turn: usize) -> Vec<NodeId> {
+    if nodes.len() > count {
+        let first = turn % nodes.len();
+        nodes.rotate_left(first);
+        nodes.truncate(count);
+    }
+    nodes
+}
