An agent does not reset a flow whose caller has not followed up

An agent that was frozen kept copies of a first packet; the caller's next copy was taken by another host. When the agent went on, it delivered the old copy, its backend server answered, and the half-open flow stayed in the agent's table. When that backend server was restarted four seconds later, the agent reset the flow for its caller, although its host lived.

Ruled out: a reset by a balancer (none logged one), and the configuration (one version all the time).

Change: when a backend server ends, only flows are reset that it has acknowledged or whose callers have sent a second packet. A caller that is still in its handshake repeats its first packet and gets another host.

--- a/crates/forwarding/src/agent/entry.rs
+++ b/crates/forwarding/src/agent/entry.rs
@@ -31,6 +31,8 @@
     pub(crate) seen: Time,
     /// Start of the handshake, or of the request that the backend server works on.
     working: Option<Time>,
+    /// The caller has sent more than the opening packet.
+    followed: bool,
     /// The caller has sent a request.
     requested: bool,
     /// Position up to which the caller has received; a reset must be near it.
@@ -46,6 +48,7 @@
             since: now,
             seen: now,
             working: Some(now),
+            followed: false,
             requested: false,
             received: 0,
             caller_finished: false,
@@ -56,6 +59,7 @@
     /// Takes a packet of the caller.
     pub(crate) fn on_caller(&mut self, now: Time, head: &Head) {
         self.seen = now;
+        self.followed |= !head.opens();
         if head.flags.acknowledging {
             self.received = head.acknowledged;
         }
@@ -89,6 +93,16 @@
         self.working.take_if(|_| answered).filter(|_| requested)
     }
 
+    /// Whether the flow ends with its backend server. One that the caller has not followed up may be
+    /// a late copy of a flow that another host took.
+    pub(crate) fn is_held(&self) -> bool {
+        match self.phase {
+            Phase::Opening | Phase::Answered => self.followed,
+            Phase::Open => true,
+            Phase::Closed => false,
+        }
+    }
+
     /// Whether a slot is taken, or will be.
     pub(crate) fn is_working(&self, now: Time) -> bool {
         let limit = if self.requested {
--- a/crates/forwarding/src/agent/flow_table.rs
+++ b/crates/forwarding/src/agent/flow_table.rs
@@ -65,7 +65,7 @@
                 }
                 return true;
             }
-            if entry.phase != Phase::Closed {
+            if entry.is_held() {
                 gone.push((*flow, entry.received));
             }
             false
@@ -76,7 +76,7 @@
     /// Removes all flows; returns those that were open, with the position that callers received.
     pub(crate) fn clear(&mut self) -> Vec<(FlowKey, u32)> {
         let entries = self.entries.drain(..);
-        let open = entries.filter(|(_, entry)| entry.phase != Phase::Closed);
+        let open = entries.filter(|(_, entry)| entry.is_held());
         open.map(|(flow, entry)| (flow, entry.received)).collect()
     }
 }
--- a/crates/forwarding/tests/agent/flows.rs
+++ b/crates/forwarding/tests/agent/flows.rs
@@ -88,6 +88,27 @@
     assert_matches!(inward.step, Step::Forward { .. });
 }
 
+/// Guards against a reset of a flow whose first packet also reached another agent, late: its backend
+/// server answers the copy, and ends while the flow lives on the other host.
+#[test]
+fn a_late_copy_of_a_first_packet_ends_in_silence() {
+    let begin = || {
+        let mut agent = serving();
+        agent.on_packet(at(1), &opening(1), &trip(&[3, 4], 0));
+        agent.on_host_packet(at(2), &answer(&opening(1), true, 0));
+        agent.on_packet(at(3), &opening(1), &trip(&[3, 4], 0));
+        agent
+    };
+    let mut agent = begin();
+    let (heard, gone) = agent.hear(at(5_000), word("i-2", 200, 1));
+    assert_eq!((heard, gone), (Heard::Started, Vec::new()));
+    assert_eq!(begin().leave(at(5_000), "i-1"), Some(Vec::new()));
+    // The caller's next packet shows that the flow is here.
+    let mut agent = begin();
+    agent.on_packet(at(4), &later(1), &trip(&[3, 4], 0));
+    assert_eq!(agent.leave(at(5_000), "i-1").unwrap().len(), 1);
+}
+
 /// Guards against a packet for one service that reaches another one at a reused address.
 #[test]
 fn an_opening_packet_of_another_service_is_passed_on() {
