--- a/crates/node/tests/soak_run/mod.rs
+++ b/crates/node/tests/soak_run/mod.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use usher_platform_standin::store::{Faults, Store};
-use usher_platform_standin::{Backend, Nodes, Process, READY, STORE, STORE_PORT, eventually};
+use usher_platform_standin::{Backend, Nodes, Process, STORE, STORE_PORT, eventually};
 
 use callers::Callers;
 use faults::{Action, Schedule};
@@ -109,10 +109,7 @@
 
     fn await_ready(&mut self) {
         for host in BALANCERS {
-            let address = self.nodes.address(host, READY);
-            eventually("a balancer is ready", || {
-                self.nodes.call(address, "GET", "/readyz", "") == 200
-            });
+            eventually("a balancer is ready", || self.nodes.ready(host) == 200);
         }
     }
 
