--- a/crates/forwarding/src/agent/entry.rs
+++ b/crates/forwarding/src/agent/entry.rs
@@ -31,12 +31,10 @@
     pub(crate) seen: Time,
     /// Start of the handshake, or of the request that the backend server works on.
     working: Option<Time>,
-    /// The caller has sent more than the opening packet.
-    followed: bool,
     /// The caller has sent a request.
     requested: bool,
-    /// Position up to which the caller has received; a reset must be near it.
-    pub(crate) received: u32,
+    /// Position up to which the caller has received, once it has followed up on its opening packet.
+    received: Option<u32>,
     caller_finished: bool,
     host_finished: bool,
 }
@@ -48,9 +46,8 @@
             since: now,
             seen: now,
             working: Some(now),
-            followed: false,
             requested: false,
-            received: 0,
+            received: None,
             caller_finished: false,
             host_finished: false,
         }
@@ -59,9 +56,8 @@
     /// Takes a packet of the caller.
     pub(crate) fn on_caller(&mut self, now: Time, head: &Head) {
         self.seen = now;
-        self.followed |= !head.opens();
         if head.flags.acknowledging {
-            self.received = head.acknowledged;
+            self.received = Some(head.acknowledged);
         }
         if head.data > 0 {
             if !self.requested {
@@ -97,12 +93,17 @@
     /// a late copy of a flow that another host took.
     pub(crate) fn is_held(&self) -> bool {
         match self.phase {
-            Phase::Opening | Phase::Answered => self.followed,
+            Phase::Opening | Phase::Answered => self.received.is_some(),
             Phase::Open => true,
             Phase::Closed => false,
         }
     }
 
+    /// Position up to which the caller has received; a reset must be near it.
+    pub(crate) fn received(&self) -> u32 {
+        self.received.unwrap_or(0)
+    }
+
     /// Whether a slot is taken, or will be.
     pub(crate) fn is_working(&self, now: Time) -> bool {
         let limit = if self.requested {
--- a/crates/forwarding/src/agent/flow_table.rs
+++ b/crates/forwarding/src/agent/flow_table.rs
@@ -66,7 +66,7 @@
                 return true;
             }
             if entry.is_held() {
-                gone.push((*flow, entry.received));
+                gone.push((*flow, entry.received()));
             }
             false
         });
@@ -77,6 +77,6 @@
     pub(crate) fn clear(&mut self) -> Vec<(FlowKey, u32)> {
         let entries = self.entries.drain(..);
         let open = entries.filter(|(_, entry)| entry.is_held());
-        open.map(|(flow, entry)| (flow, entry.received)).collect()
+        open.map(|(flow, entry)| (flow, entry.received())).collect()
     }
 }
--- a/crates/forwarding/src/agent/path.rs
+++ b/crates/forwarding/src/agent/path.rs
@@ -307,7 +307,7 @@
                 .filter(|entry| entry.phase == Phase::Open);
             let step = lost.map_or(Step::Drop, |entry| Step::Refuse {
                 flow,
-                received: entry.received,
+                received: entry.received(),
                 wait: None,
             });
             return Inbound { step, tell: None };
