Entries of dead balancers are removed in their own data centre

Cause: in a large fleet a balancer does not hear those of other data centres, so silence there says nothing; a data centre with one balancer had nobody to remove its entries.

Change: Fleet decides which balancers a process watches and with whom it shares the watch; the node's feed only asks. Standby of weak balancers is in a file of its own. Test: balancers_are_watched_in_their_data_centre.

--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -5,6 +5,8 @@
 use crate::member::{Member, SILENT};
 use crate::{Hello, NodeId, Strength};
 
+mod standby;
+
 // A node that was never heard, or not for this long, is forgotten.
 const FORGET: Span = Span::from_secs(60);
 // Nodes that are silent are greeted at this pace, to find them when a partition heals.
@@ -22,9 +24,6 @@
 const PROBES: usize = 3;
 // Factor by which a relay of the own data centre is preferred.
 const NEAR: u32 = 1_000;
-// A balancer stands by if another one of its data centre is this many times as strong: it would
-// be the first to drop packets at an even share.
-const WEAK: u32 = 4;
 
 /// The balancers that a process knows.
 #[derive(Debug, Clone, Default)]
@@ -123,6 +122,23 @@
             .collect()
     }
 
+    /// Whether this process watches a balancer: it notices when the balancer is gone. In a large
+    /// fleet balancers are watched in their own data centre.
+    pub fn watches(&self, node: NodeId, centre: &DataCentre) -> bool {
+        !self.is_large() || self.centre(node).is_none_or(|other| other == centre)
+    }
+
+    /// The balancers with which the watch is shared. One that is alone in its data centre shares it
+    /// with those that it hears elsewhere.
+    pub fn watchers(&self, now: Time, centre: &DataCentre) -> Vec<NodeId> {
+        let near = self.near(now, centre);
+        if self.is_large() && !near.is_empty() {
+            near
+        } else {
+            self.present(now)
+        }
+    }
+
     /// The balancers of other data centres to which a balancer is linked, preferably such as are
     /// heard; the strong ones more often.
     pub fn links(&self, now: Time, own: NodeId, centre: &DataCentre) -> Vec<NodeId> {
@@ -237,39 +253,6 @@
         self.members.len() > SMALL
     }
 
-    /// Whether a weak balancer leaves the traffic to the stronger ones of its data centre.
-    ///
-    /// The platform spreads flows evenly over the balancers in rotation and uses all of a data
-    /// centre when fewer than half are, so half of them stay.
-    pub fn stands_by(
-        &self,
-        now: Time,
-        own: NodeId,
-        strength: Strength,
-        centre: &DataCentre,
-    ) -> bool {
-        let present = self.present(now);
-        let near = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.centre.as_ref() == Some(centre));
-        let mut known = 1;
-        let mut stronger = 0;
-        let mut strongest = strength;
-        for (node, member) in near {
-            known += 1;
-            if !present.contains(node) || member.leaving {
-                continue;
-            }
-            strongest = strongest.max(member.strength);
-            let before = (member.strength, own) > (strength, *node);
-            stronger += u32::from(before);
-        }
-        let needed = u32::div_ceil(known, 2);
-        let weak = strength.millicores() * WEAK < strongest.millicores();
-        weak && stronger >= needed
-    }
-
     /// The balancer with the newest configuration that is heard, if newer than `version`.
     pub fn ahead(&self, now: Time, version: Version) -> Option<(NodeId, Version)> {
         let present = self.present(now);
--- /dev/null
+++ b/crates/forwarding/src/fleet/standby.rs
@@ -0,0 +1,43 @@
+use usher_types::{DataCentre, Time};
+
+use super::Fleet;
+use crate::{NodeId, Strength};
+
+// A balancer stands by if another one of its data centre is this many times as strong: it would
+// be the first to drop packets at an even share.
+const WEAK: u32 = 4;
+
+impl Fleet {
+    /// Whether a weak balancer leaves the traffic to the stronger ones of its data centre.
+    ///
+    /// The platform spreads flows evenly over the balancers in rotation and uses all of a data
+    /// centre when fewer than half are, so half of them stay.
+    pub fn stands_by(
+        &self,
+        now: Time,
+        own: NodeId,
+        strength: Strength,
+        centre: &DataCentre,
+    ) -> bool {
+        let present = self.present(now);
+        let near = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.centre.as_ref() == Some(centre));
+        let mut known = 1;
+        let mut stronger = 0;
+        let mut strongest = strength;
+        for (node, member) in near {
+            known += 1;
+            if !present.contains(node) || member.leaving {
+                continue;
+            }
+            strongest = strongest.max(member.strength);
+            let before = (member.strength, own) > (strength, *node);
+            stronger += u32::from(before);
+        }
+        let needed = u32::div_ceil(known, 2);
+        let weak = strength.millicores() * WEAK < strongest.millicores();
+        weak && stronger >= needed
+    }
+}
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -193,3 +193,23 @@
         [node(3)]
     );
 }
+
+/// Guards against a balancer that removes the living of other data centres, which it does not hear,
+/// and against dead ones that nobody removes because a data centre has one balancer only.
+#[test]
+fn balancers_are_watched_in_their_data_centre() {
+    let kolkata = "kolkata".parse().unwrap();
+    let mut fleet = Fleet::default();
+    for last in 1..=6 {
+        fleet.hear(at(0), node(last), &strong(1, "0.5", "howrah"));
+    }
+    fleet.hear(at(0), node(7), &strong(1, "0.5", "kolkata"));
+    assert!(fleet.watches(node(1), &kolkata), "the fleet is small");
+    fleet.learn(at(0), node(8));
+    assert!(!fleet.watches(node(1), &kolkata));
+    assert!(fleet.watches(node(7), &kolkata));
+    assert!(fleet.watches(node(8), &kolkata), "nobody knows where it is");
+    assert_eq!(fleet.watchers(at(0), &kolkata), [node(7)]);
+    fleet.hear(at(2_000), node(1), &strong(1, "0.5", "howrah"));
+    assert_eq!(fleet.watchers(at(2_000), &kolkata), [node(1)]);
+}
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -180,16 +180,7 @@
         state.fleet.learn(now, entry.node);
     }
     let (fleet, centre) = (&state.fleet, &state.settings.centre);
-    if !fleet.is_large() {
-        let nodes: Vec<NodeId> = listed.iter().map(|entry| entry.node).collect();
-        return departures.observe(now, own, &nodes, &fleet.present(now));
-    }
-    // Balancers of other data centres are watched there.
-    let watched = |node: &NodeId| fleet.centre(*node).is_none_or(|other| other == centre);
-    let nodes: Vec<NodeId> = listed
-        .iter()
-        .map(|entry| entry.node)
-        .filter(watched)
-        .collect();
-    departures.observe(now, own, &nodes, &fleet.near(now, centre))
+    let nodes = listed.iter().map(|entry| entry.node);
+    let watched: Vec<NodeId> = nodes.filter(|node| fleet.watches(*node, centre)).collect();
+    departures.observe(now, own, &watched, &fleet.watchers(now, centre))
 }
