Packets of stand-ins and tests are written by the adapter

Cause: the layout of a packet stood in platform/ and, by its offsets, in the stand-in backend server, the stand-in world, the process tests and the soak.

Change: usher_platform::packet writes what usher_platform::head reads; resets are written by it as well. Stand-ins and tests use heads.

--- a/crates/daemon/tests/processes/load.rs
+++ b/crates/daemon/tests/processes/load.rs
@@ -7,12 +7,16 @@
 use std::time::{Duration, Instant};
 
 use usher_standins::{Caller, Pending, Request};
-use usher_types::{FlowId, Outcome, Refusal, RequestKey};
+use usher_types::{FlowId, Outcome, Refusal, RequestKey, Span};
 
 use crate::deployment::{ANSWER, await_until, service_address};
-use crate::stalls;
+use crate::starvation;
 
 const PACE: Duration = Duration::from_millis(10);
+/// Deadline of a load's requests; whatever the machine does meanwhile, they are answered.
+pub const DEADLINE: Span = Span::from_secs(15);
+/// Longest time for an answer on a machine that is not starved.
+pub const PROMPT: Duration = Duration::from_secs(5);
 
 /// A key that no other request has.
 pub fn new_key() -> RequestKey {
@@ -57,14 +61,14 @@
     pub unknown: u64,
     pub failed: u64,
     pub unanswered: u64,
-    /// Not answered, and the machine stood still meanwhile.
-    pub stalled: u64,
+    /// Answered after `PROMPT` although the machine was not starved.
+    pub late: u64,
 }
 
 impl Tally {
-    /// Whether each request was answered that the machine did not stall.
+    /// Whether all requests were answered, and promptly.
     pub fn is_complete(&self) -> bool {
-        self.answered + self.stalled == self.sent
+        self.answered == self.sent && self.late == 0
     }
 }
 
@@ -82,7 +86,7 @@
         flows: Vec<FlowId>,
         request: impl Fn() -> Request + Send + 'static,
     ) -> Self {
-        stalls::watch();
+        starvation::watch();
         let (stop, stopped) = mpsc::channel();
         let tally = Arc::new(Mutex::new(Tally::default()));
         let (caller, counts) = (Arc::clone(caller), Arc::clone(&tally));
@@ -125,7 +129,10 @@
 ) {
     let mut waiting: VecDeque<Waiting> = VecDeque::new();
     for flow in flows.iter().cycle() {
-        let request = request();
+        let request = Request {
+            deadline: DEADLINE,
+            ..request()
+        };
         let pending = caller.send(*flow, &request);
         waiting.push_back(Waiting {
             request,
@@ -155,9 +162,10 @@
     match outcome {
         Some(Outcome::Answered(payload)) if matches(&waiting.request, &payload) => {
             tally.answered += 1;
+            let is_late = waiting.sent.elapsed() > PROMPT;
+            tally.late += u64::from(is_late && !starvation::any_since(waiting.sent));
         }
         Some(Outcome::Answered(_)) => tally.mismatched += 1,
-        _ if stalls::any_since(waiting.sent) => tally.stalled += 1,
         Some(Outcome::NotRun { refusal, .. }) => tally.not_run.push(refusal),
         Some(Outcome::Unknown) => tally.unknown += 1,
         Some(Outcome::Failed(_)) => tally.failed += 1,
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -11,5 +11,5 @@
 mod planned_stop;
 mod process;
 mod settings;
-mod stalls;
+mod starvation;
 mod store_down;
--- a/crates/daemon/tests/processes/planned_stop.rs
+++ b/crates/daemon/tests/processes/planned_stop.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use assert_matches::assert_matches;
 use rustix::process::Signal;
@@ -8,8 +8,7 @@
 use usher_types::{Outcome, Refusal, Span};
 
 use crate::deployment::{ANSWER, BOOKING, Deployment, SLOTS, await_until};
-use crate::load::{Load, Tally, new_key, once, open, read};
-use crate::stalls;
+use crate::load::{DEADLINE, Load, Tally, new_key, once, open, read};
 
 const FLOWS: usize = 60;
 const ROUND: u64 = 2 * FLOWS as u64;
@@ -25,8 +24,8 @@
         .filter(|refusal| **refusal != Refusal::Draining)
         .collect();
     assert!(other.is_empty(), "refused for another reason: {other:?}");
-    let known = tally.answered + refused + tally.stalled;
-    assert_eq!(known, tally.sent, "{tally:?}");
+    assert_eq!(tally.answered + refused, tally.sent, "{tally:?}");
+    assert_eq!(tally.late, 0, "{tally:?}");
 }
 
 // Guards against a restart of an agent that breaks flows or cuts requests (P1, P7).
@@ -40,9 +39,10 @@
     reads.await_answers(ROUND);
     let long = Request {
         time: Some(Span::from_secs(2)),
+        // A run that reaches its deadline is cancelled, which is no effect of the stop.
+        deadline: DEADLINE,
         ..Request::new("schedule", new_key())
     };
-    let sent = Instant::now();
     let in_progress: Vec<_> = flows
         .iter()
         .take(6)
@@ -66,9 +66,6 @@
     assert_eq!(deployment.process(HOST).exit_status(STOP), Some(0));
     for ((pending, _), on_host) in in_progress.iter().zip(on_host) {
         let outcome = pending.wait(ANSWER);
-        if stalls::any_since(sent) {
-            continue;
-        }
         if on_host {
             assert_matches!(outcome, Some(Outcome::Answered(_)));
         } else {
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -2,24 +2,15 @@
 
 use std::path::Path;
 
+use usher_platform::{head, packet};
 use usher_platform_standin::store::{Down, Faults};
-use usher_platform_standin::{NOBODY, SECOND, SERVICE, World, eventually, receive};
+use usher_platform_standin::{
+    NOBODY, SECOND, SERVICE, World, answer_to, eventually, is_reset, receive,
+};
 
-const RETURNED: u8 = 1;
-const RESETTING: u8 = 4;
-const OPENING: u8 = 8;
-const ACKNOWLEDGING: u8 = 64;
-
-// The backend server's packet on the flow of a caller's packet.
-fn reply(packet: &[u8], flags: u8) -> Vec<u8> {
-    let mut answer = packet.to_vec();
-    answer[0..2].copy_from_slice(&packet[2..4]);
-    answer[2..4].copy_from_slice(&packet[0..2]);
-    answer[4..8].copy_from_slice(&packet[8..12]);
-    answer[8..12].copy_from_slice(&packet[4..8]);
-    answer[14..18].fill(0);
-    answer[18] = flags;
-    answer
+// The backend server's answer to the opening packet of a caller.
+fn reply(opening: &[u8]) -> Vec<u8> {
+    packet(&answer_to(&head(opening).unwrap(), true, 0), b"")
 }
 
 fn start(net: u8) -> World {
@@ -41,7 +32,7 @@
     sent[14..18].fill(0);
     let port = u16::from_be_bytes([packet[0], packet[1]]);
     assert_eq!(sent, world.opening(port), "only the token may differ");
-    let answer = reply(&packet, OPENING | ACKNOWLEDGING);
+    let answer = reply(&packet);
     world.answer(&answer);
     assert_eq!(receive(&world.caller), Some(answer));
 }
@@ -56,7 +47,7 @@
     while receive(&world.backend).is_some() {}
     eventually("the caller is refused", || {
         world.send(&world.opening(2_000));
-        receive(&world.caller).is_some_and(|packet| packet[18] == RESETTING)
+        receive(&world.caller).is_some_and(|packet| is_reset(&packet))
     });
     assert_eq!(receive(&world.backend), None);
 }
@@ -65,12 +56,12 @@
 #[test]
 fn a_flow_that_the_only_host_returns_is_refused() {
     let world = start(13);
-    let mut packet = world.await_flow(1_000);
-    packet[18] |= RETURNED;
-    world.answer(&packet);
-    let reset = receive(&world.caller).unwrap();
-    assert_eq!(reset[18], RESETTING);
-    assert_eq!(reset[2..4], packet[0..2]);
+    let mut returned = head(&world.await_flow(1_000)).unwrap();
+    returned.flags.returned = true;
+    world.answer(&packet(&returned, b""));
+    let reset = head(&receive(&world.caller).unwrap()).unwrap();
+    assert!(reset.flags.resetting);
+    assert_eq!(reset.target, returned.source);
 }
 
 /// Guards against a configuration that does not take effect, or is lost with the store.
@@ -191,7 +182,7 @@
     let mut world = start(23);
     let packet = world.await_flow(1_000);
     let port = u16::from_be_bytes([packet[0], packet[1]]);
-    let answer = reply(&packet, OPENING | ACKNOWLEDGING);
+    let answer = reply(&packet);
     world.answer(&answer);
     let later = world.later(port);
     world.agent.freeze(true);
@@ -204,6 +195,6 @@
     });
     world.await_packet(&later);
     while let Some(packet) = receive(&world.caller) {
-        assert_ne!(packet[18] & RESETTING, RESETTING, "an open flow was reset");
+        assert!(!is_reset(&packet), "an open flow was reset");
     }
 }
--- a/crates/node/tests/soak_run/callers.rs
+++ b/crates/node/tests/soak_run/callers.rs
@@ -1,20 +1,17 @@
 use std::io::ErrorKind;
-use std::net::UdpSocket;
+use std::net::{SocketAddrV4, UdpSocket};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use rand::Rng;
 use rand_pcg::Pcg64;
+use usher_forwarding::{Flags, Head};
+use usher_platform::{HEAD_BYTES, head, packet};
 use usher_platform_standin::{Nodes, PACKETS};
 
 use super::ROUTES;
 
 const CALLER: u8 = 4;
-const HEAD: usize = 31;
-const FLAGS: usize = 18;
-const RESETTING: u8 = 4;
-const OPENING: u8 = 8;
-const ACKNOWLEDGING: u8 = 64;
 const MOST: usize = 60;
 const PACE: Duration = Duration::from_millis(10);
 const OPEN_PACE: Duration = Duration::from_millis(40);
@@ -154,50 +151,56 @@
             let Some(balancer) = balancers.get(usize::from(port) % balancers.len().max(1)) else {
                 continue;
             };
-            let flags = if open { ACKNOWLEDGING } else { OPENING };
-            let packet = self.packet(port, route, flags, first);
+            let packet = self.packet(port, route, open, first);
             let to = self.nodes.address(*balancer, PACKETS);
             // A balancer that is down refuses; the packet is repeated.
             drop(self.socket.send_to(&packet, to));
         }
     }
 
-    fn packet(&self, port: u16, route: usize, flags: u8, first: u32) -> Vec<u8> {
+    fn packet(&self, port: u16, route: usize, open: bool, first: u32) -> Vec<u8> {
         let (address, target, _) = ROUTES[route];
-        let address: std::net::Ipv4Addr = address.parse().unwrap();
-        let mut packet = vec![0; HEAD];
-        packet[0..2].copy_from_slice(&port.to_be_bytes());
-        packet[2..4].copy_from_slice(&target.to_be_bytes());
-        packet[4..8].copy_from_slice(&self.nodes.address(CALLER, 0).ip().octets());
-        packet[8..12].copy_from_slice(&address.octets());
-        packet[FLAGS] = flags;
-        packet[23..27].copy_from_slice(&first.to_be_bytes());
-        packet
+        let mut source = self.nodes.address(CALLER, 0);
+        source.set_port(port);
+        let head = Head {
+            source,
+            target: SocketAddrV4::new(address.parse().unwrap(), target),
+            flags: Flags {
+                opening: !open,
+                acknowledging: open,
+                ..Flags::default()
+            },
+            sequence: 0,
+            acknowledged: first,
+            data: 0,
+            token: 0,
+        };
+        packet(&head, b"")
     }
 
     fn receive(&mut self) {
         let mut buffer = [0; 2_048];
         loop {
             match self.socket.recv(&mut buffer) {
-                Ok(length) if length >= HEAD => self.take(&buffer[..length]),
+                Ok(length) => self.take(&buffer[..length]),
                 Err(fault)
                     if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) =>
                 {
                     return;
                 }
                 // A balancer that is down refused a packet.
-                _ => {}
+                Err(_) => {}
             }
         }
     }
 
     fn take(&mut self, packet: &[u8]) {
-        let port = u16::from_be_bytes([packet[2], packet[3]]);
+        let head = head(packet).expect("nodes send whole packets");
+        let port = head.target.port();
         let Some(flow) = self.flows.get_mut(&port) else {
             return;
         };
-        let flags = packet[FLAGS];
-        if flags & RESETTING != 0 {
+        if head.flags.resetting {
             let flow = self.flows.swap_remove(&port).unwrap();
             if flow.open {
                 self.assert_lost(port, &flow);
@@ -207,16 +210,16 @@
             }
             return;
         }
-        if flags & OPENING != 0 {
+        if head.flags.opening {
             if !flow.open {
                 flow.open = true;
-                flow.first = u32::from_be_bytes(packet[19..23].try_into().unwrap());
+                flow.first = head.sequence;
                 flow.waiting = None;
                 self.count("taken");
             }
             return;
         }
-        let answer = String::from_utf8(packet[HEAD..].to_vec()).unwrap();
+        let answer = String::from_utf8(packet[HEAD_BYTES..].to_vec()).unwrap();
         let (_, _, service) = ROUTES[flow.route];
         assert!(
             answer.starts_with(service),
