--- a/crates/flows/src/table.rs
+++ b/crates/flows/src/table.rs
@@ -3,6 +3,7 @@
 mod receive;
 mod registry;
 mod serve;
+mod stranded;
 mod takeover;
 
 use std::mem;
@@ -59,6 +60,8 @@
     rivals: IndexMap<FlowId, Rival>,
     yields: IndexMap<FlowId, SocketAddrV4>,
     leaving: IndexSet<FlowId>,
+    /// Flows whose transfer ended with its receiver; they wait for one to their next owner.
+    stranded: IndexSet<FlowId>,
     deferred: Timers,
     located: Vec<Located>,
     closed: Vec<FlowId>,
@@ -101,6 +104,7 @@
             rivals: IndexMap::new(),
             yields: IndexMap::new(),
             leaving: IndexSet::new(),
+            stranded: IndexSet::new(),
             deferred: Timers::default(),
             located: Vec::new(),
             closed: Vec::new(),
--- a/crates/flows/src/table/handover.rs
+++ b/crates/flows/src/table/handover.rs
@@ -13,7 +13,7 @@
 
 const RETRY: Span = Span::from_millis(500);
 // Keeps a transfer of idle flows near 64 KB.
-const PARCEL_FLOWS: usize = 256;
+pub(super) const PARCEL_FLOWS: usize = 256;
 
 impl FlowTable {
     pub(super) fn adopt_roster(&mut self, now: Time, roster: &Arc<Roster>) {
@@ -68,10 +68,12 @@
 
     /// Sends what is queued to hosts that have no transfer under way.
     pub(super) fn dispatch(&mut self, now: Time) {
-        if self.leaving.is_empty() && self.located.is_empty() && self.closed.is_empty() {
+        let is_idle = self.leaving.is_empty() && self.stranded.is_empty();
+        if is_idle && self.located.is_empty() && self.closed.is_empty() {
             return;
         }
         let mut transits: IndexMap<HostId, Transit> = IndexMap::new();
+        self.dispatch_stranded(&mut transits);
         for flow in self.ready() {
             if let Some((host, _)) = self.destination(&flow)
                 && !self.transits.contains_key(&host)
@@ -119,7 +121,7 @@
         self.leaving.iter().copied().collect()
     }
 
-    fn destination(&self, flow: &FlowId) -> Option<(HostId, SocketAddrV4)> {
+    pub(super) fn destination(&self, flow: &FlowId) -> Option<(HostId, SocketAddrV4)> {
         match self.yields.get(flow) {
             Some(holder) => {
                 let host = self.membership.host_at(*holder)?;
@@ -146,9 +148,13 @@
         for flow in &transit.flows {
             self.leaving.swap_remove(flow);
             self.resend.clear(flow);
-            if let Some(Held::Open(open)) = self.held.swap_remove(flow) {
-                self.held.insert(*flow, Held::Moving(open.freeze(to)));
-            }
+            self.stranded.swap_remove(flow);
+            let open = match self.held.swap_remove(flow) {
+                Some(Held::Open(open)) => open,
+                Some(Held::Moving(moving)) => moving.thaw(),
+                _ => continue,
+            };
+            self.held.insert(*flow, Held::Moving(open.freeze(to)));
         }
         self.send_transfer(host.clone(), &transit);
         self.transits.insert(host, transit);
@@ -242,19 +248,6 @@
         }
     }
 
-    /// Serves the flows of a transfer here again because its receiver has left.
-    fn cancel_transit(&mut self, host: &HostId) {
-        let Some(transit) = self.transits.swap_remove(host) else {
-            return;
-        };
-        for flow in transit.flows {
-            self.thaw(flow);
-            self.queue_if_leaving(flow);
-        }
-        self.located.extend(transit.directory);
-        self.closed.extend(transit.closed);
-    }
-
     pub(super) fn thaw(&mut self, flow: FlowId) {
         match self.held.swap_remove(&flow) {
             Some(Held::Moving(moving)) => {
