--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -95,7 +95,11 @@
                 Ok(record) => Answer::Written(record.version),
                 Err(_unreadable) => Answer::Lost,
             }),
-            CONFLICT => Ok(Answer::Refused(Some(Record::parse(&reply.body)?.object()?))),
+            // Without the object in it, a refusal does not tell whether the write itself stands there.
+            CONFLICT => match Record::parse(&reply.body) {
+                Ok(record) => Ok(Answer::Refused(Some(record.object()?))),
+                Err(_unreadable) => Ok(Answer::Lost),
+            },
             NOT_FOUND => Ok(Answer::Refused(None)),
             status => Err(PlatformError::Status(status).into()),
         }
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -306,3 +306,16 @@
         assert_eq!((object.version, &object.value), (Version::new(2), &None));
     });
 }
+
+// Guards against a refused creation that is reported as a fault because it does not show the object.
+#[async_std::test]
+async fn refusals_without_the_object_are_read_back() {
+    let bench = Bench::new();
+    bench.create("fast").await;
+    bench.faults(json!({ "bare": true }));
+    let again = bench
+        .store
+        .put(key("fast"), Condition::Absent, profile(6))
+        .await;
+    assert_matches!(again, Err(PlatformError::Conflict(_)));
+}
