--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -54,7 +54,12 @@
     /// The flow cache names the host of the flow.
     Cached,
     /// The packet visits the hosts that may hold the flow.
-    Searched,
+    Searched {
+        /// Search rounds before this one.
+        round: u8,
+        /// Number of agents that the balancer knows.
+        known: usize,
+    },
 }
 
 /// Why a balancer does not forward a packet.
@@ -130,7 +135,11 @@
         }
         let candidates = search::round(view, &flow, round);
         match candidates.as_slice().first() {
-            Some(node) => self.send(*node, candidates, ServiceKey::NONE, HostSource::Searched),
+            Some(node) => {
+                let known = view.agent_count();
+                let how = HostSource::Searched { round, known };
+                self.send(*node, candidates, ServiceKey::NONE, how)
+            }
             None => Verdict::Drop(RejectReason::Unsettled),
         }
     }
--- a/crates/forwarding/src/balancer/view.rs
+++ b/crates/forwarding/src/balancer/view.rs
@@ -80,6 +80,11 @@
             .map_or(&[], |view| view.hosts.as_slice())
     }
 
+    /// Number of agents, those of ended hosts included.
+    pub(crate) fn agent_count(&self) -> usize {
+        self.services.values().map(|view| view.hosts.len()).sum()
+    }
+
     /// Services that may hold flows of a route: current ones, earlier ones, then all others.
     pub(crate) fn holders(&self, address: &SocketAddrV4) -> impl Iterator<Item = ServiceKey> {
         let route = self.route(address);
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -230,7 +230,7 @@
     let verdict = fixture.send(10, &packet_header(1, false));
     let forward_header = assert_matches!(
         verdict,
-        Verdict::Send { forward_header, how: HostSource::Searched, .. } => forward_header
+        Verdict::Send { forward_header, how: HostSource::Searched { round: 0, known: 3 }, .. } => forward_header
     );
     assert_eq!(forward_header.candidates.as_slice().len(), 3);
     let held = Hint::Held {
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -118,9 +118,11 @@
         let (flow, version) = (packet_header.inbound(), view.version());
         match how {
             HostSource::Cached => {}
-            HostSource::Searched => event::FLOW_SEARCHED.log(&[
+            HostSource::Searched { round, known } => event::FLOW_SEARCHED.log(&[
                 ("flow", &flow),
                 ("first", &to.ip()),
+                ("round", &round),
+                ("known", &known),
                 ("version", &version),
             ]),
             HostSource::Placed {
