A search for a flow's host remembers agents, not a round number

Cause: the search kept a position, `round * 16`, in a list that is computed anew from the view of the moment, and moved it on by one for each packet that the agents reported as missing. Packets of one burst fail together, so two packets in flight move it on by two: the rounds 1 and 3 follow each other for ever and the agents of 0 and 2 are never asked. An agent that joins the list in front of the position is not asked either.

Now the agents return the packet itself with the agents that it passed, and the balancer keeps the set of agents that have returned a packet of the flow. The next packet visits the first 16 agents outside of the set. What one packet reports is no longer counted twice, and it does not matter where in the list an agent joins. A search that ends without a result is repeated after a second; sooner packets visit only agents that have joined.

--- a/crates/forwarding/src/agent/decision.rs
+++ b/crates/forwarding/src/agent/decision.rs
@@ -1,6 +1,6 @@
 use usher_types::Span;
 
-use crate::{FlowKey, ForwardHeader, NodeId};
+use crate::{Candidates, FlowKey, ForwardHeader, NodeId};
 
 /// An agent's decision about a packet from a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,14 +39,12 @@
         /// Shortest expected wait of the agents that the packet visited.
         wait: Option<Span>,
     },
-    /// Notify the balancer that no candidate holds the flow.
+    /// Return the packet to the balancer, since no candidate holds its flow.
     Missing {
-        /// The flow.
-        flow: FlowKey,
         /// Balancer that sent the packet.
         origin: NodeId,
-        /// Position up to which the caller has received.
-        received: u32,
+        /// The candidates.
+        visited: Candidates,
     },
     /// Queue the packet until a slot is free; see [`Release`].
     Hold,
--- a/crates/forwarding/src/agent/forward.rs
+++ b/crates/forwarding/src/agent/forward.rs
@@ -2,7 +2,7 @@
 
 use super::decision::{ForwardReason, Inbound, InboundAction, Release};
 use crate::forward_header::ShortestQueue;
-use crate::{FlowKey, ForwardHeader, PacketHeader};
+use crate::{FlowKey, ForwardHeader};
 
 /// Forwards an opening packet to the next candidate.
 ///
@@ -50,11 +50,7 @@
 }
 
 /// Forwards a packet of an established flow to the next candidate.
-pub(crate) fn route_established(
-    packet_header: &PacketHeader,
-    forward_header: &ForwardHeader,
-    reason: ForwardReason,
-) -> Inbound {
+pub(crate) fn route_established(forward_header: &ForwardHeader, reason: ForwardReason) -> Inbound {
     let action = match forward_header.next() {
         Some((to, forward_header)) => InboundAction::Forward {
             to,
@@ -62,9 +58,8 @@
             reason,
         },
         None => InboundAction::Missing {
-            flow: packet_header.inbound(),
             origin: forward_header.origin,
-            received: packet_header.acknowledged,
+            visited: forward_header.candidates,
         },
     };
     Inbound {
--- a/crates/forwarding/src/agent/forwarder.rs
+++ b/crates/forwarding/src/agent/forwarder.rs
@@ -136,7 +136,7 @@
         }
         let complete = now >= self.complete_at || self.lifecycle.state() == HostState::Ended;
         if complete {
-            return route_established(packet_header, forward_header, ForwardReason::NotHeld);
+            return route_established(forward_header, ForwardReason::NotHeld);
         }
         let token = self.deliveries.issue_token(flow, *forward_header);
         let action = InboundAction::Deliver {
@@ -364,7 +364,7 @@
             self.monitor.returned_opening(now);
             return self.forward_opening(now, flow, &forward_header, None, ForwardReason::Returned);
         }
-        route_established(packet_header, &forward_header, ForwardReason::Returned)
+        route_established(&forward_header, ForwardReason::Returned)
     }
 
     // Notifies the balancer where the flow is, unless this agent is the first candidate.
--- a/crates/forwarding/src/balancer/flow_cache.rs
+++ b/crates/forwarding/src/balancer/flow_cache.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use usher_types::{Span, Time};
 
+use super::flow_search::FlowSearch;
 use crate::{FlowKey, NodeId};
 
 // 32,768 flows in each of two generations take about 3 MB.
@@ -11,12 +12,12 @@
 const GENERATION_PERIOD: Span = Span::from_secs(30);
 
 /// What a balancer knows about the host of a flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum FlowLocation {
     /// This host holds the flow.
     At(NodeId),
-    /// This many search rounds have not found the host.
-    Searched(u8),
+    /// The host is searched.
+    Searched(Box<FlowSearch>),
 }
 
 /// Bounded cache of the hosts that hold flows.
@@ -31,13 +32,11 @@
 
 impl FlowCache {
     /// Looks up a flow and moves its entry to the young generation.
-    pub(crate) fn get(&mut self, flow: &FlowKey) -> Option<FlowLocation> {
-        if let Some(known) = self.young.get(flow) {
-            return Some(*known);
+    pub(crate) fn get(&mut self, flow: &FlowKey) -> Option<&mut FlowLocation> {
+        if let Some(known) = self.old.swap_remove(flow) {
+            self.young.entry(*flow).or_insert(known);
         }
-        let known = self.old.swap_remove(flow)?;
-        self.young.insert(*flow, known);
-        Some(known)
+        self.young.get_mut(flow)
     }
 
     pub(crate) fn insert(&mut self, now: Time, flow: FlowKey, known: FlowLocation) {
--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -1,6 +1,9 @@
+use std::mem;
+
 use usher_types::{Span, Time};
 
 use super::flow_cache::{FlowCache, FlowLocation};
+use super::flow_search::FlowSearch;
 use super::placement::Cost;
 use super::search;
 use super::view::{HostView, RoutingView};
@@ -10,8 +13,8 @@
 
 // Time that a balancer allows hosts to report before it concludes that one is gone.
 const SETTLE_TIME: Span = Span::from_secs(5);
-// Hosts that a new flow may be placed on. Fewer than one search round visits, so that a few hosts
-// can join a large service before the first round misses a flow.
+// Hosts that a new flow may be placed on. Fewer than one packet of a search visits, so that a few
+// hosts can join a large service before the first packet misses a flow.
 const PLACEMENT_HOSTS: usize = 12;
 
 /// A balancer's decision about a packet.
@@ -55,8 +58,8 @@
     Cached,
     /// The packet visits the hosts that may hold the flow.
     Searched {
-        /// Search rounds before this one.
-        round: u8,
+        /// Number of agents that returned a packet of the flow before.
+        visited: usize,
         /// Number of agents that the balancer knows.
         known: usize,
     },
@@ -121,69 +124,77 @@
         if packet_header.opens() {
             return self.on_opening(now, flow, view);
         }
-        let round = match self.cache.get(&flow) {
+        match self.cache.get(&flow) {
             Some(FlowLocation::At(node)) => {
-                let mut candidates = Candidates::default();
-                candidates.push(node);
-                return self.send(node, candidates, ServiceKey::NONE, HostSource::Cached);
+                let node = *node;
+                return self.send_cached(node);
             }
-            Some(FlowLocation::Searched(round)) => round,
-            None => 0,
-        };
+            Some(FlowLocation::Searched(search)) if search.is_over(now) => {
+                self.cache.remove(&flow);
+            }
+            _ => {}
+        }
         if view.route(&flow.address).is_none() {
             return Verdict::Drop(RejectReason::NoRoute);
         }
-        let candidates = search::round(view, &flow, round);
-        match candidates.as_slice().first() {
-            Some(node) => {
-                let known = view.agent_count();
-                let how = HostSource::Searched { round, known };
-                self.send(*node, candidates, ServiceKey::NONE, how)
-            }
-            None => Verdict::Drop(RejectReason::Unsettled),
-        }
+        self.search(now, flow, packet_header.acknowledged, view)
     }
 
-    /// Applies a hint from an agent.
+    /// Decides on a packet that the `visited` agents have returned, since none holds its flow.
     ///
-    /// Returns a reset if the flow's host is known to be gone.
-    pub fn on_hint(&mut self, now: Time, hint: &Hint, view: &RoutingView) -> Option<Verdict> {
-        match *hint {
-            Hint::Held { flow, node } => {
-                self.cache.insert(now, flow, FlowLocation::At(node));
-                None
-            }
-            Hint::Missing { flow, received } => self.on_missing(now, flow, received, view),
-        }
-    }
-
-    // The next packet of the flow goes to the agents of the next search round. After the last round
-    // the flow is lost.
-    fn on_missing(
+    /// Returns `None` while agents are left, which the next packet of the flow visits. After the
+    /// last agent the flow is lost; it is reset if its host is known to be gone.
+    pub fn on_returned(
         &mut self,
         now: Time,
-        flow: FlowKey,
-        received: u32,
+        packet_header: &PacketHeader,
+        visited: &Candidates,
         view: &RoutingView,
     ) -> Option<Verdict> {
-        let next = match self.cache.get(&flow) {
-            Some(FlowLocation::Searched(round)) => round.saturating_add(1),
-            Some(FlowLocation::At(_)) => 0,
-            None => 1,
+        let flow = packet_header.inbound();
+        let mut search = match self.cache.get(&flow) {
+            // Another packet of the flow has found the host in the meantime.
+            Some(FlowLocation::At(node)) if !visited.as_slice().contains(node) => return None,
+            Some(FlowLocation::Searched(search)) => mem::take(search),
+            Some(FlowLocation::At(_)) | None => Box::default(),
         };
-        if !search::round(view, &flow, next).as_slice().is_empty() {
-            self.cache.insert(now, flow, FlowLocation::Searched(next));
-            return None;
+        search.add(visited);
+        self.cache.insert(now, flow, FlowLocation::Searched(search));
+        let verdict = self.search(now, flow, packet_header.acknowledged, view);
+        (!matches!(verdict, Verdict::Send { .. })).then_some(verdict)
+    }
+
+    /// Applies a hint from an agent.
+    pub fn on_hint(&mut self, now: Time, hint: &Hint) {
+        self.cache
+            .insert(now, hint.flow, FlowLocation::At(hint.node));
+    }
+
+    // Sends a packet to the agents that have not returned one of its flow yet.
+    fn search(&mut self, now: Time, flow: FlowKey, received: u32, view: &RoutingView) -> Verdict {
+        let mut unknown = FlowSearch::default();
+        let search = match self.cache.get(&flow) {
+            Some(FlowLocation::Searched(search)) => search,
+            _ => &mut unknown,
+        };
+        let candidates = search::next_agents(view, &flow, search);
+        if let Some(node) = candidates.as_slice().first() {
+            let how = HostSource::Searched {
+                visited: search.visited(),
+                known: view.agent_count(),
+            };
+            return self.send(*node, candidates, ServiceKey::NONE, how);
         }
-        self.cache.remove(&flow);
-        if !view.is_settled(now, SETTLE_TIME) {
-            return Some(Verdict::Drop(RejectReason::Unsettled));
+        if search.is_full() || !view.is_settled(now, SETTLE_TIME) {
+            search.exhaust(now);
+            return Verdict::Drop(RejectReason::Unsettled);
         }
-        Some(Verdict::Reset {
+        self.cache.remove(&flow);
+        Verdict::Reset {
             flow,
             received,
             reason: RejectReason::HostGone,
-        })
+        }
     }
 
     fn on_opening(&mut self, now: Time, flow: FlowKey, view: &RoutingView) -> Verdict {
@@ -203,11 +214,14 @@
         };
         let hosts = search::shortlist(view.hosts(service), &flow, PLACEMENT_HOSTS);
         let ranked = rank(now, &hosts, &flow);
-        let known = self.cache.get(&flow);
+        let known = match self.cache.get(&flow) {
+            Some(FlowLocation::At(node)) => Some(*node),
+            _ => None,
+        };
         // A copy of an opening packet goes to the host of the first one while that host is heard.
         let repeated = ranked
             .iter()
-            .position(|(cost, host)| known == Some(FlowLocation::At(host.node)) && cost.is_fit());
+            .position(|(cost, host)| known == Some(host.node) && cost.is_fit());
         let first = repeated.unwrap_or(0);
         let Some((_, chosen)) = ranked.get(first).filter(|(cost, _)| cost.serves()) else {
             // Hosts may not have reported yet to a balancer that has just started. The caller
@@ -243,6 +257,12 @@
         verdict
     }
 
+    fn send_cached(&self, node: NodeId) -> Verdict {
+        let mut candidates = Candidates::default();
+        candidates.push(node);
+        self.send(node, candidates, ServiceKey::NONE, HostSource::Cached)
+    }
+
     fn send(
         &self,
         to: NodeId,
--- a/crates/forwarding/src/balancer/mod.rs
+++ b/crates/forwarding/src/balancer/mod.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod flow_cache;
+mod flow_search;
 mod forwarder;
 mod host_record;
 mod placement;
--- a/crates/forwarding/src/balancer/search.rs
+++ b/crates/forwarding/src/balancer/search.rs
@@ -1,5 +1,8 @@
+use indexmap::IndexSet;
+
+use super::flow_search::FlowSearch;
 use super::view::{HostView, RoutingView};
-use crate::{Candidates, FlowKey, HostState, NodeId};
+use crate::{Candidates, FlowKey, HostState, NodeId, ServiceKey};
 
 /// The first `length` hosts of a service for a flow, by rendezvous hashing.
 ///
@@ -16,33 +19,30 @@
     list
 }
 
-/// The agents that one round of a search for a flow visits.
+/// The agents that the next packet of a searched flow visits; empty when all were visited.
 ///
-/// Those of the route's services come first, then all others. Empty after the last round.
-pub(crate) fn round(view: &RoutingView, flow: &FlowKey, round: u8) -> Candidates {
+/// Those of the route's services come first, then all others.
+pub(crate) fn next_agents(view: &RoutingView, flow: &FlowKey, search: &FlowSearch) -> Candidates {
     let mut candidates = Candidates::default();
-    let skipped = usize::from(round) * Candidates::MAX;
-    let mut seen = Vec::new();
-    let mut nodes = Vec::new();
-    for service in view.holders(&flow.address) {
-        if seen.contains(&service) {
-            continue;
-        }
-        seen.push(service);
+    if search.is_full() {
+        return candidates;
+    }
+    let services: IndexSet<ServiceKey> = view.holders(&flow.address).collect();
+    for service in services {
         let hosts = view.hosts(service);
         let mut list = shortlist(hosts, flow, hosts.len());
         if list.len() <= Candidates::MAX {
-            // One round visits all of them. New flows prefer this data centre, so begin there.
+            // One packet visits all of them. New flows prefer this data centre, so begin there.
             list.sort_by_key(|host| !host.same_centre);
         }
-        nodes.extend(list.iter().map(|host| host.node));
-        if nodes.len() >= skipped + Candidates::MAX {
+        let unvisited = list.iter().filter(|host| !search.has_visited(host.node));
+        for host in unvisited {
+            candidates.push(host.node);
+        }
+        if candidates.is_full() {
             break;
         }
     }
-    for node in nodes.into_iter().skip(skipped) {
-        candidates.push(node);
-    }
     candidates
 }
 
--- a/crates/forwarding/src/candidates.rs
+++ b/crates/forwarding/src/candidates.rs
@@ -24,10 +24,14 @@
         &self.nodes[..usize::from(self.length)]
     }
 
+    /// Whether no further agent can be appended.
+    pub(crate) fn is_full(&self) -> bool {
+        usize::from(self.length) == Self::MAX
+    }
+
     /// Appends an agent, unless it is listed or the list is full.
     pub fn push(&mut self, node: NodeId) {
-        let full = usize::from(self.length) == Self::MAX;
-        if full || self.as_slice().contains(&node) {
+        if self.is_full() || self.as_slice().contains(&node) {
             return;
         }
         self.nodes[usize::from(self.length)] = node;
--- a/crates/forwarding/tests/agent/flows.rs
+++ b/crates/forwarding/tests/agent/flows.rs
@@ -218,7 +218,8 @@
     let inbound = agent.on_packet(at(1), &data_packet(1), &forward_header(&[4, 3], 1));
     assert_matches!(
         inbound.action,
-        InboundAction::Missing { origin, received: 77, .. } if origin == node(9)
+        InboundAction::Missing { origin, visited }
+            if origin == node(9) && visited.as_slice() == [node(4), node(3)]
     );
 }
 
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -4,8 +4,9 @@
 
 use assert_matches::assert_matches;
 use usher_forwarding::{
-    BalancerForwarder, Configuration, Flags, FlowKey, Hint, HostDirectory, HostSource, HostState,
-    Load, NodeId, PacketHeader, RejectReason, Report, Route, RoutingView, ServiceKey, Verdict,
+    BalancerForwarder, Candidates, Configuration, Flags, FlowKey, Hint, HostDirectory, HostSource,
+    HostState, Load, NodeId, PacketHeader, RejectReason, Report, Route, RoutingView, ServiceKey,
+    Verdict,
 };
 use usher_types::{Sequence, Slots, Span, Time, Version};
 
@@ -97,6 +98,20 @@
             .on_packet(at(millis), packet_header, &self.view)
     }
 
+    // Returns a packet of flow 1 that the agents do not hold.
+    fn give_back(&mut self, millis: u64, agents: &[u8]) -> Option<Verdict> {
+        let mut visited = Candidates::default();
+        for last in agents {
+            visited.push(node(*last));
+        }
+        let packet = PacketHeader {
+            acknowledged: 7,
+            ..packet_header(1, false)
+        };
+        self.forwarder
+            .on_returned(at(millis), &packet, &visited, &self.view)
+    }
+
     // Sends an opening packet and returns the host that the flow is placed on.
     fn place(&mut self, millis: u64, port: u16, copy: u32) -> NodeId {
         let verdict = self.send(millis, &opening(port, copy));
@@ -230,17 +245,14 @@
     let verdict = fixture.send(10, &packet_header(1, false));
     let forward_header = assert_matches!(
         verdict,
-        Verdict::Send { forward_header, how: HostSource::Searched { round: 0, known: 3 }, .. } => forward_header
+        Verdict::Send { forward_header, how: HostSource::Searched { visited: 0, known: 3 }, .. } => forward_header
     );
     assert_eq!(forward_header.candidates.as_slice().len(), 3);
-    let held = Hint::Held {
+    let held = Hint {
         flow: flow(1),
         node: node(5),
     };
-    assert_eq!(
-        fixture.forwarder.on_hint(at(11), &held, &fixture.view),
-        None
-    );
+    fixture.forwarder.on_hint(at(11), &held);
     let verdict = fixture.send(12, &packet_header(1, false));
     assert_matches!(verdict, Verdict::Send { to, how: HostSource::Cached, .. } if to == node(5));
 }
@@ -287,66 +299,25 @@
 /// Guards against the reset of a flow whose host may still run.
 #[test]
 fn a_missing_flow_is_reset_only_when_all_hosts_are_heard() {
-    let missing = Hint::Missing {
-        flow: flow(1),
-        received: 7,
-    };
     let mut fixture = Fixture::new();
     let unsettled = Some(Verdict::Drop(RejectReason::Unsettled));
-    let verdict = fixture.forwarder.on_hint(at(100), &missing, &fixture.view);
+    let verdict = fixture.give_back(100, &[3, 4, 5]);
     assert_eq!(verdict, unsettled, "hosts may not have been heard yet");
     fixture.send(200, &packet_header(1, false));
     fixture.report_all(6_000, 2);
-    let verdict = fixture
-        .forwarder
-        .on_hint(at(6_000), &missing, &fixture.view);
+    let verdict = fixture.give_back(6_000, &[3, 4, 5]);
     assert_matches!(verdict, Some(Verdict::Reset { received: 7, .. }));
     fixture.on_report(7_000, 4, &report(3, SERVICE));
-    let verdict = fixture
-        .forwarder
-        .on_hint(at(7_000), &missing, &fixture.view);
+    let verdict = fixture.give_back(7_000, &[3, 4, 5]);
     assert_eq!(verdict, unsettled, "two hosts are not heard");
     fixture.report_all(7_100, 4);
     fixture.on_report(7_100, 6, &report(1, SERVICE));
-    let verdict = fixture
-        .forwarder
-        .on_hint(at(7_200), &missing, &fixture.view);
+    let verdict = fixture.give_back(7_200, &[3, 4, 5]);
+    assert_eq!(verdict, None, "a host has just joined and is not visited");
+    let verdict = fixture.give_back(7_200, &[6]);
     assert_eq!(verdict, unsettled, "a host has just joined");
 }
 
-/// Guards against the reset of a flow whose host a search visits late.
-///
-/// A large service has more hosts than one search round visits.
-#[test]
-fn a_search_visits_all_hosts_of_a_large_service_before_a_reset() {
-    let mut fixture = Fixture::new();
-    for last in 10..47 {
-        fixture.on_report(1, last, &report(1, SERVICE));
-    }
-    for last in 10..47 {
-        fixture.on_report(6_000, last, &report(2, SERVICE));
-    }
-    fixture.report_all(6_000, 2);
-    let missing = Hint::Missing {
-        flow: flow(1),
-        received: 7,
-    };
-    let mut visited = Vec::new();
-    for _round in 0..3 {
-        let verdict = fixture.send(6_000, &packet_header(1, false));
-        let forward_header =
-            assert_matches!(verdict, Verdict::Send { forward_header, .. } => forward_header);
-        visited.extend_from_slice(forward_header.candidates.as_slice());
-        let verdict = fixture
-            .forwarder
-            .on_hint(at(6_000), &missing, &fixture.view);
-        assert_eq!(verdict.is_some(), visited.len() == 40, "{}", visited.len());
-    }
-    visited.sort();
-    visited.dedup();
-    assert_eq!(visited.len(), 40);
-}
-
 /// Guards against flows of a large service on hosts that a search visits last.
 #[test]
 fn flows_of_a_large_service_are_placed_where_a_search_begins() {
--- a/crates/forwarding/tests/world/model.rs
+++ b/crates/forwarding/tests/world/model.rs
@@ -5,8 +5,9 @@
 
 use proptest::sample::Index;
 use usher_forwarding::{
-    AgentForwarder, BalancerForwarder, Configuration, Flags, FlowKey, ForwardHeader, Hint,
-    HostDirectory, HostHeartbeat, NodeId, PacketHeader, Report, Route, RoutingView, ServiceKey,
+    AgentForwarder, BalancerForwarder, Candidates, Configuration, Flags, FlowKey, ForwardHeader,
+    Hint, HostDirectory, HostHeartbeat, NodeId, PacketHeader, Report, Route, RoutingView,
+    ServiceKey,
 };
 use usher_types::{Sequence, Slots, Span, Time, Version};
 
@@ -39,6 +40,7 @@
     ToHost(NodeId, PacketHeader),
     FromHost(NodeId, PacketHeader),
     HintTo(NodeId, Hint),
+    ReturnTo(NodeId, PacketHeader, Candidates),
     ToCaller(PacketHeader),
     Reset(FlowKey),
 }
--- a/crates/forwarding/tests/world/model/traffic.rs
+++ b/crates/forwarding/tests/world/model/traffic.rs
@@ -32,13 +32,21 @@
                     balancer
                         .forwarder
                         .on_packet(self.now, &packet_header, &balancer.view);
-                self.apply_verdict(&verdict, Some(packet_header));
+                self.apply_verdict(&verdict, packet_header);
             }
             Message::HintTo(node, hint) => {
                 let balancer = &mut self.balancers[host_of(node)];
-                let verdict = balancer.forwarder.on_hint(self.now, &hint, &balancer.view);
+                balancer.forwarder.on_hint(self.now, &hint);
+            }
+            Message::ReturnTo(node, packet_header, visited) => {
+                let balancer = &mut self.balancers[host_of(node)];
+                let view = &balancer.view;
+                let verdict =
+                    balancer
+                        .forwarder
+                        .on_returned(self.now, &packet_header, &visited, view);
                 if let Some(verdict) = verdict {
-                    self.apply_verdict(&verdict, None);
+                    self.apply_verdict(&verdict, packet_header);
                 }
             }
             Message::ToAgent(node, packet_header, forward_header) => {
@@ -74,19 +82,16 @@
         }
     }
 
-    fn apply_verdict(&mut self, verdict: &Verdict, packet_header: Option<PacketHeader>) {
-        match (verdict, packet_header) {
-            (
-                Verdict::Send {
-                    to, forward_header, ..
-                },
-                Some(packet_header),
-            ) => {
+    fn apply_verdict(&mut self, verdict: &Verdict, packet_header: PacketHeader) {
+        match verdict {
+            Verdict::Send {
+                to, forward_header, ..
+            } => {
                 self.queue
                     .push_back(Message::ToAgent(*to, packet_header, *forward_header));
             }
-            (Verdict::Reset { flow, .. }, _) => self.queue.push_back(Message::Reset(*flow)),
-            _ => {}
+            Verdict::Reset { flow, .. } => self.queue.push_back(Message::Reset(*flow)),
+            Verdict::Drop(_) => {}
         }
     }
 
@@ -107,18 +112,14 @@
                     .push_back(Message::ToAgent(to, packet_header, forward_header));
             }
             InboundAction::Refuse { flow, .. } => self.queue.push_back(Message::Reset(flow)),
-            InboundAction::Missing {
-                flow,
-                origin,
-                received,
-            } => {
-                let hint = Hint::Missing { flow, received };
-                self.queue.push_back(Message::HintTo(origin, hint));
+            InboundAction::Missing { origin, visited } => {
+                self.queue
+                    .push_back(Message::ReturnTo(origin, packet_header, visited));
             }
             InboundAction::Hold | InboundAction::Drop => {}
         }
         if let Some(origin) = inbound.notify {
-            let hint = Hint::Held { flow, node };
+            let hint = Hint { flow, node };
             self.queue.push_back(Message::HintTo(origin, hint));
         }
     }
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -3,12 +3,14 @@
 
 use indexmap::IndexMap;
 use usher_forwarding::{
-    AgentForwarder, FlowKey, ForwardHeader, Hint, Inbound, InboundAction, NodeId, Outbound,
-    PacketHeader,
+    AgentForwarder, Candidates, FlowKey, ForwardHeader, Hint, Inbound, InboundAction, NodeId,
+    Outbound, PacketHeader,
 };
 use usher_platform::{clear_returned, decode_header, encode_reset, set_token};
 
-use crate::codec::{DATAGRAM_BYTES, read_forward_header, write_forward_header, write_hint};
+use crate::codec::{
+    DATAGRAM_BYTES, read_forward_header, write_forward_header, write_hint, write_returned,
+};
 use crate::event;
 use crate::metrics::{Direction, Metrics};
 use crate::socket::{receive_all, send};
@@ -177,12 +179,8 @@
                 let wait = wait.map_or_else(|| "none".to_owned(), |wait| wait.to_string());
                 event::FLOW_REFUSED.log(&[("flow", &flow), ("reason", &"hosts"), ("wait", &wait)]);
             }
-            InboundAction::Missing {
-                flow,
-                origin,
-                received,
-            } => {
-                self.send_hint(origin, &Hint::Missing { flow, received });
+            InboundAction::Missing { origin, visited } => {
+                self.return_packet(packet, origin, &visited);
                 event::FLOW_MISSING.log(&[("flow", &flow), ("balancer", &origin)]);
             }
             InboundAction::Hold => {
@@ -194,7 +192,7 @@
         }
         if let Some(origin) = decision.notify {
             let node = self.node;
-            self.send_hint(origin, &Hint::Held { flow, node });
+            self.send_hint(origin, &Hint { flow, node });
         }
     }
 
@@ -205,6 +203,13 @@
         send(&self.network_socket, &out[..length], to);
     }
 
+    fn return_packet(&self, packet: &[u8], to: NodeId, visited: &Candidates) {
+        let mut out = [0; DATAGRAM_BYTES];
+        let length = write_returned(&mut out, packet, visited);
+        let to = SocketAddrV4::new(to.address(), self.port);
+        send(&self.network_socket, &out[..length], to);
+    }
+
     fn send_hint(&self, to: NodeId, hint: &Hint) {
         let to = SocketAddrV4::new(to.address(), self.port);
         send(&self.network_socket, &write_hint(hint), to);
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -2,12 +2,13 @@
 
 use arc_swap::ArcSwap;
 use usher_forwarding::{
-    BalancerForwarder, HostSource, NodeId, PacketHeader, RejectReason, RoutingView, Verdict,
+    BalancerForwarder, Candidates, HostSource, NodeId, PacketHeader, RejectReason, RoutingView,
+    Verdict,
 };
 use usher_platform::{decode_header, encode_reset};
 use usher_types::Time;
 
-use crate::codec::{DATAGRAM_BYTES, HINT_BYTES, read_hint, write_forward_header};
+use crate::codec::{DATAGRAM_BYTES, HINT_BYTES, read_hint, read_returned, write_forward_header};
 use crate::event;
 use crate::metrics::{Direction, Metrics};
 use crate::socket::{receive_all, send};
@@ -46,9 +47,9 @@
 impl Traffic<'_> {
     fn on_datagram(&mut self, now: Time, bytes: &[u8], view: &RoutingView) {
         if bytes.len() == HINT_BYTES {
-            let hint = read_hint(bytes);
-            if let Some(verdict) = hint.and_then(|hint| self.forwarder.on_hint(now, &hint, view)) {
-                self.execute(bytes, None, verdict, view);
+            match read_hint(bytes) {
+                Some(hint) => self.forwarder.on_hint(now, &hint),
+                None => event::MALFORMED.log(&[("datagram", &"not a hint")]),
             }
             return;
         }
@@ -56,7 +57,23 @@
             Ok(packet_header) => {
                 self.metrics.packet(Direction::Inbound, bytes.len());
                 let verdict = self.forwarder.on_packet(now, &packet_header, view);
-                self.execute(bytes, Some(&packet_header), verdict, view);
+                self.execute(bytes, &packet_header, verdict, view);
+            }
+            Err(fault) => match read_returned(bytes) {
+                Some((packet, visited)) => self.on_returned(now, packet, &visited, view),
+                None => event::MALFORMED.log(&[("fault", &fault)]),
+            },
+        }
+    }
+
+    fn on_returned(&mut self, now: Time, packet: &[u8], visited: &Candidates, view: &RoutingView) {
+        match decode_header(packet) {
+            Ok(packet_header) => {
+                let forwarder = &mut self.forwarder;
+                let verdict = forwarder.on_returned(now, &packet_header, visited, view);
+                if let Some(verdict) = verdict {
+                    self.execute(packet, &packet_header, verdict, view);
+                }
             }
             Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
         }
@@ -65,7 +82,7 @@
     fn execute(
         &mut self,
         packet: &[u8],
-        packet_header: Option<&PacketHeader>,
+        packet_header: &PacketHeader,
         verdict: Verdict,
         view: &RoutingView,
     ) {
@@ -78,9 +95,7 @@
                 let length = write_forward_header(&mut self.out, &forward_header, packet);
                 let to = SocketAddrV4::new(to.address(), self.port);
                 send(self.socket, &self.out[..length], to);
-                if let Some(packet_header) = packet_header {
-                    self.record_sent(packet_header, to, how, view);
-                }
+                self.record_sent(packet_header, to, how, view);
             }
             Verdict::Reset {
                 flow,
@@ -100,9 +115,7 @@
                 ]);
             }
             Verdict::Drop(reason) => {
-                let flow = packet_header.map_or_else(String::new, |packet_header| {
-                    packet_header.inbound().to_string()
-                });
+                let flow = packet_header.inbound();
                 event::PACKET_DROPPED.log(&[("flow", &flow), ("reason", &reason.as_str())]);
             }
         }
@@ -118,10 +131,10 @@
         let (flow, version) = (packet_header.inbound(), view.version());
         match how {
             HostSource::Cached => {}
-            HostSource::Searched { round, known } => event::FLOW_SEARCHED.log(&[
+            HostSource::Searched { visited, known } => event::FLOW_SEARCHED.log(&[
                 ("flow", &flow),
                 ("first", &to.ip()),
-                ("round", &round),
+                ("visited", &visited),
                 ("known", &known),
                 ("version", &version),
             ]),
--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -14,7 +14,9 @@
 
 const FORWARD_HEADER_KIND: u8 = 0xd1;
 const HELD_KIND: u8 = 0xd2;
-const MISSING_KIND: u8 = 0xd3;
+const RETURNED_KIND: u8 = 0xd4;
+// Number of agents and kind, after the agents.
+const RETURNED_BYTES: usize = 2;
 const FINAL_FLAG: u8 = 1;
 // The rank has seven bits of a byte; the eighth is `FINAL_FLAG`.
 const LOWEST_RANK: u8 = 127;
@@ -96,22 +98,19 @@
 /// Encodes a hint.
 pub(crate) fn write_hint(hint: &Hint) -> [u8; HINT_BYTES] {
     let mut out = [0; HINT_BYTES];
-    let (kind, flow, value) = match hint {
-        Hint::Held { flow, node } => (HELD_KIND, flow, u32::from(node.address())),
-        Hint::Missing { flow, received } => (MISSING_KIND, flow, *received),
-    };
-    out[0] = kind;
+    let Hint { flow, node } = hint;
+    out[0] = HELD_KIND;
     out[1..5].copy_from_slice(&flow.caller.ip().octets());
     out[5..7].copy_from_slice(&flow.caller.port().to_be_bytes());
     out[7..11].copy_from_slice(&flow.address.ip().octets());
     out[11..13].copy_from_slice(&flow.address.port().to_be_bytes());
-    out[13..17].copy_from_slice(&value.to_be_bytes());
+    out[13..17].copy_from_slice(&node.address().octets());
     out
 }
 
 /// Decodes a hint.
 pub(crate) fn read_hint(bytes: &[u8]) -> Option<Hint> {
-    if bytes.len() != HINT_BYTES {
+    if bytes.len() != HINT_BYTES || bytes[0] != HELD_KIND {
         return None;
     }
     let endpoint = |offset: usize| {
@@ -125,18 +124,47 @@
         caller: endpoint(1)?,
         address: endpoint(7)?,
     };
-    let value = number_at(bytes, 13)?;
-    match bytes[0] {
-        HELD_KIND => Some(Hint::Held {
-            flow,
-            node: NodeId::new(Ipv4Addr::from(value)),
-        }),
-        MISSING_KIND => Some(Hint::Missing {
-            flow,
-            received: value,
-        }),
-        _ => None,
+    let node = node_at(bytes, 13)?;
+    Some(Hint { flow, node })
+}
+
+/// Encodes a packet that agents return to a balancer, with these agents; returns the length.
+///
+/// The agents follow the packet, whose own length field then differs from the datagram's length.
+/// This tells it from a packet of a caller.
+pub(crate) fn write_returned(
+    out: &mut [u8; DATAGRAM_BYTES],
+    packet: &[u8],
+    visited: &Candidates,
+) -> usize {
+    let nodes = visited.as_slice();
+    let trailer = nodes.len() * 4 + RETURNED_BYTES;
+    let mut offset = packet.len().min(out.len() - trailer);
+    out[..offset].copy_from_slice(&packet[..offset]);
+    for node in nodes {
+        out[offset..offset + 4].copy_from_slice(&node.address().octets());
+        offset += 4;
+    }
+    out[offset] = nodes.len() as u8;
+    out[offset + 1] = RETURNED_KIND;
+    offset + RETURNED_BYTES
+}
+
+/// Decodes a returned packet and the agents that it visited.
+pub(crate) fn read_returned(bytes: &[u8]) -> Option<(&[u8], Candidates)> {
+    let (rest, [count, RETURNED_KIND]) = bytes.split_last_chunk()? else {
+        return None;
+    };
+    let count = usize::from(*count);
+    if count > Candidates::MAX {
+        return None;
+    }
+    let (packet, nodes) = rest.split_at_checked(rest.len().checked_sub(count * 4)?)?;
+    let mut visited = Candidates::default();
+    for node in nodes.chunks_exact(4) {
+        visited.push(node_at(node, 0)?);
     }
+    Some((packet, visited))
 }
 
 /// Encodes a message between nodes.
