A returned packet goes on to the remaining agents at once

Callers saw open flows stall for seconds after a balancer was replaced in a service of 50 hosts, beside those that were lost for good.

Cause: a search went on only with the caller's next packet, and a caller repeats one after 200 ms, then 400, 800 and 1,600 ms. A fleet of more than 48 agents needs four packets, so the host is asked after 1.4 s at the earliest and after 3 s if one of them is lost.

Evidence: a_packet_visits_all_agents_without_a_retransmission fails with the former behaviour put back (16 of 50 agents visited by one packet).

The balancer now sends the packet that agents have returned on to the agents that are left; 50 agents are visited in some 50 hops of a millisecond. A packet that is returned after another one has found the host follows it there. The order in which agents are asked is as before, and so is the condition for a reset.

--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -142,26 +142,28 @@
 
     /// Decides on a packet that the `visited` agents have returned, since none holds its flow.
     ///
-    /// Returns `None` while agents are left, which the next packet of the flow visits. After the
-    /// last agent the flow is lost; it is reset if its host is known to be gone.
+    /// The packet goes on to the agents that are left. After the last one the flow is lost; it is
+    /// reset if its host is known to be gone.
     pub fn on_returned(
         &mut self,
         now: Time,
         packet_header: &PacketHeader,
         visited: &Candidates,
         view: &RoutingView,
-    ) -> Option<Verdict> {
+    ) -> Verdict {
         let flow = packet_header.inbound();
         let mut search = match self.cache.get(&flow) {
             // Another packet of the flow has found the host in the meantime.
-            Some(FlowLocation::At(node)) if !visited.as_slice().contains(node) => return None,
+            Some(FlowLocation::At(node)) if !visited.as_slice().contains(node) => {
+                let node = *node;
+                return self.send_cached(node);
+            }
             Some(FlowLocation::Searched(search)) => mem::take(search),
             Some(FlowLocation::At(_)) | None => Box::default(),
         };
         search.add(visited);
         self.cache.insert(now, flow, FlowLocation::Searched(search));
-        let verdict = self.search(now, flow, packet_header.acknowledged, view);
-        (!matches!(verdict, Verdict::Send { .. })).then_some(verdict)
+        self.search(now, flow, packet_header.acknowledged, view)
     }
 
     /// Applies a hint from an agent.
--- a/crates/forwarding/tests/search.rs
+++ b/crates/forwarding/tests/search.rs
@@ -96,19 +96,22 @@
         self.view = self.directory.view(configuration(), &self.view);
     }
 
-    // Sends a burst of packets; the agents return each of them.
-    fn send(&mut self, millis: u64, packets: usize) -> Vec<Option<Verdict>> {
-        let sent: Vec<Verdict> = (0..packets)
+    // Sends a burst of packets, which visit up to `visits` lists of agents; all return them.
+    fn send(&mut self, millis: u64, packets: usize, visits: usize) -> Vec<Verdict> {
+        let mut verdicts: Vec<Verdict> = (0..packets)
             .map(|_| self.forwarder.on_packet(at(millis), &packet(), &self.view))
             .collect();
-        let returned = sent.into_iter().map(|verdict| match verdict {
-            Verdict::Send { forward_header, .. } => self.give_back(millis, &forward_header),
-            verdict => Some(verdict),
-        });
-        returned.collect()
+        for _visit in 0..visits {
+            for verdict in &mut verdicts {
+                if let Verdict::Send { forward_header, .. } = *verdict {
+                    *verdict = self.give_back(millis, &forward_header);
+                }
+            }
+        }
+        verdicts
     }
 
-    fn give_back(&mut self, millis: u64, forward_header: &ForwardHeader) -> Option<Verdict> {
+    fn give_back(&mut self, millis: u64, forward_header: &ForwardHeader) -> Verdict {
         let candidates: &Candidates = &forward_header.candidates;
         self.visited.extend(candidates.as_slice());
         self.forwarder
@@ -116,12 +119,20 @@
     }
 }
 
+/// Guards against a search that waits for the caller to repeat its packet.
+#[test]
+fn a_packet_visits_all_agents_without_a_retransmission() {
+    let mut fixture = Fixture::new(1..51);
+    fixture.send(100, 1, 4);
+    assert_eq!(fixture.visited.len(), 50);
+}
+
 /// Guards against a search that passes over agents when several packets of a flow are returned.
 #[test]
 fn a_burst_of_packets_skips_no_agent_of_a_search() {
     let mut fixture = Fixture::new(1..51);
     for millis in [100, 300, 700, 1_500] {
-        fixture.send(millis, 2);
+        fixture.send(millis, 2, 1);
     }
     assert_eq!(fixture.visited.len(), 50);
 }
@@ -130,10 +141,10 @@
 #[test]
 fn an_agent_that_joins_during_a_search_is_visited() {
     let mut fixture = Fixture::new(1..20);
-    fixture.send(100, 1);
+    fixture.send(100, 1, 1);
     fixture.report(200, 1, 20..51);
     for millis in [300, 700, 1_500] {
-        fixture.send(millis, 1);
+        fixture.send(millis, 1, 1);
     }
     assert_eq!(fixture.visited.len(), 50);
 }
@@ -142,10 +153,10 @@
 #[test]
 fn an_agent_that_joins_after_a_search_is_visited_by_the_next_packet() {
     let mut fixture = Fixture::new(1..11);
-    let verdicts = fixture.send(100, 1);
-    assert_eq!(verdicts, [Some(Verdict::Drop(RejectReason::Unsettled))]);
+    let verdicts = fixture.send(100, 1, 1);
+    assert_eq!(verdicts, [Verdict::Drop(RejectReason::Unsettled)]);
     fixture.report(200, 1, 11..13);
-    fixture.send(300, 1);
+    fixture.send(300, 1, 1);
     assert_eq!(fixture.visited.len(), 12);
 }
 
@@ -153,11 +164,11 @@
 #[test]
 fn a_search_without_result_is_repeated_after_a_pause() {
     let mut fixture = Fixture::new(1..11);
-    fixture.send(100, 1);
+    fixture.send(100, 1, 1);
     fixture.visited.clear();
-    fixture.send(300, 1);
+    fixture.send(300, 1, 1);
     assert!(fixture.visited.is_empty());
-    fixture.send(1_200, 1);
+    fixture.send(1_200, 1, 1);
     assert_eq!(fixture.visited.len(), 10);
 }
 
@@ -167,8 +178,8 @@
     let mut fixture = Fixture::new(1..41);
     fixture.report(6_000, 2, 1..41);
     for _packet in 0..3 {
-        let verdicts = fixture.send(6_000, 1);
-        let reset = matches!(verdicts[0], Some(Verdict::Reset { .. }));
+        let verdicts = fixture.send(6_000, 1, 1);
+        let reset = matches!(verdicts[0], Verdict::Reset { .. });
         assert_eq!(reset, fixture.visited.len() == 40, "{verdicts:?}");
     }
     assert_eq!(fixture.visited.len(), 40);
@@ -189,7 +200,8 @@
         node: node(60),
     };
     fixture.forwarder.on_hint(at(101), &hint);
-    fixture.give_back(102, &forward_header);
+    let verdict = fixture.give_back(102, &forward_header);
+    assert_matches!(verdict, Verdict::Send { to, .. } if to == node(60));
     let verdict = fixture
         .forwarder
         .on_packet(at(103), &packet(), &fixture.view);
--- a/crates/forwarding/tests/world/model/traffic.rs
+++ b/crates/forwarding/tests/world/model/traffic.rs
@@ -45,9 +45,7 @@
                     balancer
                         .forwarder
                         .on_returned(self.now, &packet_header, &visited, view);
-                if let Some(verdict) = verdict {
-                    self.apply_verdict(&verdict, packet_header);
-                }
+                self.apply_verdict(&verdict, packet_header);
             }
             Message::ToAgent(node, packet_header, forward_header) => {
                 let agent = &mut self.hosts[host_of(node)].agent;
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -71,9 +71,7 @@
             Ok(packet_header) => {
                 let forwarder = &mut self.forwarder;
                 let verdict = forwarder.on_returned(now, &packet_header, visited, view);
-                if let Some(verdict) = verdict {
-                    self.execute(packet, &packet_header, verdict, view);
-                }
+                self.execute(packet, &packet_header, verdict, view);
             }
             Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
         }
