A starting balancer takes over the hosts before it is ready

Callers saw flows of other balancers searched for in vain in the first 0.3 s of a balancer that a rollout had replaced.

Cause: a balancer was ready as soon as one host was heard. In a large fleet agents report to two balancers each, and the others hear of them by digests every 100 ms, and every 500 ms from other data centres.

Now the hello of a balancer says whether it knows all hosts. A starting balancer fetches them, with the age of each report, from the first one that does, and is ready then. Pages go on after an address, not at a position. If no such balancer is heard, because all have started at once, reports of agents are taken as complete after 1.5 s. MU-E2007 names the hosts known, MU-E2133 and MU-E2134 the fetch.

--- a/crates/forwarding/src/balancer/directory.rs
+++ b/crates/forwarding/src/balancer/directory.rs
@@ -6,7 +6,7 @@
 use super::host_record::HostRecord;
 use super::report_rate::ReportRate;
 use super::view::{HostView, RoutingView, ServiceView};
-use crate::{Configuration, HostState, NodeId, Report, ServiceKey};
+use crate::{Configuration, Handover, HostState, KnownHost, NodeId, Report, ServiceKey};
 
 // A silent host is removed after this time, if other hosts are heard.
 const REMOVE_AFTER: Span = Span::from_secs(30);
@@ -80,11 +80,7 @@
         if !superseded && from.is_some_and(|centre| *centre != self.centre) {
             self.local.insert(node, report.clone());
         }
-        let report_rate = if report.centre == self.centre {
-            ReportRate::Fast
-        } else {
-            ReportRate::Slow
-        };
+        let report_rate = self.report_rate(report);
         self.apply_report(now, node, report, report_rate)
     }
 
@@ -104,6 +100,54 @@
         self.remote.drain(..).collect()
     }
 
+    /// Up to `limit` hosts with addresses above `after`, for a balancer that has just started.
+    ///
+    /// Pages continue after an address, so that hosts which join or leave between two pages do not
+    /// hide others.
+    pub fn hand_over(&self, now: Time, after: NodeId, limit: usize) -> Handover {
+        let mut hosts: Vec<_> = self.hosts.iter().collect();
+        hosts.retain(|(node, _)| **node > after);
+        hosts.sort_by_key(|(node, _)| **node);
+        let more = hosts.len() > limit;
+        let page = hosts.into_iter().take(limit);
+        let known = page.map(|(node, host)| KnownHost {
+            agent: *node,
+            report: host.report(now),
+            age: now - host.last_heard,
+        });
+        Handover {
+            hosts: known.collect(),
+            more,
+        }
+    }
+
+    /// Adds the hosts that another balancer knows; returns the number of new ones.
+    ///
+    /// Reports that this balancer has are at least as new.
+    pub fn take_over(&mut self, now: Time, handover: &Handover) -> usize {
+        let mut added = 0;
+        for KnownHost { agent, report, age } in &handover.hosts {
+            if self.hosts.contains_key(agent) {
+                continue;
+            }
+            let report_rate = self.report_rate(report);
+            let mut host = HostRecord::new(now - *age, report, report_rate);
+            host.first_heard = now;
+            host.warm_at = now + report.warmup;
+            self.hosts.insert(*agent, host);
+            added += 1;
+        }
+        added
+    }
+
+    fn report_rate(&self, report: &Report) -> ReportRate {
+        if report.centre == self.centre {
+            ReportRate::Fast
+        } else {
+            ReportRate::Slow
+        }
+    }
+
     fn apply_report(
         &mut self,
         now: Time,
--- a/crates/forwarding/src/balancer/host_record.rs
+++ b/crates/forwarding/src/balancer/host_record.rs
@@ -46,6 +46,22 @@
         }
     }
 
+    /// The last report, as a balancer that has just started needs it.
+    pub(crate) fn report(&self, now: Time) -> Report {
+        Report {
+            epoch: self.epoch,
+            sequence: self.sequence,
+            centre: self.centre.clone(),
+            service: self.service,
+            state: self.state,
+            born: self.born,
+            slots: self.slots,
+            warmup: self.warm_at - now,
+            load: self.shared_load.load(),
+            relayed: false,
+        }
+    }
+
     /// Whether the record is at least as new as a report.
     pub(crate) fn supersedes(&self, report: &Report) -> bool {
         if self.epoch == report.epoch {
--- a/crates/forwarding/src/balancer/mod.rs
+++ b/crates/forwarding/src/balancer/mod.rs
@@ -9,8 +9,10 @@
 mod report_rate;
 mod search;
 mod shared_load;
+mod start_up;
 mod view;
 
 pub use directory::HostDirectory;
 pub use forwarder::{BalancerForwarder, HostSource, RejectReason, Verdict};
+pub use start_up::StartUp;
 pub use view::RoutingView;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod flow_key;
 mod forward_header;
+mod handover;
 mod hint;
 mod host_heartbeat;
 mod host_state;
@@ -30,7 +31,7 @@
     AgentForwarder, ForwardReason, HeartbeatEffect, Inbound, InboundAction, Outbound, Release,
 };
 pub use balancer::{
-    BalancerForwarder, HostDirectory, HostSource, RejectReason, RoutingView, Verdict,
+    BalancerForwarder, HostDirectory, HostSource, RejectReason, RoutingView, StartUp, Verdict,
 };
 pub use candidates::Candidates;
 pub use control_targets::{ControlTargets, Digest};
@@ -38,6 +39,7 @@
 pub use fleet::Fleet;
 pub use flow_key::FlowKey;
 pub use forward_header::{ForwardHeader, ShortestQueue};
+pub use handover::{Handover, KnownHost};
 pub use hint::Hint;
 pub use host_heartbeat::HostHeartbeat;
 pub use host_state::{HostState, UnknownState};
--- a/crates/forwarding/src/report.rs
+++ b/crates/forwarding/src/report.rs
@@ -37,6 +37,8 @@
     pub version: Version,
     /// The balancer is about to stop.
     pub leaving: bool,
+    /// The balancer knows all hosts and can hand them over.
+    pub complete: bool,
     /// Data centre of the balancer.
     pub centre: DataCentre,
     /// Processor capacity of the balancer.
--- a/crates/forwarding/tests/control_targets.rs
+++ b/crates/forwarding/tests/control_targets.rs
@@ -186,6 +186,7 @@
                 epoch: 1,
                 version: from.version,
                 leaving: false,
+                complete: true,
                 centre: centre.clone(),
                 capacity: CAPACITY.parse().unwrap(),
                 balancers: Vec::new(),
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -16,6 +16,7 @@
         epoch,
         version: Version::new(version),
         leaving: false,
+        complete: true,
         centre: "kolkata".parse().unwrap(),
         capacity: "0.055".parse().unwrap(),
         balancers: Vec::new(),
--- /dev/null
+++ b/crates/forwarding/tests/handover.rs
@@ -0,0 +1,134 @@
+//! Hosts that a balancer takes over from another one when it starts.
+
+use usher_forwarding::{HostDirectory, HostState, Load, NodeId, Report, ServiceKey, StartUp};
+use usher_types::{DataCentre, Sequence, Slots, Span, Time};
+
+fn node(last: u8) -> NodeId {
+    NodeId::new([10, 1, 0, last].into())
+}
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Span::from_millis(millis)
+}
+
+fn centre() -> DataCentre {
+    "kolkata".parse().unwrap()
+}
+
+fn report(sequence: u32, state: HostState) -> Report {
+    Report {
+        epoch: 1,
+        sequence: Sequence::new(sequence),
+        centre: centre(),
+        service: ServiceKey::of("namedesk"),
+        state,
+        born: 100,
+        slots: Slots::new(4),
+        warmup: Span::from_secs(2),
+        load: Load::default(),
+        relayed: false,
+    }
+}
+
+// A balancer that knows the hosts 1 to 50.
+fn running() -> HostDirectory {
+    let mut directory = HostDirectory::new(centre(), Time::ZERO);
+    for last in 1..=50 {
+        directory.on_direct_report(at(0), node(last), &report(1, HostState::Serving));
+    }
+    directory
+}
+
+// Takes over all pages; `between` changes the source after each page.
+fn take_all(
+    from: &mut HostDirectory,
+    to: &mut HostDirectory,
+    mut between: impl FnMut(&mut HostDirectory),
+) {
+    let mut after = NodeId::NONE;
+    loop {
+        let page = from.hand_over(at(1_000), after, 16);
+        to.take_over(at(1_000), &page);
+        match page.hosts.last().filter(|_| page.more) {
+            Some(last) => after = last.agent,
+            None => return,
+        }
+        between(from);
+    }
+}
+
+/// Guards against traffic for a balancer that does not know the hosts of open flows yet.
+#[test]
+fn a_starting_balancer_is_complete_once_it_has_taken_over_the_hosts() {
+    let mut start_up = StartUp::new(at(0));
+    assert!(!start_up.is_complete(at(1_000)));
+    start_up.finish();
+    assert!(start_up.is_complete(at(1_000)));
+}
+
+/// Guards against a fleet that never takes traffic after all balancers have started at once.
+#[test]
+fn a_balancer_without_others_is_complete_after_some_time() {
+    let start_up = StartUp::new(at(0));
+    assert!(!start_up.is_complete(at(1_400)));
+    assert!(start_up.is_complete(at(1_500)));
+}
+
+/// Guards against a host that is left out because the list changes between two pages.
+#[test]
+fn a_host_that_leaves_between_pages_hides_no_other() {
+    let mut from = running();
+    let mut to = HostDirectory::new(centre(), at(1_000));
+    let mut joined = 100;
+    take_all(&mut from, &mut to, |from| {
+        // The first hosts leave and expire while others join.
+        let gone = [node(joined - 99), node(joined - 98)];
+        for agent in gone {
+            from.on_direct_report(at(0), agent, &report(9, HostState::Ended));
+        }
+        from.on_direct_report(at(11_000), node(joined), &report(1, HostState::Serving));
+        from.expire(at(11_000));
+        joined += 1;
+    });
+    let taken: Vec<NodeId> = to.agents().collect();
+    for last in 7..=50 {
+        assert!(taken.contains(&node(last)), "{last} of {}", taken.len());
+    }
+}
+
+/// Guards against a late report of another balancer that replaces one from the agent itself.
+#[test]
+fn hosts_that_are_known_are_not_taken_over() {
+    let mut to = HostDirectory::new(centre(), at(1_000));
+    to.on_direct_report(at(1_000), node(1), &report(7, HostState::Draining));
+    let added = to.take_over(
+        at(1_000),
+        &running().hand_over(at(1_000), NodeId::NONE, 100),
+    );
+    assert_eq!(added, 49);
+    let (state, age) = to.state(at(1_000), node(1)).unwrap();
+    assert_eq!((state, age), (HostState::Draining, Span::ZERO));
+}
+
+/// Guards against a host that was silent for long and counts as heard after it is taken over.
+#[test]
+fn a_host_that_is_taken_over_keeps_the_age_of_its_report() {
+    let mut to = HostDirectory::new(centre(), at(1_000));
+    to.take_over(
+        at(1_000),
+        &running().hand_over(at(9_000), NodeId::NONE, 100),
+    );
+    let (_, age) = to.state(at(9_000), node(1)).unwrap();
+    assert!(age >= Span::from_millis(8_000), "{age}");
+}
+
+/// Guards against a report that is older than the one taken over and replaces it.
+#[test]
+fn a_late_report_does_not_replace_a_host_that_was_taken_over() {
+    let mut from = running();
+    from.on_direct_report(at(500), node(1), &report(5, HostState::Draining));
+    let mut to = HostDirectory::new(centre(), at(1_000));
+    take_all(&mut from, &mut to, |_| {});
+    to.on_direct_report(at(1_100), node(1), &report(4, HostState::Serving));
+    assert_eq!(to.state(at(1_100), node(1)).unwrap().0, HostState::Draining);
+}
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -27,6 +27,9 @@
 /// HTTP path at which balancers serve the configuration to each other.
 pub(crate) const CONFIGURATION_PATH: &str = "/configuration";
 
+/// HTTP path at which balancers hand over their hosts; the address after which to go on follows.
+pub(crate) const HOSTS_PATH: &str = "/hosts/";
+
 // How often a balancer sends hello messages to balancers and agents. They name its configuration
 // version, so the interval bounds how long a balancer without the store stays outdated.
 const HELLO_INTERVAL: Span = Span::from_millis(300);
@@ -83,6 +86,7 @@
         peers,
         resync,
         fetching: Rc::new(Cell::new(false)),
+        taking: Rc::new(Cell::new(false)),
     };
     control.event_loop(&mut signals, file).await;
     event::STOPPED.log(&[]);
@@ -105,10 +109,14 @@
     let address = SocketAddrV4::new(settings.node.address(), settings.peer_port);
     serve(
         address,
-        "configuration for balancers",
-        move |method, path, _body| match (method, path) {
-            ("GET", CONFIGURATION_PATH) => Answer::json(200, shared.borrow().document()),
-            _ => Answer::empty(404),
+        "state for balancers",
+        move |method, path, _body| {
+            let after = path.strip_prefix(HOSTS_PATH).map(str::parse);
+            match (method, path, after) {
+                ("GET", CONFIGURATION_PATH, _) => Answer::json(200, shared.borrow().document()),
+                ("GET", _, Some(Ok(after))) => Answer::json(200, shared.borrow().hand_over(after)),
+                _ => Answer::empty(404),
+            }
         },
     )
     .await?;
@@ -121,7 +129,10 @@
     state: Rc<RefCell<State>>,
     peers: Peers,
     resync: Rc<Notify>,
+    /// A fetch of the configuration is in progress.
     fetching: Rc<Cell<bool>>,
+    /// A fetch of hosts is in progress.
+    taking: Rc<Cell<bool>>,
 }
 
 impl Control {
@@ -167,6 +178,9 @@
             PeerMessage::Hello(hello) => {
                 let new = state.on_hello(now, node, hello);
                 let agents = state.unknown_agents(now, hello);
+                if hello.complete && state.is_starting(now) {
+                    self.take_hosts(node, state.settings.peer_port);
+                }
                 if new {
                     self.peers.send([&node], &state.balancer_hello(now, false));
                 }
@@ -177,6 +191,17 @@
         }
     }
 
+    fn take_hosts(&self, from: NodeId, port: u16) {
+        if self.taking.replace(true) {
+            return;
+        }
+        let (state, taking) = (Rc::clone(&self.state), Rc::clone(&self.taking));
+        spawn_local(async move {
+            feed::take_hosts(state, from, port).await;
+            taking.set(false);
+        });
+    }
+
     fn relay(&self, now: Time) {
         let digests = self.state.borrow_mut().digests(now);
         for Digest { to, reports } in digests {
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::Notify;
-use usher_forwarding::{NodeId, StaleEntries};
+use usher_forwarding::{Handover, NodeId, StaleEntries};
 use usher_platform::{Listing, Request, WatchAnswer};
 use usher_types::{Span, Version};
 
@@ -149,6 +149,40 @@
     }
 }
 
+/// Takes over the hosts that another balancer knows.
+pub(crate) async fn take_hosts(state: Rc<RefCell<State>>, from: NodeId, port: u16) {
+    let address = SocketAddrV4::new(from.address(), port);
+    let metrics = Arc::clone(&state.borrow().metrics);
+    let mut client = Client::new(address, metrics);
+    let mut after = NodeId::NONE;
+    loop {
+        let request = Request {
+            method: "GET",
+            path: format!("{}{after}", super::control::HOSTS_PATH),
+            body: String::new(),
+        };
+        let handover = match client.call("hosts", &request, CALL_TIMEOUT).await {
+            Ok(reply) if reply.status == OK => {
+                serde_json::from_slice::<Handover>(&reply.body).map_err(|fault| fault.to_string())
+            }
+            Ok(reply) => Err(format!("status {}", reply.status)),
+            Err(fault) => Err(fault.to_string()),
+        };
+        let handover = match handover {
+            Ok(handover) => handover,
+            Err(fault) => {
+                event::HOSTS_NOT_TAKEN.log(&[("balancer", &from), ("fault", &fault)]);
+                return;
+            }
+        };
+        state.borrow_mut().take_over(from, &handover);
+        match handover.hosts.last().filter(|_| handover.more) {
+            Some(last) => after = last.agent,
+            None => return,
+        }
+    }
+}
+
 /// Registers this balancer in the store and finds the others there.
 pub(crate) async fn find_balancers(state: Rc<RefCell<State>>) {
     let (store, name, node) = {
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -3,8 +3,8 @@
 use arc_swap::ArcSwap;
 use serde_json::Value;
 use usher_forwarding::{
-    ActiveConfiguration, ControlTargets, Digest, Fleet, Hello, HostDirectory, HostState, NodeId,
-    Report, RoutingView,
+    ActiveConfiguration, ControlTargets, Digest, Fleet, Handover, Hello, HostDirectory, HostState,
+    NodeId, Report, RoutingView, StartUp,
 };
 use usher_platform::decode_configuration;
 use usher_types::{Span, Time, Version};
@@ -16,6 +16,8 @@
 // Nodes listed in one hello message, four bytes each, so that it fits one datagram.
 const HELLO_BALANCERS: usize = 64;
 const HELLO_AGENTS: usize = 256;
+// Hosts in one answer to a balancer that has started, some 300 bytes each.
+const HANDOVER_HOSTS: usize = 4_096;
 // A balancer without a serving host is ready after this time, since it can refuse flows at once.
 const HOST_WAIT: Span = Span::from_secs(3);
 
@@ -33,6 +35,7 @@
     document: Value,
     view: Arc<ArcSwap<RoutingView>>,
     ready: bool,
+    start_up: StartUp,
     targets: ControlTargets,
     /// Where the lists of nodes in the next hello message start.
     offset: usize,
@@ -59,6 +62,7 @@
             document: Value::Null,
             view,
             ready: false,
+            start_up: StartUp::new(started),
             targets,
             offset: 0,
         }
@@ -116,6 +120,36 @@
         }
     }
 
+    /// One page of the hosts as JSON, for a balancer that has just started.
+    pub(crate) fn hand_over(&self, after: NodeId) -> String {
+        let handover = self
+            .directory
+            .hand_over(usher_clock::now(), after, HANDOVER_HOSTS);
+        serde_json::json!(handover).to_string()
+    }
+
+    /// Whether the balancer has started and may lack hosts that others know.
+    pub(crate) fn is_starting(&self, now: Time) -> bool {
+        !self.start_up.is_complete(now)
+    }
+
+    /// Adds hosts that a balancer hands over; the last page completes the start.
+    pub(crate) fn take_over(&mut self, from: NodeId, handover: &Handover) {
+        let added = self.directory.take_over(usher_clock::now(), handover);
+        if added > 0 {
+            self.publish();
+        }
+        if !handover.more {
+            self.start_up.finish();
+        }
+        event::HOSTS_TAKEN.log(&[
+            ("balancer", &from),
+            ("hosts", &handover.hosts.len()),
+            ("new", &added),
+            ("more", &handover.more),
+        ]);
+    }
+
     /// Reports to relay, each digest with its receivers.
     pub(crate) fn digests(&mut self, now: Time) -> [Digest; 2] {
         let directory = &mut self.directory;
@@ -205,6 +239,7 @@
             epoch: self.epoch,
             version: self.version(),
             leaving: self.stopping,
+            complete: !self.is_starting(now),
             centre: self.settings.centre.clone(),
             capacity: self.settings.capacity,
             balancers: rotated_subset(self.fleet.present(now), HELLO_BALANCERS, self.offset),
@@ -239,13 +274,16 @@
             .fleet
             .is_standby(now, local, capacity, &settings.centre);
         let hosts = serving || now - self.started > HOST_WAIT;
-        let ready = configured && !self.stopping && hosts && !standby;
+        let complete = self.ready || !self.is_starting(now);
+        let ready = configured && !self.stopping && hosts && complete && !standby;
         if ready != self.ready {
             self.ready = ready;
             event::READY.log(&[
                 ("ready", &ready),
                 ("version", &self.version()),
                 ("hosts", &serving),
+                ("known", &self.directory.agents().count()),
+                ("complete", &complete),
                 ("standby", &standby),
                 ("stopping", &self.stopping),
             ]);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -21,6 +21,8 @@
     BALANCER_REMOVED = 2123, Info, "entry of a silent balancer removed from the store";
     HOST_CHANGED = 2131, Info, "host changed";
     HOSTS_EXPIRED = 2132, Info, "silent hosts removed";
+    HOSTS_TAKEN = 2133, Info, "hosts taken over from another balancer";
+    HOSTS_NOT_TAKEN = 2134, Warn, "hosts not fetched from another balancer";
     BACKEND_STARTED = 2141, Info, "backend server started";
     BACKEND_CHANGED = 2142, Info, "backend server changed state";
     BACKEND_LEFT = 2143, Info, "backend server left";
