Searches visit silent agents last

Callers whose flows moved to another balancer after a host was lost could see them stall, although their own hosts were sound.

Cause: a packet of a search goes from agent to agent, and one that reaches a dead agent goes no further. The order of the agents did not depend on their reports, so each retransmission was lost at the same agent until it expired after 30 s.

Evidence: a_silent_agent_is_visited_after_all_others fails without the change: of 50 agents the silent one stands before others.

Agents whose reports are late, by the rule that keeps new flows away from their hosts, are now visited after all others, of whatever service. A flow of a silent host still reaches it.

--- a/crates/forwarding/src/balancer/placement.rs
+++ b/crates/forwarding/src/balancer/placement.rs
@@ -32,12 +32,11 @@
 impl Cost {
     /// Cost of a flow on a host at `now`.
     ///
-    /// A host is suspected if its last report is much older than `latest`, the newest report of any
-    /// host. So a balancer that gets no reports suspects no host.
+    /// `latest` is the time of the newest report of any host.
     pub(crate) fn of(now: Time, latest: Time, host: &HostView, flow: &FlowKey) -> Self {
         let fitness = if host.state != HostState::Serving {
             Fitness::NotServing
-        } else if latest - host.shared_load.reported_at() > host.report_rate.suspect_after() {
+        } else if host.is_suspected(latest) {
             Fitness::Suspected
         } else {
             Fitness::Fit
--- a/crates/forwarding/src/balancer/search.rs
+++ b/crates/forwarding/src/balancer/search.rs
@@ -21,13 +21,16 @@
 
 /// The agents that the next packet of a searched flow visits; empty when all were visited.
 ///
-/// Those of the route's services come first, then all others.
+/// Those of the route's services come first, then all others. Silent agents come last: a packet
+/// that visits a dead one goes no further.
 pub(crate) fn next_agents(view: &RoutingView, flow: &FlowKey, search: &FlowSearch) -> Candidates {
     let mut candidates = Candidates::default();
     if search.is_full() {
         return candidates;
     }
     let services: IndexSet<ServiceKey> = view.holders(&flow.address).collect();
+    let latest = view.latest_report();
+    let mut silent = Vec::new();
     for service in services {
         let hosts = view.hosts(service);
         let mut list = shortlist(hosts, flow, hosts.len());
@@ -35,14 +38,20 @@
             // One packet visits all of them. New flows prefer this data centre, so begin there.
             list.sort_by_key(|host| !host.same_centre);
         }
-        let unvisited = list.iter().filter(|host| !search.has_visited(host.node));
-        for host in unvisited {
-            candidates.push(host.node);
+        for host in list.iter().filter(|host| !search.has_visited(host.node)) {
+            if host.is_suspected(latest) {
+                silent.push(host.node);
+            } else {
+                candidates.push(host.node);
+            }
         }
         if candidates.is_full() {
             break;
         }
     }
+    for node in silent {
+        candidates.push(node);
+    }
     candidates
 }
 
--- a/crates/forwarding/src/balancer/view.rs
+++ b/crates/forwarding/src/balancer/view.rs
@@ -45,6 +45,15 @@
     pub(crate) shared_load: Arc<SharedLoad>,
 }
 
+impl HostView {
+    /// Whether the last report is much older than `latest`, the newest one of any host.
+    ///
+    /// So a balancer that gets no reports suspects no host.
+    pub(crate) fn is_suspected(&self, latest: Time) -> bool {
+        latest - self.shared_load.reported_at() > self.report_rate.suspect_after()
+    }
+}
+
 impl RoutingView {
     pub(crate) fn new(
         started: Time,
@@ -85,6 +94,13 @@
         self.services.values().map(|view| view.hosts.len()).sum()
     }
 
+    /// Time of the newest report of any host.
+    pub(crate) fn latest_report(&self) -> Time {
+        let hosts = self.services.values().flat_map(|view| &view.hosts);
+        let reported = hosts.map(|host| host.shared_load.reported_at());
+        reported.max().unwrap_or_default()
+    }
+
     /// Services that may hold flows of a route: current ones, earlier ones, then all others.
     pub(crate) fn holders(&self, address: &SocketAddrV4) -> impl Iterator<Item = ServiceKey> {
         let route = self.route(address);
--- a/crates/forwarding/tests/search.rs
+++ b/crates/forwarding/tests/search.rs
@@ -207,3 +207,22 @@
         .on_packet(at(103), &packet(), &fixture.view);
     assert_matches!(verdict, Verdict::Send { to, .. } if to == node(60));
 }
+
+/// Guards against a flow whose packets are lost at a dead agent before they reach its host.
+#[test]
+fn a_silent_agent_is_visited_after_all_others() {
+    let mut fixture = Fixture::new(1..51);
+    fixture.report(2_000, 2, 1..3);
+    fixture.report(2_000, 2, 4..51);
+    let mut verdict = fixture
+        .forwarder
+        .on_packet(at(2_000), &packet(), &fixture.view);
+    while let Verdict::Send { forward_header, .. } = verdict {
+        if forward_header.candidates.as_slice().contains(&node(3)) {
+            assert_eq!(forward_header.candidates.as_slice().last(), Some(&node(3)));
+            break;
+        }
+        verdict = fixture.give_back(2_000, &forward_header);
+    }
+    assert_eq!(fixture.visited.len(), 48);
+}
