--- a/crates/forwarding/tests/search.rs
+++ b/crates/forwarding/tests/search.rs
@@ -185,6 +185,22 @@
     assert_eq!(fixture.visited.len(), 40);
 }
 
+/// Guards against a reset by one packet of a burst before the others have visited all agents.
+#[test]
+fn a_burst_of_packets_resets_no_flow_before_all_agents_are_visited() {
+    let mut fixture = Fixture::new(1..41);
+    fixture.report(6_000, 2, 1..41);
+    for millis in [6_000, 6_010, 6_020] {
+        let verdicts = fixture.send(millis, 2, 1);
+        let reset = |verdict: &Verdict| matches!(verdict, Verdict::Reset { .. });
+        assert_eq!(
+            verdicts.iter().any(reset),
+            fixture.visited.len() == 40,
+            "{verdicts:?}"
+        );
+    }
+}
+
 /// Guards against a packet that is returned late and ends the search that has found the host.
 #[test]
 fn a_packet_returned_after_the_host_was_found_changes_nothing() {
