Tests: a large fleet under random faults, and a balancer that starts

The model of random faults had six hosts, so that one packet visits all agents and a search never goes on; its callers had one packet in flight, and a balancer that started heard all hosts at once.

A process test starts a balancer while the only agent is suspended.

--- a/crates/forwarding/tests/world/model.rs
+++ b/crates/forwarding/tests/world/model.rs
@@ -13,24 +13,47 @@
 
 const SERVICES: [&str; 2] = ["namedesk", "pedigree"];
 const BALANCERS: usize = 3;
-const HOSTS: usize = 6;
 const FLOW_LIFE: Span = Span::from_secs(60);
 const REPORT_INTERVAL: Span = Span::from_millis(100);
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(1_200);
 const SLOTS: u16 = 3;
 const LOSS_ONE_IN: u64 = 5;
+// Share of the hosts that a balancer hears of at once when it starts.
+const FIRST_HEARD_ONE_IN: u64 = 4;
 
 #[derive(Debug, Clone)]
 pub enum Op {
-    Open { via: usize, service: usize },
-    Send { via: usize, flow: Index },
-    RestartBalancer { balancer: usize },
-    RestartAgent { agent: usize },
-    RestartHost { host: usize },
-    Drain { host: usize },
-    Replace { host: usize, service: usize },
-    Lossy { lossy: bool },
-    Wait { millis: u64 },
+    Open {
+        via: usize,
+        service: usize,
+    },
+    Send {
+        via: usize,
+        flow: Index,
+        packets: usize,
+    },
+    RestartBalancer {
+        balancer: usize,
+    },
+    RestartAgent {
+        agent: usize,
+    },
+    RestartHost {
+        host: usize,
+    },
+    Drain {
+        host: usize,
+    },
+    Replace {
+        host: usize,
+        service: usize,
+    },
+    Lossy {
+        lossy: bool,
+    },
+    Wait {
+        millis: u64,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -134,7 +157,8 @@
 }
 
 impl World {
-    pub fn new(seed: u64) -> Self {
+    // Two thirds of the hosts belong to the first service.
+    pub fn new(seed: u64, hosts: usize) -> Self {
         let mut world = Self {
             violations: Vec::new(),
             now: Time::ZERO,
@@ -148,8 +172,8 @@
             queue: VecDeque::new(),
             epochs: 0,
         };
-        for host in 0..HOSTS {
-            let service = usize::from(host >= 4);
+        for host in 0..hosts {
+            let service = usize::from(host * 3 >= hosts * 2);
             let host = world.new_host(host, service, 1);
             world.hosts.push(host);
         }
@@ -220,14 +244,16 @@
                 self.queue
                     .push_back(Message::ToBalancer(*via, packet_header(&flow, true)));
             }
-            Op::Send { via, flow } => {
+            Op::Send { via, flow, packets } => {
                 if !self.opened.is_empty() {
                     let flow = self.opened[flow.index(self.opened.len())];
-                    self.send(*via, flow);
+                    for _packet in 0..*packets {
+                        self.send(*via, flow);
+                    }
                 }
             }
             Op::RestartBalancer { balancer } => {
-                self.balancers[*balancer] = self.new_balancer(*balancer);
+                self.restart_balancer(*balancer);
             }
             Op::RestartAgent { agent } => self.restart_agent(*agent),
             Op::RestartHost { host } => self.restart_host(*host),
@@ -248,7 +274,7 @@
     /// Stops losses and waits until all nodes have heard each other.
     pub fn settle(&mut self) {
         self.lossy = false;
-        for host in 0..HOSTS {
+        for host in 0..self.hosts.len() {
             self.beat(host);
         }
         self.wait(6_000);
@@ -264,8 +290,9 @@
             }
             for via in 0..BALANCERS {
                 self.reached.clear();
-                // A caller repeats a packet up to eight times.
+                // A caller repeats its packets in flight up to eight times.
                 for _copy in 0..8 {
+                    self.send(via, flow);
                     self.send(via, flow);
                     self.run();
                 }
@@ -302,6 +329,19 @@
         }
     }
 
+    fn restart_balancer(&mut self, index: usize) {
+        self.balancers[index] = self.new_balancer(index);
+        for host in 0..self.hosts.len() {
+            if self.next_random().is_multiple_of(FIRST_HEARD_ONE_IN) {
+                let report = self.next_report(host);
+                let directory = &mut self.balancers[index].directory;
+                directory.on_direct_report(self.now, host_node(host), &report);
+            }
+        }
+        let balancer = &mut self.balancers[index];
+        balancer.view = balancer.directory.view(configuration(), &balancer.view);
+    }
+
     fn restart_agent(&mut self, agent: usize) {
         self.epochs += 1;
         let host = &mut self.hosts[agent];
@@ -335,7 +375,7 @@
         let end = self.now + Span::from_millis(millis);
         while self.now < end {
             self.now = self.now + REPORT_INTERVAL;
-            for host in 0..HOSTS {
+            for host in 0..self.hosts.len() {
                 if self.hosts[host].next_beat <= self.now {
                     self.beat(host);
                 }
@@ -349,11 +389,11 @@
         }
     }
 
-    fn report(&mut self, index: usize) {
+    fn next_report(&mut self, index: usize) -> Report {
         let host = &mut self.hosts[index];
         host.reports += 1;
         let heartbeat = host.agent.heartbeat();
-        let report = Report {
+        Report {
             epoch: host.epoch,
             sequence: Sequence::new(host.reports),
             centre: "kolkata".parse().unwrap(),
@@ -364,7 +404,11 @@
             warmup: Span::ZERO,
             load: host.agent.load(self.now),
             relayed: false,
-        };
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let report = self.next_report(index);
         for balancer in 0..BALANCERS {
             if self.lossy && self.next_random().is_multiple_of(LOSS_ONE_IN) {
                 continue;
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -201,3 +201,23 @@
         assert!(!is_reset(&packet), "an open flow was reset");
     }
 }
+
+/// Guards against a balancer that takes traffic before it knows the hosts of open flows.
+#[test]
+fn a_starting_balancer_knows_the_host_of_an_open_flow() {
+    let deployment = start(31);
+    let packet = deployment.await_flow(1_000);
+    deployment.answer(&reply(&packet));
+    let later = deployment.later_packet(u16::from_be_bytes([packet[0], packet[1]]));
+    deployment.agent.set_suspended(true);
+    let second = deployment.second_balancer(&[2]);
+    eventually("the second balancer is ready", || {
+        deployment.ready_at(SECOND_BALANCER) == 200
+    });
+    deployment.send_at(SECOND_BALANCER, &later);
+    deployment.agent.set_suspended(false);
+    eventually("the packet reaches the backend server", || {
+        receive(&deployment.backend).is_some_and(|packet| packet[..4] == later[..4])
+    });
+    drop(second);
+}
