Report all silent members in turn when a heartbeat cannot list them

Would be seen: when more than 32 hosts or balancers fail together, new flows go to the others of them for as long as the first 32 are listed in the roster, and the roster loses them in steps of 32.

Cause: a heartbeat lists the first 32 silent peers, always in the order of the roster. A member is suspected only if a second process reports it, so the others were not suspected by anyone until the first ones were removed.

Change: each interval continues after the last peer that the previous one reported. It is kept by name, since the list changes in between. Reports count for three heartbeats, so up to 96 silent peers of one reporter count all the time; of more, a process that does not hear them itself knows a part at a time.

--- a/crates/members/src/heartbeats.rs
+++ b/crates/members/src/heartbeats.rs
@@ -6,12 +6,20 @@
 use crate::watch::Watch;
 use crate::{Action, Identity, Membership};
 
-/// Hosts and balancers that one heartbeat can report as silent; bounds its size.
-const MAX_SUSPECTS: usize = 32;
 /// Members of a service that a balancer notifies of a silent one.
 const MAX_NOTIFIED: usize = 16;
 
 impl Membership {
+    /// Hosts and balancers that this process reports as silent.
+    pub(crate) fn silent(&self, now: Time) -> impl Iterator<Item = Peer> {
+        let balancers = self.fleet.silent(now).cloned().map(Peer::Instance);
+        let members = self
+            .services
+            .iter()
+            .flat_map(move |watch| watch.silent(now));
+        balancers.chain(hosts(members))
+    }
+
     pub(crate) fn beats(&self, now: Time) -> Vec<Action> {
         match &self.identity {
             Identity::Agent { host, centre, .. } => {
@@ -29,15 +37,12 @@
             Identity::Balancer {
                 instance, centre, ..
             } => {
-                let balancers = self.fleet.silent(now).cloned().map(Peer::Instance);
-                let silent = self.services.iter().flat_map(|watch| watch.silent(now));
-                let silent = balancers.chain(hosts(silent));
                 let to = self.fleet_targets(now, instance, centre);
                 let notified = self
                     .services
                     .iter()
                     .filter_map(|watch| self.notify_members(now, watch));
-                self.beat(now, to, silent)
+                self.beat(now, to, self.silent(now))
                     .into_iter()
                     .chain(notified)
                     .collect()
@@ -131,7 +136,7 @@
             wait: self.status.wait,
             weight: self.status.weight,
             sent: now,
-            suspects: silent.take(MAX_SUSPECTS).collect(),
+            suspects: self.suspects.list(silent),
         };
         (!to.is_empty()).then_some(Action::Beat { to, beat })
     }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -18,6 +18,7 @@
 mod proposal;
 mod services;
 mod status;
+mod suspect_rotation;
 mod watch;
 
 pub use action::Action;
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -13,6 +13,7 @@
 use crate::liveness::SILENCE;
 use crate::own_host::OwnHost;
 use crate::services::Services;
+use crate::suspect_rotation::SuspectRotation;
 use crate::watch::Watch;
 use crate::{Action, Change, Event, HostLifecycle, Identity, Proposal, Status};
 
@@ -45,6 +46,7 @@
     pub(crate) balancers: Balancers,
     pub(crate) services: Services,
     pub(crate) fleet: FleetWatch,
+    pub(crate) suspects: SuspectRotation,
     last_tick: Option<Time>,
     next_beat: Time,
     // Members of this process's service that are known to have its current roster.
@@ -65,6 +67,7 @@
             balancers: Balancers::default(),
             services: Services::default(),
             fleet: FleetWatch::default(),
+            suspects: SuspectRotation::default(),
             last_tick: None,
             next_beat: Time::ZERO,
             synced: HashSet::new(),
@@ -212,6 +215,8 @@
             actions.extend(evaluate(now, service, watch));
         }
         self.fleet.update(now);
+        let silent: Vec<Peer> = self.silent(now).collect();
+        self.suspects.advance(silent.into_iter());
         actions.extend(self.beats(now));
         actions.extend(self.removal(now));
         actions.extend(self.fleet_removal(now));
