Register flows in the order in which they became due

Would be seen: during a rollout or while hosts flap, flows that a host holds for other hosts' buckets stay without an answer, although their host is sound: their packets reach an owner that has not heard of them.

Cause: a change of the roster queues all open flows for registration, 160 a second. It also moved flows that were still waiting since the previous change to the time of this one. Equal times are served in the order of addresses, so each change started again with the same flows, and with a change each second the others never had a turn.

Change: a flow that is due already keeps its time. Flows of a later change queue behind it.

--- a/crates/flows/src/table/registry.rs
+++ b/crates/flows/src/table/registry.rs
@@ -40,6 +40,8 @@
     }
 
     /// Queues registrations of all open flows in other agents' buckets, at a limited rate.
+    ///
+    /// A flow that still waits since an earlier roster keeps its place in the queue.
     pub(super) fn register_all(&mut self, now: Time) {
         let open: Vec<FlowId> = self
             .held
@@ -52,7 +54,7 @@
                 self.unregister(&flow);
             } else {
                 self.registrations.insert(flow, self.settings.agent);
-                self.register_timers.set(flow, now);
+                self.register_timers.advance(flow, now);
             }
         }
     }
--- a/crates/flows/src/timers.rs
+++ b/crates/flows/src/timers.rs
@@ -18,6 +18,13 @@
         self.order.insert((due, flow));
     }
 
+    /// Sets the timer of a flow, unless it is due earlier.
+    pub(crate) fn advance(&mut self, flow: FlowId, due: Time) {
+        if self.due.get(&flow).is_none_or(|known| due < *known) {
+            self.set(flow, due);
+        }
+    }
+
     pub(crate) fn clear(&mut self, flow: &FlowId) {
         if let Some(due) = self.due.swap_remove(flow) {
             self.order.remove(&(due, *flow));
