Register all flows of a host before owners reset unknown ones

Would be seen: after a restart of a host that owns buckets, or after several changes of the roster, callers of open flows get resets although the hosts that hold their flows are sound. It takes a host that holds more than 1,600 flows of other hosts' buckets.

Cause: an owner resets an unknown flow 10 s (the settle time) after all members have adopted its roster, on the assumption that all holders have registered by then. Holders registered 160 flows a second, however many they held.

Change: the size of a batch follows the number of flows that wait, so that all of them are sent once within half of the settle time; the other half is for repeats. Hosts with up to 800 such flows send at the former rate.

--- a/crates/flows/src/table.rs
+++ b/crates/flows/src/table.rs
@@ -60,6 +60,8 @@
     register_timers: Timers,
     /// Earliest time of the next batch of registrations.
     next_batch: Time,
+    /// Registrations per batch, so that all waiting ones are sent in time.
+    batch_size: usize,
     /// Agents being asked whether they hold a flow that is open here too.
     other_holders: IndexMap<FlowId, OtherHolder>,
     /// Agents to which flows must be handed over even without a drain.
@@ -110,6 +112,7 @@
             registrations: IndexMap::new(),
             register_timers: Timers::default(),
             next_batch: Time::ZERO,
+            batch_size: 0,
             other_holders: IndexMap::new(),
             handover_targets: IndexMap::new(),
             handover_queue: IndexSet::new(),
--- a/crates/flows/src/table/registry.rs
+++ b/crates/flows/src/table/registry.rs
@@ -8,9 +8,14 @@
 use crate::{Action, Counter};
 
 const RETRY_INTERVAL: Span = Span::from_millis(500);
-// 16 registrations per 100 ms limit traffic to about 10 KB/s while all flows register.
+// Registrations are sent in batches, so that they load no receiver all at once.
 const BATCH_INTERVAL: Span = Span::from_millis(100);
-const BATCH_REGISTRATIONS: usize = 16;
+// 16 registrations per 100 ms limit traffic to about 10 KB/s while all flows of a small host
+// register.
+const MIN_BATCH_SIZE: usize = 16;
+// Share of the settle time in which all flows register once; the rest is for repeats. Owners reset
+// unknown flows after the settle time.
+const REGISTER_SHARE: f64 = 0.5;
 
 // Agents queried in a row; no longer chain of handovers arises while a registration is retried.
 const MAX_QUERIES: u8 = 4;
@@ -39,7 +44,7 @@
         self.send_registration(now, flow);
     }
 
-    /// Queues registrations of all open flows in other agents' buckets, at a limited rate.
+    /// Queues registrations of all open flows in other agents' buckets, in batches.
     ///
     /// A flow that still waits since an earlier roster keeps its place in the queue.
     pub(super) fn register_all(&mut self, now: Time) {
@@ -57,6 +62,9 @@
                 self.register_timers.advance(flow, now);
             }
         }
+        let time = self.settings.settle.scale(REGISTER_SHARE);
+        let batches = (time.as_micros() / BATCH_INTERVAL.as_micros()).max(1) as usize;
+        self.batch_size = self.registrations.len().div_ceil(batches);
     }
 
     pub(super) fn unregister(&mut self, flow: &FlowId) {
@@ -69,7 +77,7 @@
         if now < self.next_batch {
             return;
         }
-        for _ in 0..BATCH_REGISTRATIONS {
+        for _ in 0..self.batch_size.max(MIN_BATCH_SIZE) {
             match self.register_timers.pop(now) {
                 Some(flow) => self.send_registration(now, flow),
                 None => break,
--- a/crates/flows/tests/registrations.rs
+++ b/crates/flows/tests/registrations.rs
@@ -7,7 +7,7 @@
 use usher_flows::{Action, Event, FlowTable, Settings};
 use usher_placement::{bucket_of, highest_ranked};
 use usher_types::{
-    Body, Buckets, FlowId, Generation, HostId, HostState, Incarnation, Member, Packet,
+    Body, Buckets, FlowId, Generation, HostId, HostState, Incarnation, Member, MessageId, Packet,
     Registration, RegistrationAck, Relay, RelayMode, Roster, Sequence, Span, Time, Version, Weight,
 };
 
@@ -26,6 +26,17 @@
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7_000 + index)
 }
 
+fn settings(index: u16) -> Settings {
+    Settings::new(
+        "desk".parse().unwrap(),
+        GENERATION,
+        BUCKETS,
+        host(index),
+        agent(index),
+        Span::from_millis(5),
+    )
+}
+
 fn roster(version: u64) -> Event {
     let members = [HOLDER, OWNER].map(|index| {
         let member = Member {
@@ -59,28 +70,41 @@
     })
 }
 
-// The owner is busy and forwards the opening packet.
-fn forwarded_opening(flow: FlowId) -> Event {
-    let packet = Packet {
-        flow,
-        sequence: Sequence::default(),
-        body: Body::Open,
-    };
+fn relay(flow: FlowId, mode: RelayMode, route: &[u16], body: Body) -> Event {
     Event::Relay(Relay {
         service: "desk".parse().unwrap(),
         generation: GENERATION,
         roster: Version::new(1),
-        route: vec![agent(OWNER), agent(HOLDER)],
-        current: 2,
-        hop: 1,
-        mode: RelayMode::Hunt,
+        route: route.iter().copied().map(agent).collect(),
+        current: route.len() as u8,
+        hop: route.len() as u8 - 1,
+        mode,
         balancer: agent(9),
-        packet,
+        packet: Packet {
+            flow,
+            sequence: Sequence::default(),
+            body,
+        },
     })
 }
 
+// The owner is busy and forwards the opening packet.
+fn forwarded_opening(flow: FlowId) -> Event {
+    relay(flow, RelayMode::Hunt, &[OWNER, HOLDER], Body::Open)
+}
+
+fn acknowledgement(flow: FlowId) -> Event {
+    let body = Body::Ack {
+        message: MessageId::new(1),
+        index: 0,
+    };
+    relay(flow, RelayMode::Owner, &[OWNER], body)
+}
+
 struct Holder {
     table: FlowTable,
+    /// Time after which an owner resets flows that it does not know.
+    settle: Span,
     now: Time,
     version: u64,
     /// Flows registered again after they were accepted.
@@ -89,15 +113,9 @@
 
 impl Holder {
     fn new(flows: usize) -> Self {
-        let settings = Settings::new(
-            "desk".parse().unwrap(),
-            GENERATION,
-            BUCKETS,
-            host(HOLDER),
-            agent(HOLDER),
-            Span::from_millis(5),
-        );
+        let settings = settings(HOLDER);
         let mut holder = Self {
+            settle: settings.settle,
             table: FlowTable::new(settings),
             now: Time::ZERO,
             version: 0,
@@ -151,3 +169,41 @@
     }
     assert_eq!(holder.registered.len(), 1_000);
 }
+
+/// Guards against a reset of an open flow whose holder has more flows than it registers in time.
+#[test]
+fn every_flow_registers_well_before_owners_reset_unknown_flows() {
+    let mut holder = Holder::new(5_000);
+    holder.change_roster();
+    holder.run(holder.settle.scale(0.5));
+    assert_eq!(holder.registered.len(), 5_000);
+}
+
+/// Guards against a reset of an open flow by a restarted owner that has not heard of it yet.
+#[test]
+fn a_restarted_owner_resets_no_flow_that_another_host_holds() {
+    let mut holder = Holder::new(5_000);
+    let mut owner = FlowTable::new(settings(OWNER));
+    holder.change_roster();
+    owner.handle(holder.now, roster(2));
+    owner.handle(holder.now, Event::Adopted(Version::new(2)));
+    holder.run(holder.settle);
+    for flow in &holder.registered {
+        let registration = Registration {
+            flow: *flow,
+            holder: agent(HOLDER),
+            roster: Version::new(2),
+        };
+        let from = agent(HOLDER);
+        owner.handle(holder.now, Event::Registration { from, registration });
+    }
+    let mut resets = 0;
+    for flow in flows_of_owner().take(5_000) {
+        let actions = owner.handle(holder.now, acknowledgement(flow));
+        let reset = actions
+            .iter()
+            .find(|action| matches!(action, Action::Send(packet) if packet.body == Body::Reset));
+        resets += usize::from(reset.is_some());
+    }
+    assert_eq!(resets, 0);
+}
