Balancers list nodes in hello messages by HelloRotation

With 128 other balancers, one hello to balancers and one to agents per interval name the same 64 to balancers each time, and the other 64 to agents.

Change: a round of hello messages begins where its receivers are chosen, and moves both lists on. All hello messages until the next round, also answers to a balancer or agent that is new, list the same part.

--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -3,8 +3,8 @@
 use arc_swap::ArcSwap;
 use serde_json::Value;
 use usher_forwarding::{
-    ActiveConfiguration, ControlTargets, Digest, Fleet, Handover, Hello, HostDirectory, HostState,
-    NodeId, Report, RoutingView, StartUp,
+    ActiveConfiguration, ControlTargets, Digest, Fleet, Handover, Hello, HelloRotation,
+    HostDirectory, HostState, NodeId, Report, RoutingView, StartUp,
 };
 use usher_platform::decode_configuration;
 use usher_types::{Span, Time, Version};
@@ -37,8 +37,9 @@
     ready: bool,
     start_up: StartUp,
     targets: ControlTargets,
-    /// Where the lists of nodes in the next hello message start.
-    offset: usize,
+    /// Balancers and agents that hello messages list.
+    listed_balancers: HelloRotation,
+    listed_agents: HelloRotation,
 }
 
 impl State {
@@ -64,7 +65,8 @@
             ready: false,
             start_up: StartUp::new(started),
             targets,
-            offset: 0,
+            listed_balancers: HelloRotation::new(HELLO_BALANCERS),
+            listed_agents: HelloRotation::new(HELLO_AGENTS),
         }
     }
 
@@ -212,29 +214,31 @@
         self.targets.hello_agents(now, &self.fleet, &self.directory)
     }
 
-    /// Balancers that get a hello message at `now`, and whether it asks for one back.
+    /// Begins a round of hello messages.
+    ///
+    /// Returns the balancers that get one at `now`, and whether it asks for one back.
     pub(crate) fn balancer_receivers(&mut self, now: Time) -> Vec<(NodeId, bool)> {
+        self.listed_balancers.advance(self.fleet.present(now));
+        self.listed_agents.advance(self.directory.agents());
         self.targets.hello_balancers(now, &mut self.fleet)
     }
 
     /// The hello message to other balancers.
-    pub(crate) fn balancer_hello(&mut self, now: Time, ask: bool) -> PeerMessage {
+    pub(crate) fn balancer_hello(&self, now: Time, ask: bool) -> PeerMessage {
         let mut hello = self.hello(now);
         hello.ask = ask;
         if !self.fleet.is_large() {
-            hello.agents =
-                rotated_subset(self.directory.agents().collect(), HELLO_AGENTS, self.offset);
+            hello.agents = self.listed_agents.list(self.directory.agents());
         }
         PeerMessage::Hello(hello)
     }
 
     /// The hello message to agents.
-    pub(crate) fn agent_hello(&mut self, now: Time) -> PeerMessage {
+    pub(crate) fn agent_hello(&self, now: Time) -> PeerMessage {
         PeerMessage::Hello(self.hello(now))
     }
 
-    fn hello(&mut self, now: Time) -> Hello {
-        self.offset = self.offset.wrapping_add(HELLO_BALANCERS);
+    fn hello(&self, now: Time) -> Hello {
         Hello {
             epoch: self.epoch,
             version: self.version(),
@@ -242,7 +246,7 @@
             complete: !self.is_starting(now),
             centre: self.settings.centre.clone(),
             capacity: self.settings.capacity,
-            balancers: rotated_subset(self.fleet.present(now), HELLO_BALANCERS, self.offset),
+            balancers: self.listed_balancers.list(self.fleet.present(now)),
             agents: Vec::new(),
             ask: false,
         }
@@ -306,13 +310,3 @@
         self.view.store(Arc::new(view));
     }
 }
-
-// At most `count` of the nodes, from `offset` on; successive hello messages list different ones.
-fn rotated_subset(mut nodes: Vec<NodeId>, count: usize, offset: usize) -> Vec<NodeId> {
-    if nodes.len() > count {
-        let first = offset % nodes.len();
-        nodes.rotate_left(first);
-        nodes.truncate(count);
-    }
-    nodes
-}
