--- /dev/null
+++ b/crates/forwarding/tests/balancer/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of a balancer about packets, one situation per test.
+
+mod copies;
+mod fixture;
+mod packets;
+mod search;
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer/packets.rs
@@ -1,150 +1,12 @@
-//! Decisions of a balancer about packets, one situation per test.
-
-use std::sync::Arc;
-
 use assert_matches::assert_matches;
 use usher_forwarding::{
-    BalancerForwarder, Candidates, Configuration, Flags, FlowKey, Hint, HostDirectory, HostSource,
-    HostState, Load, NodeId, PacketHeader, RejectReason, Report, Route, RoutingView, ServiceKey,
+    BalancerForwarder, Hint, HostSource, HostState, NodeId, RejectReason, Report, RoutingView,
     Verdict,
 };
-use usher_types::{Sequence, Slots, Span, Time, Version};
-
-const ADDRESS: &str = "198.18.0.1:443";
-const SERVICE: &str = "namedesk";
-
-fn node(last: u8) -> NodeId {
-    NodeId::new([10, 1, 0, last].into())
-}
-
-fn at(millis: u64) -> Time {
-    Time::ZERO + Span::from_millis(millis)
-}
-
-fn report(sequence: u32, service: &str) -> Report {
-    Report {
-        epoch: 1,
-        sequence: Sequence::new(sequence),
-        centre: "kolkata".parse().unwrap(),
-        service: ServiceKey::of(service),
-        state: HostState::Serving,
-        born: 100,
-        slots: Slots::new(4),
-        warmup: Span::ZERO,
-        load: Load::default(),
-        relayed: false,
-    }
-}
-
-fn configuration(version: u64, service: &str) -> Arc<Configuration> {
-    let route = Route {
-        name: "r-1".to_owned(),
-        services: vec![(ServiceKey::of(service), 100)],
-        timeout: Span::from_millis(800),
-        target: Span::from_millis(120),
-        rank: 2,
-    };
-    Arc::new(Configuration {
-        version: Version::new(version),
-        routes: [(ADDRESS.parse().unwrap(), route)].into_iter().collect(),
-        ..Configuration::default()
-    })
-}
 
-// A balancer and three hosts of one service, which all reported at the same time.
-struct Fixture {
-    directory: HostDirectory,
-    forwarder: BalancerForwarder,
-    view: RoutingView,
-}
-
-impl Fixture {
-    fn new() -> Self {
-        let mut directory = HostDirectory::new("kolkata".parse().unwrap(), Time::ZERO);
-        for last in [3, 4, 5] {
-            directory.on_direct_report(at(0), node(last), &report(1, SERVICE));
-        }
-        let view = directory.view(configuration(1, SERVICE), &RoutingView::default());
-        let forwarder = BalancerForwarder::new(node(9));
-        Self {
-            directory,
-            forwarder,
-            view,
-        }
-    }
-
-    fn on_report(&mut self, millis: u64, last: u8, report: &Report) {
-        if self
-            .directory
-            .on_direct_report(at(millis), node(last), report)
-        {
-            self.publish();
-        }
-    }
-
-    fn report_all(&mut self, millis: u64, sequence: u32) {
-        for last in [3, 4, 5] {
-            self.on_report(millis, last, &report(sequence, SERVICE));
-        }
-    }
-
-    fn publish(&mut self) {
-        let configuration = configuration(1, SERVICE);
-        self.view = self.directory.view(configuration, &self.view);
-    }
-
-    fn send(&mut self, millis: u64, packet_header: &PacketHeader) -> Verdict {
-        self.forwarder
-            .on_packet(at(millis), packet_header, &self.view)
-    }
-
-    // Returns a packet of flow 1 that the agents do not hold.
-    fn give_back(&mut self, millis: u64, agents: &[u8]) -> Verdict {
-        let mut visited = Candidates::default();
-        for last in agents {
-            visited.push(node(*last));
-        }
-        let packet = PacketHeader {
-            acknowledged: 7,
-            ..packet_header(1, false)
-        };
-        self.forwarder
-            .on_returned(at(millis), &packet, &visited, &self.view)
-    }
-
-    // Sends an opening packet and returns the host that the flow is placed on.
-    fn place(&mut self, millis: u64, port: u16, copy: u32) -> NodeId {
-        let verdict = self.send(millis, &opening(port, copy));
-        assert_matches!(verdict, Verdict::Send { to, how: HostSource::Placed { .. }, .. } => to)
-    }
-}
-
-fn packet_header(port: u16, opening: bool) -> PacketHeader {
-    PacketHeader {
-        source: format!("100.64.0.7:{port}").parse().unwrap(),
-        target: ADDRESS.parse().unwrap(),
-        flags: Flags {
-            opening,
-            acknowledging: !opening,
-            ..Flags::default()
-        },
-        sequence: 1,
-        acknowledged: 0,
-        data: 0,
-        token: 0,
-    }
-}
-
-fn opening(port: u16, copy: u32) -> PacketHeader {
-    PacketHeader {
-        acknowledged: copy,
-        ..packet_header(port, true)
-    }
-}
-
-fn flow(port: u16) -> FlowKey {
-    packet_header(port, true).inbound()
-}
+use crate::fixture::{
+    Fixture, SERVICE, at, configuration, flow, node, opening, packet_header, report,
+};
 
 /// Guards against flows that pile up on one host between two reports.
 #[test]
@@ -157,22 +19,6 @@
     }
 }
 
-/// Guards against a copy of an opening packet that opens the flow twice.
-///
-/// Also against a copy that is sent to the host of the first packet when that host is gone.
-#[test]
-fn copies_follow_the_first_packet_while_its_host_is_heard() {
-    let mut fixture = Fixture::new();
-    let placed: Vec<NodeId> = (1..=12).map(|port| fixture.place(10, port, 0)).collect();
-    let copies: Vec<NodeId> = (1..=12).map(|port| fixture.place(200, port, 1)).collect();
-    assert_eq!(copies, placed);
-    let first = placed[0];
-    for last in [3, 4, 5].into_iter().filter(|last| node(*last) != first) {
-        fixture.on_report(600, last, &report(2, SERVICE));
-    }
-    assert_ne!(fixture.place(610, 1, 2), first);
-}
-
 /// Guards against new flows for hosts that do not take any.
 #[test]
 fn only_serving_hosts_are_candidates_for_new_flows() {
