Copies of an opening packet follow the known host of their flow

Callers whose SYN is repeated, or arrives late, could see the first packets of their open flow go to another host while a search puts it right.

When hosts had joined the view, most of all at a balancer that had just started, or when the host drained, the copy was placed anew and replaced the entry of the open flow.

Evidence: a_copy_follows_the_first_packet_when_hosts_have_joined and a_copy_leaves_the_flow_with_a_host_that_drains fail without the change.

The known host is now looked up among all hosts of the route's service. It is used unless it has ended or its reports are late, as before.

--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -216,16 +216,9 @@
         };
         let hosts = search::shortlist(view.hosts(service), &flow, PLACEMENT_HOSTS);
         let ranked = rank(now, &hosts, &flow);
-        let known = match self.cache.get(&flow) {
-            Some(FlowLocation::At(node)) => Some(*node),
-            _ => None,
-        };
-        // A copy of an opening packet goes to the host of the first one while that host is heard.
-        let repeated = ranked
-            .iter()
-            .position(|(cost, host)| known == Some(host.node) && cost.is_fit());
-        let first = repeated.unwrap_or(0);
-        let Some((_, chosen)) = ranked.get(first).filter(|(cost, _)| cost.serves()) else {
+        let repeated = self.known_host(&flow, view.hosts(service), view.latest_report());
+        let best = ranked.first().filter(|(cost, _)| cost.serves());
+        let Some(chosen) = repeated.or(best.map(|(_, host)| *host)) else {
             // Hosts may not have reported yet to a balancer that has just started. The caller
             // retransmits its packet.
             let settled = now - view.started >= SETTLE_TIME;
@@ -259,6 +252,22 @@
         verdict
     }
 
+    // The host that a copy of an opening packet goes to: that of the first one, while it is heard.
+    // It may drain meanwhile, or have been pushed off the list by hosts that joined.
+    fn known_host<'a>(
+        &mut self,
+        flow: &FlowKey,
+        hosts: &'a [HostView],
+        latest: Time,
+    ) -> Option<&'a HostView> {
+        let Some(FlowLocation::At(known)) = self.cache.get(flow) else {
+            return None;
+        };
+        hosts.iter().find(|host| {
+            host.node == *known && host.state != HostState::Ended && !host.is_suspected(latest)
+        })
+    }
+
     fn send_cached(&self, node: NodeId) -> Verdict {
         let mut candidates = Candidates::default();
         candidates.push(node);
--- a/crates/forwarding/src/balancer/placement.rs
+++ b/crates/forwarding/src/balancer/placement.rs
@@ -64,11 +64,6 @@
         Self { fitness, total }
     }
 
-    /// Whether the host serves and its reports are recent.
-    pub(crate) fn is_fit(&self) -> bool {
-        self.fitness == Fitness::Fit
-    }
-
     /// Whether the host takes new flows, as far as is known.
     pub(crate) fn serves(&self) -> bool {
         self.fitness != Fitness::NotServing
--- a/crates/forwarding/tests/balancer/copies.rs
+++ b/crates/forwarding/tests/balancer/copies.rs
@@ -1,6 +1,7 @@
-use usher_forwarding::NodeId;
+use assert_matches::assert_matches;
+use usher_forwarding::{Hint, HostSource, HostState, NodeId, Report, Verdict};
 
-use crate::fixture::{Fixture, SERVICE, node, report};
+use crate::fixture::{Fixture, SERVICE, flow, node, packet_header, report};
 
 /// Guards against a copy of an opening packet that opens the flow twice.
 ///
@@ -17,3 +18,38 @@
     }
     assert_ne!(fixture.place(610, 1, 2), first);
 }
+
+/// Guards against a late copy that replaces the known host of a flow after the view has grown.
+#[test]
+fn a_copy_follows_the_first_packet_when_hosts_have_joined() {
+    for port in 1..60 {
+        let mut fixture = Fixture::new();
+        let placed = fixture.place(10, port, 0);
+        for last in 10..47 {
+            fixture.on_report(100, last, &report(1, SERVICE));
+        }
+        fixture.report_all(100, 2);
+        assert_eq!(fixture.place(210, port, 1), placed, "port {port}");
+    }
+}
+
+/// Guards against a late copy that replaces the known host of a flow when the host drains.
+#[test]
+fn a_copy_leaves_the_flow_with_a_host_that_drains() {
+    let mut fixture = Fixture::new();
+    let placed = fixture.place(10, 1, 0);
+    let hint = Hint {
+        flow: flow(1),
+        node: placed,
+    };
+    fixture.forwarder.on_hint(crate::fixture::at(12), &hint);
+    let draining = Report {
+        state: HostState::Draining,
+        ..report(2, SERVICE)
+    };
+    let [.., last] = placed.address().octets();
+    fixture.on_report(100, last, &draining);
+    fixture.place(210, 1, 1);
+    let verdict = fixture.send(220, &packet_header(1, false));
+    assert_matches!(verdict, Verdict::Send { to, how: HostSource::Cached, .. } if to == placed);
+}
