A flow is reset after a second search, not after the first

Callers could get a reset of an open flow whose host is sound, from a balancer that has not heard of the host yet: a new host takes a flow through one balancer, the flow moves to a balancer of another data centre, and this one asks all agents that it knows within some 65 ms, before the host's first report is relayed to it.

A flow now counts as lost when two searches half a second apart, longer than the interval of digests between data centres, have found it at no agent, and the view is settled as before.

a_flow_is_not_reset_before_new_hosts_can_be_known and packets_of_a_burst_share_the_search_for_a_lost_flow fail without the change. Three tests that expect a reset play the two searches now and check as much as before: which agents are visited, and that no packet is answered with a reset sooner.

--- a/crates/forwarding/src/balancer/flow_cache.rs
+++ b/crates/forwarding/src/balancer/flow_cache.rs
@@ -6,7 +6,7 @@
 use super::flow_search::FlowSearch;
 use crate::{FlowKey, NodeId};
 
-// 32,768 flows in each of two generations take about 3 MB.
+// 32,768 flows in each of two generations take about 3 MB, without the searches in progress.
 const GENERATION_FLOWS: usize = 32_768;
 // A flow that is not used for two of these periods is dropped; an idle flow closes sooner.
 const GENERATION_PERIOD: Span = Span::from_secs(30);
@@ -16,8 +16,8 @@
 pub(crate) enum FlowLocation {
     /// This host holds the flow.
     At(NodeId),
-    /// The host is searched.
-    Searched(Box<FlowSearch>),
+    /// The host is not known yet.
+    Searching(Box<FlowSearch>),
 }
 
 /// Bounded cache of the hosts that hold flows.
@@ -47,9 +47,4 @@
         }
         self.young.insert(flow, known);
     }
-
-    pub(crate) fn remove(&mut self, flow: &FlowKey) {
-        self.young.swap_remove(flow);
-        self.old.swap_remove(flow);
-    }
 }
--- a/crates/forwarding/src/balancer/flow_search.rs
+++ b/crates/forwarding/src/balancer/flow_search.rs
@@ -3,9 +3,9 @@
 
 use crate::{Candidates, NodeId};
 
-// A search that found nothing is repeated by the next packet after this time; sooner ones visit
-// only agents that have joined.
-const REPEAT_AFTER: Span = Span::from_secs(1);
+// A search that found nothing is repeated by the next packet after this time. New hosts are known
+// to all balancers by then: digests between data centres come every 500 ms.
+const REPEAT_AFTER: Span = Span::from_millis(500);
 // A search ends here in a fleet that is too large to visit.
 const MAX_VISITED: usize = 4_096;
 
@@ -17,9 +17,21 @@
 pub(crate) struct FlowSearch {
     visited: IndexSet<NodeId>,
     exhausted_at: Option<Time>,
+    /// An earlier search has visited all agents that were known then.
+    repeated: bool,
 }
 
 impl FlowSearch {
+    /// Begins again if the search found nothing some time ago.
+    pub(crate) fn begin(&mut self, now: Time) {
+        let over = |exhausted_at| now - exhausted_at >= REPEAT_AFTER;
+        if self.exhausted_at.is_some_and(over) {
+            self.visited.clear();
+            self.exhausted_at = None;
+            self.repeated = true;
+        }
+    }
+
     /// Records agents that returned a packet of the flow.
     pub(crate) fn add(&mut self, visited: &Candidates) {
         self.visited.extend(visited.as_slice());
@@ -40,13 +52,12 @@
     }
 
     /// Records that all known agents were visited by `now`.
-    pub(crate) fn exhaust(&mut self, now: Time) {
+    pub(crate) fn mark_exhausted(&mut self, now: Time) {
         self.exhausted_at.get_or_insert(now);
     }
 
-    /// Whether the search found nothing and may be repeated at `now`.
-    pub(crate) fn is_over(&self, now: Time) -> bool {
-        self.exhausted_at
-            .is_some_and(|exhausted_at| now - exhausted_at >= REPEAT_AFTER)
+    /// Whether all agents have returned packets of the flow twice, some time apart.
+    pub(crate) fn is_repeated(&self) -> bool {
+        self.repeated && !self.is_full()
     }
 }
--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -124,25 +124,21 @@
         if packet_header.opens() {
             return self.on_opening(now, flow, view);
         }
-        match self.cache.get(&flow) {
-            Some(FlowLocation::At(node)) => {
-                let node = *node;
-                return self.send_cached(node);
-            }
-            Some(FlowLocation::Searched(search)) if search.is_over(now) => {
-                self.cache.remove(&flow);
-            }
-            _ => {}
+        if let Some(FlowLocation::At(node)) = self.cache.get(&flow) {
+            let node = *node;
+            return self.send_cached(node);
         }
         if view.route(&flow.address).is_none() {
             return Verdict::Drop(RejectReason::NoRoute);
         }
-        self.search(now, flow, packet_header.acknowledged, view)
+        let mut search = self.take_search(&flow);
+        search.begin(now);
+        self.search(now, packet_header, search, view)
     }
 
     /// Decides on a packet that the `visited` agents have returned, since none holds its flow.
     ///
-    /// The packet goes on to the agents that are left. After the last one the flow is lost; it is
+    /// The packet is forwarded to the remaining agents. After the last one the flow is lost; it is
     /// reset if its host is known to be gone.
     pub fn on_returned(
         &mut self,
@@ -152,18 +148,16 @@
         view: &RoutingView,
     ) -> Verdict {
         let flow = packet_header.inbound();
-        let mut search = match self.cache.get(&flow) {
+        if let Some(FlowLocation::At(node)) = self.cache.get(&flow)
+            && !visited.as_slice().contains(node)
+        {
             // Another packet of the flow has found the host in the meantime.
-            Some(FlowLocation::At(node)) if !visited.as_slice().contains(node) => {
-                let node = *node;
-                return self.send_cached(node);
-            }
-            Some(FlowLocation::Searched(search)) => mem::take(search),
-            Some(FlowLocation::At(_)) | None => Box::default(),
-        };
+            let node = *node;
+            return self.send_cached(node);
+        }
+        let mut search = self.take_search(&flow);
         search.add(visited);
-        self.cache.insert(now, flow, FlowLocation::Searched(search));
-        self.search(now, flow, packet_header.acknowledged, view)
+        self.search(now, packet_header, search, view)
     }
 
     /// Applies a hint from an agent.
@@ -172,31 +166,48 @@
             .insert(now, hint.flow, FlowLocation::At(hint.node));
     }
 
+    // The search of a flow; a new one if the host was known or nothing is.
+    fn take_search(&mut self, flow: &FlowKey) -> FlowSearch {
+        match self.cache.get(flow) {
+            Some(FlowLocation::Searching(search)) => mem::take(search),
+            _ => FlowSearch::default(),
+        }
+    }
+
     // Sends a packet to the agents that have not returned one of its flow yet.
-    fn search(&mut self, now: Time, flow: FlowKey, received: u32, view: &RoutingView) -> Verdict {
-        let mut unknown = FlowSearch::default();
-        let search = match self.cache.get(&flow) {
-            Some(FlowLocation::Searched(search)) => search,
-            _ => &mut unknown,
-        };
-        let candidates = search::next_agents(view, &flow, search);
-        if let Some(node) = candidates.as_slice().first() {
+    //
+    // A flow is taken for lost only after a second search: another balancer may have placed it on a
+    // host that this one has not heard of yet.
+    fn search(
+        &mut self,
+        now: Time,
+        packet_header: &PacketHeader,
+        mut search: FlowSearch,
+        view: &RoutingView,
+    ) -> Verdict {
+        let flow = packet_header.inbound();
+        let candidates = search::next_agents(view, &flow, &search);
+        let verdict = if let Some(node) = candidates.as_slice().first() {
             let how = HostSource::Searched {
                 visited: search.visited(),
                 known: view.agent_count(),
             };
-            return self.send(*node, candidates, ServiceKey::NONE, how);
-        }
-        if search.is_full() || !view.is_settled(now, SETTLE_TIME) {
-            search.exhaust(now);
-            return Verdict::Drop(RejectReason::Unsettled);
-        }
-        self.cache.remove(&flow);
-        Verdict::Reset {
-            flow,
-            received,
-            reason: RejectReason::HostGone,
-        }
+            self.send(*node, candidates, ServiceKey::NONE, how)
+        } else {
+            search.mark_exhausted(now);
+            if search.is_repeated() && view.is_settled(now, SETTLE_TIME) {
+                Verdict::Reset {
+                    flow,
+                    received: packet_header.acknowledged,
+                    reason: RejectReason::HostGone,
+                }
+            } else {
+                Verdict::Drop(RejectReason::Unsettled)
+            }
+        };
+        self.cache
+            .insert(now, flow, FlowLocation::Searching(Box::new(search)));
+        verdict
     }
 
     fn on_opening(&mut self, now: Time, flow: FlowKey, view: &RoutingView) -> Verdict {
