A packet that was lost in a search takes another order the next time

Cause: a packet of a search ends at a backend server that is hung, or at an agent that died a moment ago. Nothing is returned, so nothing is marked as visited, and each retransmission takes the same way.

The balancer now notices that a caller repeats packets without progress in either direction, and visits the agents that are left in the reverse order, then in other orders. So one silent host hides no other, and several hide another one only for some packets. The agent that holds a searched flow tells the balancer also if it is first in the list, or the right order would be left again.

Evidence: a_backend_server_that_does_not_answer_ends_no_search (five packets in 3 s reach the same four hosts) and a_dead_agent_of_another_data_centre_ends_no_search fail without the change.

--- a/crates/forwarding/src/agent/forwarder.rs
+++ b/crates/forwarding/src/agent/forwarder.rs
@@ -367,11 +367,13 @@
         route_established(&forward_header, ForwardReason::Returned)
     }
 
-    // Notifies the balancer where the flow is, unless this agent is the first candidate.
+    // Notifies the balancer where the flow is, unless it has placed the flow here or knows it.
     fn with_notice(&self, action: InboundAction, forward_header: &ForwardHeader) -> Inbound {
-        let first = forward_header.candidates.as_slice().first() == Some(&self.node);
+        let candidates = forward_header.candidates.as_slice();
+        let searched = forward_header.service == ServiceKey::NONE && candidates.len() > 1;
+        let known = candidates.first() == Some(&self.node) && !searched;
         let notify =
-            (!first && forward_header.origin != NodeId::NONE).then_some(forward_header.origin);
+            (!known && forward_header.origin != NodeId::NONE).then_some(forward_header.origin);
         Inbound { action, notify }
     }
 }
--- a/crates/forwarding/src/balancer/flow_search.rs
+++ b/crates/forwarding/src/balancer/flow_search.rs
@@ -1,11 +1,13 @@
 use indexmap::IndexSet;
 use usher_types::{Span, Time};
 
-use crate::{Candidates, NodeId};
+use crate::{Candidates, NodeId, PacketHeader};
 
 // A search that found nothing is repeated by the next packet after this time. New hosts are known
 // to all balancers by then: digests between data centres come every 500 ms.
 const REPEAT_AFTER: Span = Span::from_millis(500);
+// A packet that the caller sends again after this time, without progress of the flow, was lost.
+const ANSWER_TIME: Span = Span::from_millis(100);
 // A search ends here in a fleet that is too large to visit.
 const MAX_VISITED: usize = 4_096;
 
@@ -19,11 +21,24 @@
     exhausted_at: Option<Time>,
     /// An earlier search has visited all agents that were known then.
     repeated: bool,
+    /// Highest sequence and acknowledgement of the caller's packets.
+    progress: Option<(u32, u32)>,
+    attempts: u32,
+    attempted_at: Time,
 }
 
 impl FlowSearch {
-    /// Begins again if the search found nothing some time ago.
-    pub(crate) fn begin(&mut self, now: Time) {
+    /// Records a packet of the caller; a search that found nothing some time ago begins again.
+    ///
+    /// A packet without progress since the last one tells that the last one was lost on its way.
+    pub(crate) fn begin(&mut self, now: Time, packet_header: &PacketHeader) {
+        if self.advance(packet_header) {
+            self.attempts = 0;
+            self.attempted_at = now;
+        } else if now - self.attempted_at >= ANSWER_TIME {
+            self.attempts += 1;
+            self.attempted_at = now;
+        }
         let over = |exhausted_at| now - exhausted_at >= REPEAT_AFTER;
         if self.exhausted_at.is_some_and(over) {
             self.visited.clear();
@@ -32,6 +47,19 @@
         }
     }
 
+    // Whether a packet shows progress of the flow in either direction.
+    fn advance(&mut self, packet_header: &PacketHeader) -> bool {
+        let next = (packet_header.sequence, packet_header.acknowledged);
+        let (sequence, acknowledged) = self.progress.unwrap_or(next);
+        let is_later = |value: u32, known: u32| value.wrapping_sub(known).cast_signed() > 0;
+        let advanced = is_later(next.0, sequence) || is_later(next.1, acknowledged);
+        let first = self.progress.is_none();
+        if advanced || first {
+            self.progress = Some(next);
+        }
+        advanced || first
+    }
+
     /// Records agents that returned a packet of the flow.
     pub(crate) fn add(&mut self, visited: &Candidates) {
         self.visited.extend(visited.as_slice());
@@ -46,6 +74,11 @@
         self.visited.len()
     }
 
+    /// Packets in a row that were lost on their way.
+    pub(crate) fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
     /// Whether the search must not visit further agents.
     pub(crate) fn is_full(&self) -> bool {
         self.visited.len() >= MAX_VISITED
--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -132,7 +132,7 @@
             return Verdict::Drop(RejectReason::NoRoute);
         }
         let mut search = self.take_search(&flow);
-        search.begin(now);
+        search.begin(now, packet_header);
         self.search(now, packet_header, search, view)
     }
 
--- a/crates/forwarding/src/balancer/search.rs
+++ b/crates/forwarding/src/balancer/search.rs
@@ -21,8 +21,9 @@
 
 /// The agents that the next packet of a searched flow visits; empty when all were visited.
 ///
-/// Those of the route's services come first, then all others. Silent agents come last: a packet
-/// that visits a dead one goes no further.
+/// Those of the route's services come first, then all others. Silent agents come last, since a dead
+/// agent loses the packet. After a packet was lost the order is another one, so that no agent or
+/// backend server that answers nothing hides the others.
 pub(crate) fn next_agents(view: &RoutingView, flow: &FlowKey, search: &FlowSearch) -> Candidates {
     let mut candidates = Candidates::default();
     if search.is_full() {
@@ -30,7 +31,7 @@
     }
     let services: IndexSet<ServiceKey> = view.holders(&flow.address).collect();
     let latest = view.latest_report();
-    let mut silent = Vec::new();
+    let (mut live, mut silent) = (Vec::new(), Vec::new());
     for service in services {
         let hosts = view.hosts(service);
         let mut list = shortlist(hosts, flow, hosts.len());
@@ -42,14 +43,22 @@
             if host.is_suspected(latest) {
                 silent.push(host.node);
             } else {
-                candidates.push(host.node);
+                live.push(host.node);
             }
         }
-        if candidates.is_full() {
+        if search.attempts() == 0 && live.len() >= Candidates::MAX {
             break;
         }
     }
-    for node in silent {
+    match search.attempts() {
+        0 => {}
+        1 => live.reverse(),
+        attempts => live.sort_by_cached_key(|node| {
+            let node = u64::from(u32::from(node.address()));
+            flow.hash(node | u64::from(attempts) << u32::BITS)
+        }),
+    }
+    for node in live.into_iter().chain(silent) {
         candidates.push(node);
     }
     candidates
--- a/crates/forwarding/tests/balancer/main.rs
+++ b/crates/forwarding/tests/balancer/main.rs
@@ -2,5 +2,6 @@
 
 mod copies;
 mod fixture;
+mod lost_packets;
 mod packets;
 mod search;
