An agent remembers a flow whose opening packet was returned once

Cause: a backend server that returns one copy of an opening packet and takes another makes the agent drop its record of the flow, and the answer to the second copy did not make a new one. An agent older than a flow's life then says that it does not hold the flow, so packets from another balancer pass its host, and a search ends in a reset.

Evidence: a_returned_copy_does_not_end_the_flow_that_another_copy_opened fails without the change.

The backend server's answer to an opening packet now makes the record. Also a test for the notice of the first agent of a search.

--- a/crates/forwarding/src/agent/forwarder.rs
+++ b/crates/forwarding/src/agent/forwarder.rs
@@ -157,9 +157,13 @@
         self.monitor.host_responded();
         let flow = packet_header.outbound();
         let Some(entry) = self.flows.get_mut(&flow) else {
-            let answers_opening = packet_header.flags.opening;
-            if !answers_opening && !packet_header.flags.resetting {
-                self.flows.insert(flow, Entry::new(now, Phase::Open));
+            if !packet_header.flags.resetting {
+                let phase = if packet_header.flags.opening {
+                    Phase::Answered
+                } else {
+                    Phase::Open
+                };
+                self.flows.insert(flow, Entry::new(now, phase));
             }
             return Outbound::ToCaller { work: None };
         };
--- a/crates/forwarding/tests/agent/flows.rs
+++ b/crates/forwarding/tests/agent/flows.rs
@@ -1,7 +1,7 @@
 use assert_matches::assert_matches;
 use usher_forwarding::{
     ForwardHeader, ForwardReason, HeartbeatEffect, HostHeartbeat, HostState, InboundAction,
-    Outbound, ServiceKey,
+    Outbound, PacketHeader, ServiceKey,
 };
 
 use crate::fixture::{
@@ -251,3 +251,36 @@
     assert_matches!(inbound.action, InboundAction::Forward { .. });
     assert_eq!(agent.state(), HostState::Draining);
 }
+
+/// Guards against a balancer that searches again for a flow that the first agent holds.
+#[test]
+fn the_first_agent_of_a_search_tells_that_it_holds_the_flow() {
+    let mut agent = serving_agent();
+    open_flow(&mut agent, 1);
+    let mut searched = forward_header(&[3, 4], 0);
+    searched.service = ServiceKey::from_bits(0);
+    let inbound = agent.on_packet(at(10), &data_packet(1), &searched);
+    assert_eq!(inbound.notify, Some(node(9)));
+    let mut cached = forward_header(&[3], 0);
+    cached.service = ServiceKey::from_bits(0);
+    let inbound = agent.on_packet(at(10), &data_packet(1), &cached);
+    assert_eq!(inbound.notify, None);
+}
+
+/// Guards against a flow that its agent forgets when one copy of its opening packet is returned.
+#[test]
+fn a_returned_copy_does_not_end_the_flow_that_another_copy_opened() {
+    let mut agent = serving_agent();
+    let now = at(61_000);
+    let first = agent.on_packet(now, &opening(1), &forward_header(&[3, 4], 0));
+    let token = assert_matches!(first.action, InboundAction::Deliver { token, .. } => token);
+    let copy = PacketHeader {
+        acknowledged: 1,
+        ..opening(1)
+    };
+    agent.on_packet(now, &copy, &forward_header(&[3, 4], 0));
+    agent.on_host_packet(now, &returned(&opening(1), token));
+    agent.on_host_packet(now, &answer(&copy, true, 0));
+    let inbound = agent.on_packet(now, &data_packet(1), &forward_header(&[3, 4], 0));
+    assert_matches!(inbound.action, InboundAction::Deliver { .. });
+}
