Hosts of another balancer are merged by the age of their reports

A starting balancer kept what it knew of a host when it fetched the hosts of another balancer. A relayed report may be older than the one that the other balancer has, for example that the host drains. The later report now wins; a_later_report_of_another_balancer_is_merged fails without the change. Names: HostPage, host_page and merge_hosts, since handover means the state of flows elsewhere.

--- a/crates/forwarding/src/balancer/directory.rs
+++ b/crates/forwarding/src/balancer/directory.rs
@@ -6,7 +6,7 @@
 use super::host_record::HostRecord;
 use super::report_rate::ReportRate;
 use super::view::{HostView, RoutingView, ServiceView};
-use crate::{Configuration, Handover, HostState, KnownHost, NodeId, Report, ServiceKey};
+use crate::{Configuration, HostPage, HostState, KnownHost, NodeId, Report, ServiceKey};
 
 // A silent host is removed after this time, if other hosts are heard.
 const REMOVE_AFTER: Span = Span::from_secs(30);
@@ -104,7 +104,7 @@
     ///
     /// Pages continue after an address, so that hosts which join or leave between two pages do not
     /// hide others.
-    pub fn hand_over(&self, now: Time, after: NodeId, limit: usize) -> Handover {
+    pub fn host_page(&self, now: Time, after: NodeId, limit: usize) -> HostPage {
         let mut hosts: Vec<_> = self.hosts.iter().collect();
         hosts.retain(|(node, _)| **node > after);
         hosts.sort_by_key(|(node, _)| **node);
@@ -115,29 +115,34 @@
             report: host.report(now),
             age: now - host.last_heard,
         });
-        Handover {
+        HostPage {
             hosts: known.collect(),
             more,
         }
     }
 
-    /// Adds the hosts that another balancer knows; returns the number of new ones.
+    /// Adds what another balancer knows about hosts; returns the number of new ones.
     ///
-    /// Reports that this balancer has are at least as new.
-    pub fn take_over(&mut self, now: Time, handover: &Handover) -> usize {
-        let mut added = 0;
-        for KnownHost { agent, report, age } in &handover.hosts {
-            if self.hosts.contains_key(agent) {
-                continue;
-            }
+    /// A report that this balancer has is replaced only by a later one.
+    pub fn merge_hosts(&mut self, now: Time, page: &HostPage) -> usize {
+        let before = self.hosts.len();
+        for KnownHost { agent, report, age } in &page.hosts {
+            let heard = now - *age;
             let report_rate = self.report_rate(report);
-            let mut host = HostRecord::new(now - *age, report, report_rate);
-            host.first_heard = now;
-            host.warm_at = now + report.warmup;
-            self.hosts.insert(*agent, host);
-            added += 1;
+            match self.hosts.get_mut(agent) {
+                Some(host) if host.supersedes(report) => {}
+                Some(host) => {
+                    host.update(heard, report, report_rate);
+                }
+                None => {
+                    let mut host = HostRecord::new(heard, report, report_rate);
+                    host.first_heard = now;
+                    host.warm_at = now + report.warmup;
+                    self.hosts.insert(*agent, host);
+                }
+            }
         }
-        added
+        self.hosts.len() - before
     }
 
     fn report_rate(&self, report: &Report) -> ReportRate {
--- a/crates/forwarding/src/balancer/start_up.rs
+++ b/crates/forwarding/src/balancer/start_up.rs
@@ -5,8 +5,8 @@
 
 /// Whether a balancer that has started knows all hosts.
 ///
-/// It takes them over from a balancer that does. If none is heard, reports are complete after some
-/// time. Until then the balancer takes no traffic, since it would not find the hosts of open flows.
+/// It fetches them from a balancer that does. Without such a balancer it waits for the agents'
+/// reports. Until then the balancer takes no traffic, since it would not find the hosts of open flows.
 ///
 /// ```
 /// use usher_forwarding::StartUp;
--- a/crates/forwarding/src/host_page.rs
+++ b/crates/forwarding/src/host_page.rs
@@ -16,7 +16,7 @@
 
 /// One page of the hosts that a balancer hands over, by rising address.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Handover {
+pub struct HostPage {
     /// The hosts of this page.
     pub hosts: Vec<KnownHost>,
     /// Whether hosts with higher addresses follow.
--- a/crates/forwarding/src/report.rs
+++ b/crates/forwarding/src/report.rs
@@ -37,7 +37,7 @@
     pub version: Version,
     /// The balancer is about to stop.
     pub leaving: bool,
-    /// The balancer knows all hosts and can hand them over.
+    /// The balancer has finished its start and can hand over the hosts that it knows.
     pub complete: bool,
     /// Data centre of the balancer.
     pub centre: DataCentre,
--- a/crates/forwarding/tests/host_pages.rs
+++ b/crates/forwarding/tests/host_pages.rs
@@ -47,8 +47,8 @@
 ) {
     let mut after = NodeId::NONE;
     loop {
-        let page = from.hand_over(at(1_000), after, 16);
-        to.take_over(at(1_000), &page);
+        let page = from.host_page(at(1_000), after, 16);
+        to.merge_hosts(at(1_000), &page);
         match page.hosts.last().filter(|_| page.more) {
             Some(last) => after = last.agent,
             None => return,
@@ -98,12 +98,12 @@
 
 /// Guards against a late report of another balancer that replaces one from the agent itself.
 #[test]
-fn hosts_that_are_known_are_not_taken_over() {
+fn a_later_report_is_kept() {
     let mut to = HostDirectory::new(centre(), at(1_000));
     to.on_direct_report(at(1_000), node(1), &report(7, HostState::Draining));
-    let added = to.take_over(
+    let added = to.merge_hosts(
         at(1_000),
-        &running().hand_over(at(1_000), NodeId::NONE, 100),
+        &running().host_page(at(1_000), NodeId::NONE, 100),
     );
     assert_eq!(added, 49);
     let (state, age) = to.state(at(1_000), node(1)).unwrap();
@@ -114,9 +114,9 @@
 #[test]
 fn a_host_that_is_taken_over_keeps_the_age_of_its_report() {
     let mut to = HostDirectory::new(centre(), at(1_000));
-    to.take_over(
+    to.merge_hosts(
         at(1_000),
-        &running().hand_over(at(9_000), NodeId::NONE, 100),
+        &running().host_page(at(9_000), NodeId::NONE, 100),
     );
     let (_, age) = to.state(at(9_000), node(1)).unwrap();
     assert!(age >= Span::from_millis(8_000), "{age}");
@@ -132,3 +132,26 @@
     to.on_direct_report(at(1_100), node(1), &report(4, HostState::Serving));
     assert_eq!(to.state(at(1_100), node(1)).unwrap().0, HostState::Draining);
 }
+
+/// Guards against an old report, relayed by a third balancer, that outlives a later one.
+#[test]
+fn a_later_report_of_another_balancer_is_merged() {
+    let mut from = running();
+    from.on_direct_report(at(900), node(1), &report(9, HostState::Draining));
+    let mut to = HostDirectory::new(centre(), at(1_000));
+    to.on_relayed_report(at(1_000), node(1), &report(2, HostState::Serving), None);
+    to.merge_hosts(at(1_000), &from.host_page(at(1_000), NodeId::NONE, 100));
+    let (state, age) = to.state(at(1_000), node(1)).unwrap();
+    assert_eq!((state, age), (HostState::Draining, Span::from_millis(100)));
+}
+
+/// Guards against flows for the host of an ended backend server, and against its late reports.
+#[test]
+fn ended_hosts_are_merged() {
+    let mut from = running();
+    from.on_direct_report(at(900), node(1), &report(9, HostState::Ended));
+    let mut to = HostDirectory::new(centre(), at(1_000));
+    to.merge_hosts(at(1_000), &from.host_page(at(1_000), NodeId::NONE, 100));
+    to.on_direct_report(at(1_100), node(1), &report(8, HostState::Serving));
+    assert_eq!(to.state(at(1_100), node(1)).unwrap().0, HostState::Ended);
+}
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -114,7 +114,7 @@
             let after = path.strip_prefix(HOSTS_PATH).map(str::parse);
             match (method, path, after) {
                 ("GET", CONFIGURATION_PATH, _) => Answer::json(200, shared.borrow().document()),
-                ("GET", _, Some(Ok(after))) => Answer::json(200, shared.borrow().hand_over(after)),
+                ("GET", _, Some(Ok(after))) => Answer::json(200, shared.borrow().host_page(after)),
                 _ => Answer::empty(404),
             }
         },
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::Notify;
-use usher_forwarding::{Handover, NodeId, StaleEntries};
+use usher_forwarding::{HostPage, NodeId, StaleEntries};
 use usher_platform::{Listing, Request, WatchAnswer};
 use usher_types::{Span, Version};
 
@@ -161,22 +161,22 @@
             path: format!("{}{after}", super::control::HOSTS_PATH),
             body: String::new(),
         };
-        let handover = match client.call("hosts", &request, CALL_TIMEOUT).await {
+        let page = match client.call("hosts", &request, CALL_TIMEOUT).await {
             Ok(reply) if reply.status == OK => {
-                serde_json::from_slice::<Handover>(&reply.body).map_err(|fault| fault.to_string())
+                serde_json::from_slice::<HostPage>(&reply.body).map_err(|fault| fault.to_string())
             }
             Ok(reply) => Err(format!("status {}", reply.status)),
             Err(fault) => Err(fault.to_string()),
         };
-        let handover = match handover {
-            Ok(handover) => handover,
+        let page = match page {
+            Ok(page) => page,
             Err(fault) => {
                 event::HOSTS_NOT_TAKEN.log(&[("balancer", &from), ("fault", &fault)]);
                 return;
             }
         };
-        state.borrow_mut().take_over(from, &handover);
-        match handover.hosts.last().filter(|_| handover.more) {
+        state.borrow_mut().merge_hosts(from, &page);
+        match page.hosts.last().filter(|_| page.more) {
             Some(last) => after = last.agent,
             None => return,
         }
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -3,8 +3,8 @@
 use arc_swap::ArcSwap;
 use serde_json::Value;
 use usher_forwarding::{
-    ActiveConfiguration, ControlTargets, Digest, Fleet, Handover, Hello, HelloRotation,
-    HostDirectory, HostState, NodeId, Report, RoutingView, StartUp,
+    ActiveConfiguration, ControlTargets, Digest, Fleet, Hello, HelloRotation, HostDirectory,
+    HostPage, HostState, NodeId, Report, RoutingView, StartUp,
 };
 use usher_platform::decode_configuration;
 use usher_types::{Span, Time, Version};
@@ -17,7 +17,7 @@
 const HELLO_BALANCERS: usize = 64;
 const HELLO_AGENTS: usize = 256;
 // Hosts in one answer to a balancer that has started, some 300 bytes each.
-const HANDOVER_HOSTS: usize = 4_096;
+const PAGE_HOSTS: usize = 4_096;
 // A balancer without a serving host is ready after this time, since it can refuse flows at once.
 const HOST_WAIT: Span = Span::from_secs(3);
 
@@ -123,11 +123,11 @@
     }
 
     /// One page of the hosts as JSON, for a balancer that has just started.
-    pub(crate) fn hand_over(&self, after: NodeId) -> String {
-        let handover = self
+    pub(crate) fn host_page(&self, after: NodeId) -> String {
+        let page = self
             .directory
-            .hand_over(usher_clock::now(), after, HANDOVER_HOSTS);
-        serde_json::json!(handover).to_string()
+            .host_page(usher_clock::now(), after, PAGE_HOSTS);
+        serde_json::json!(page).to_string()
     }
 
     /// Whether the balancer has started and may lack hosts that others know.
@@ -136,19 +136,19 @@
     }
 
     /// Adds hosts that a balancer hands over; the last page completes the start.
-    pub(crate) fn take_over(&mut self, from: NodeId, handover: &Handover) {
-        let added = self.directory.take_over(usher_clock::now(), handover);
+    pub(crate) fn merge_hosts(&mut self, from: NodeId, page: &HostPage) {
+        let added = self.directory.merge_hosts(usher_clock::now(), page);
         if added > 0 {
             self.publish();
         }
-        if !handover.more {
+        if !page.more {
             self.start_up.finish();
         }
         event::HOSTS_TAKEN.log(&[
             ("balancer", &from),
-            ("hosts", &handover.hosts.len()),
+            ("hosts", &page.hosts.len()),
             ("new", &added),
-            ("more", &handover.more),
+            ("more", &page.more),
         ]);
     }
 
