Process test of the start: the balancer decides before the agent reports

The agent was resumed right after the packet was sent, and its report could come first: without the fetch of hosts the test passed once in four runs.

--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -215,6 +215,8 @@
         deployment.ready_at(SECOND_BALANCER) == 200
     });
     deployment.send_at(SECOND_BALANCER, &later);
+    // The balancer decides on the packet before the agent can report to it.
+    std::thread::sleep(std::time::Duration::from_millis(300));
     deployment.agent.set_suspended(false);
     eventually("the packet reaches the backend server", || {
         receive(&deployment.backend).is_some_and(|packet| packet[..4] == later[..4])
