Types: a version of the store carries its era

A store that is restored from a copy gives out its revisions again and names the era in the header `Store-Era` of all its answers. The code compared plain revisions, so versions of two eras were ordered by numbers that say nothing about each other. `Version` now holds era and number in this order, and `Reply` carries the era of the header, which listings, watches and objects give to their versions.

Requests to the store use the plain number.

--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -78,7 +78,7 @@
     if reply.status != OK {
         return Err(format!("status {}", reply.status));
     }
-    let listing = Listing::parse(&reply.body).map_err(|fault| fault.to_string())?;
+    let listing = Listing::parse(&reply).map_err(|fault| fault.to_string())?;
     let store_version = listing.store_version;
     if let Some(object) = listing.configuration() {
         let mut state = state.borrow_mut();
@@ -105,7 +105,7 @@
     if reply.status != OK {
         return Err(format!("status {}", reply.status));
     }
-    let answer = WatchAnswer::parse(&reply.body).map_err(|fault| fault.to_string())?;
+    let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
     let store_version = answer.store_version.max(since);
     for object in answer.configurations() {
         let mut state = state.borrow_mut();
--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -55,7 +55,7 @@
             Ok(reply) if matches!(reply.status, OK | CREATED) => break,
             Ok(reply) if reply.status == CONFLICT => {
                 // Created before, by an earlier process or by a call whose answer was lost.
-                match Object::parse(&reply.body) {
+                match Object::parse(&reply) {
                     Ok(object) if object.spec == entry => break,
                     Ok(object) => {
                         request = Request::replace(BALANCERS, name, object.version, &entry);
@@ -117,7 +117,7 @@
             event::STORE_DOWN.log(&[("call", &"balancers"), ("status", &reply.status)]);
             return None;
         }
-        let listing = match Listing::parse(&reply.body) {
+        let listing = match Listing::parse(&reply) {
             Ok(listing) => listing,
             Err(fault) => {
                 event::STORE_DOWN.log(&[("call", &"balancers"), ("fault", &fault)]);
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -34,6 +34,7 @@
             Err(CallError::TimedOut) => "timed-out",
             Err(CallError::Connect(_)) => "not-connected",
             Err(CallError::Broken(_)) => "broken",
+            Err(CallError::Header(_)) => "unreadable",
         };
         self.metrics.store_call(what, outcome);
         reply
--- a/crates/store/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -57,7 +57,7 @@
         let request = Request::get(KIND, &StoredObject::name(key));
         let reply = self.send(&request, Span::ZERO).await?;
         match reply.status {
-            OK => Ok(Some(StoredObject::parse(&reply.body)?)),
+            OK => Ok(Some(StoredObject::parse(&reply)?)),
             NOT_FOUND => Ok(None),
             status => Err(StoreError::Status(status).into()),
         }
@@ -72,7 +72,7 @@
         let reply = self.send(&request, wait).await?;
         match reply.status {
             OK => {
-                let answer = WatchAnswer::parse(&reply.body).map_err(unreadable)?;
+                let answer = WatchAnswer::parse(&reply).map_err(unreadable)?;
                 Ok(Batch::changes(since, answer))
             }
             GONE => self.list().await,
@@ -90,7 +90,7 @@
             if reply.status != OK {
                 return Err(StoreError::Status(reply.status).into());
             }
-            let page = Listing::parse(&reply.body).map_err(unreadable)?;
+            let page = Listing::parse(&reply).map_err(unreadable)?;
             let more = page.more;
             after = page.objects.last().map(|object| object.name.clone());
             batch
--- a/crates/store/src/retry_client.rs
+++ b/crates/store/src/retry_client.rs
@@ -91,12 +91,12 @@
         let reply = self.exchange.send(&request, Span::ZERO).await?;
         match reply.status {
             // An answer that cannot be decoded says as little as a lost one.
-            OK | CREATED => Ok(match StoredObject::parse(&reply.body) {
+            OK | CREATED => Ok(match StoredObject::parse(&reply) {
                 Ok(stored) => Answer::Written(stored.version),
                 Err(_unreadable) => Answer::Lost,
             }),
             // Without the object, a refusal does not tell whether an earlier attempt created it.
-            CONFLICT => match StoredObject::parse(&reply.body) {
+            CONFLICT => match StoredObject::parse(&reply) {
                 Ok(stored) => Ok(Answer::Refused(Some(stored.object()?))),
                 Err(_unreadable) => Ok(Answer::Lost),
             },
--- a/crates/store/src/stored_object.rs
+++ b/crates/store/src/stored_object.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value as Json;
 use usher_config::{Condition, Object, ObjectKey, Write};
-use usher_platform::{Object as PlatformObject, Request};
+use usher_platform::{Object as PlatformObject, Reply, Request};
 use usher_types::Version;
 
 use crate::{StoreError, decode, encode};
@@ -37,9 +37,9 @@
         format!("{}{SEPARATOR}{}", key.kind, key.name)
     }
 
-    /// Decodes the object in the body of an answer.
-    pub(crate) fn parse(body: &[u8]) -> Result<Self, StoreError> {
-        let stored = PlatformObject::parse(body);
+    /// Decodes the object in an answer.
+    pub(crate) fn parse(reply: &Reply) -> Result<Self, StoreError> {
+        let stored = PlatformObject::parse(reply);
         stored
             .map_err(|error| StoreError::Unreadable(error.to_string()))?
             .try_into()
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -26,6 +26,7 @@
 mod service;
 mod span;
 mod time;
+mod version;
 
 pub use agent_message::AgentMessage;
 pub use beat::{Beat, BeatAck, Peer};
@@ -36,8 +37,8 @@
 pub use message::Message;
 pub use name::{DataCentre, HostId, InstanceId, ProfileName, ServiceName};
 pub use number::{
-    Attempt, AttemptBudget, Bucket, Buckets, ByteCount, Generation, Incarnation, MessageId,
-    Priority, Sequence, Slots, Version, Weight,
+    Attempt, AttemptBudget, Bucket, Buckets, ByteCount, Era, Generation, Incarnation, MessageId,
+    Priority, Sequence, Slots, Weight,
 };
 pub use offer::{Offer, OfferOutcome, OfferOutcomeAck, OfferReply};
 pub use outcome::{Outcome, Refusal};
@@ -54,3 +55,4 @@
 pub use service::Service;
 pub use span::Span;
 pub use time::Time;
+pub use version::Version;
--- a/crates/types/src/number.rs
+++ b/crates/types/src/number.rs
@@ -52,14 +52,15 @@
 }
 
 number!(
-    /// Version of an object in the store; only versions order its values.
+    /// How often the store has been restored from a copy; orders versions before their number.
     ///
     /// ```
-    /// use usher_types::Version;
-    /// assert!(Version::new(3) < Version::new(3).next());
+    /// use usher_types::Era;
+    /// assert!(Era::default() < "1".parse()?);
+    /// # Ok::<(), usher_types::ParseError>(())
     /// ```
-    Version(u64),
-    "version"
+    Era(u64),
+    "era"
 );
 number!(
     /// Raised when an address moves from one service to another.
