Node: log lines for a restored store and for a configuration refused as older

MU-E2104 now names both versions and the source of an older configuration, MU-E2115 the era before and after a restore; `usher_store_era` is the era of the last answer.

No decision changes.

--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -75,6 +75,7 @@
         .call("read", &request, CALL_TIMEOUT)
         .await
         .map_err(|fault| fault.to_string())?;
+    state.borrow_mut().on_era(reply.era);
     if reply.status != OK {
         return Err(format!("status {}", reply.status));
     }
@@ -98,6 +99,7 @@
         .call("watch", &request, WATCH_WAIT + CALL_TIMEOUT)
         .await
         .map_err(|fault| fault.to_string())?;
+    state.borrow_mut().on_era(reply.era);
     if reply.status == GONE {
         event::HISTORY_DROPPED.log(&[("since", &since)]);
         return Ok(None);
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -7,7 +7,7 @@
     Report, RoutingView,
 };
 use usher_platform::decode_configuration;
-use usher_types::{Span, Time, Version};
+use usher_types::{Era, Span, Time, Version};
 
 use crate::codec::PeerMessage;
 use crate::metrics::Metrics;
@@ -31,6 +31,8 @@
     directory: HostDirectory,
     active_configuration: ActiveConfiguration,
     document: Value,
+    /// Era of the store's last answer.
+    era: Option<Era>,
     view: Arc<ArcSwap<RoutingView>>,
     ready: bool,
     targets: ControlTargets,
@@ -57,6 +59,7 @@
             started,
             active_configuration: ActiveConfiguration::default(),
             document: Value::Null,
+            era: None,
             view,
             ready: false,
             targets,
@@ -66,7 +69,15 @@
 
     /// Applies the operator's document as stored at a version, if that is newer.
     pub(crate) fn adopt(&mut self, version: Version, spec: Value, source: &str) {
-        if version <= self.active_configuration.version() {
+        let current = self.active_configuration.version();
+        if version < current {
+            event::CONFIG_OUTDATED.log(&[
+                ("offered", &version),
+                ("version", &current),
+                ("source", &source),
+            ]);
+        }
+        if version <= current {
             return;
         }
         match decode_configuration(version, &spec) {
@@ -88,6 +99,18 @@
         }
     }
 
+    /// Records the era of an answer of the store.
+    pub(crate) fn on_era(&mut self, era: Era) {
+        let before = self.era.replace(era).unwrap_or(era);
+        if before != era {
+            event::STORE_RESTORED.log(&[
+                ("before", &before),
+                ("era", &era),
+                ("version", &self.version()),
+            ]);
+        }
+    }
+
     pub(crate) fn version(&self) -> Version {
         self.active_configuration.version()
     }
@@ -256,7 +279,8 @@
     /// All metrics as text.
     pub(crate) fn metrics_text(&self) -> String {
         let hosts = self.directory.agents().count();
-        self.metrics.set_balancer(self.version(), hosts);
+        let era = self.era.unwrap_or_default();
+        self.metrics.set_balancer(self.version(), era, hosts);
         self.metrics.text()
     }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -12,10 +12,12 @@
     CONFIGURED = 2101, Info, "configuration in force";
     CONFIG_INVALID = 2102, Error, "configuration not valid; the earlier one stays in force";
     CONFIG_FETCH_FAILED = 2103, Warn, "configuration not fetched from a balancer";
+    CONFIG_OUTDATED = 2104, Warn, "older configuration not applied";
     STORE_DOWN = 2111, Warn, "store unavailable";
     STORE_UP = 2112, Info, "store available again";
     HISTORY_DROPPED = 2113, Info, "store has dropped its history; reading again";
     REGISTERED = 2114, Info, "balancer registered in the store";
+    STORE_RESTORED = 2115, Warn, "store restored from a copy";
     BALANCER_FOUND = 2121, Info, "balancer discovered";
     BALANCER_EXPIRED = 2122, Info, "silent balancer removed from the fleet";
     BALANCER_REMOVED = 2123, Info, "entry of a silent balancer removed from the store";
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,7 +4,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use usher_types::{Span, Version};
+use usher_types::{Era, Span, Version};
 
 use crate::event::EVENTS;
 
@@ -45,6 +45,7 @@
     STORE_CALLS = "usher_store_calls", "counter", "calls", "Calls to the store, by call and outcome";
     EVENTS_SEEN = "usher_events", "counter", "events", "Log events, written or left out, by number";
     VERSION = "usher_configuration_version", "gauge", "store version", "Version of the configuration in force";
+    STORE_ERA = "usher_store_era", "gauge", "restores", "How often the store had been restored by its last answer";
     HOSTS = "usher_hosts", "gauge", "hosts", "Hosts that the balancer knows";
     FLOWS = "usher_flows", "gauge", "flows", "Flows in the memory of the agent";
     WORKING = "usher_working", "gauge", "requests", "Requests at the backend server";
@@ -74,6 +75,7 @@
     store_calls: Family<Labels, Counter>,
     events: Family<[(&'static str, String); 1], Counter>,
     version: Gauge,
+    store_era: Gauge,
     hosts: Gauge,
     flows: Gauge,
     working: Gauge,
@@ -99,6 +101,7 @@
             store_calls: Family::default(),
             events: Family::default(),
             version: Gauge::default(),
+            store_era: Gauge::default(),
             hosts: Gauge::default(),
             flows: Gauge::default(),
             working: Gauge::default(),
@@ -116,6 +119,7 @@
         );
         registry.register(EVENTS_SEEN.name, EVENTS_SEEN.help, metrics.events.clone());
         registry.register(VERSION.name, VERSION.help, metrics.version.clone());
+        registry.register(STORE_ERA.name, STORE_ERA.help, metrics.store_era.clone());
         registry.register(HOSTS.name, HOSTS.help, metrics.hosts.clone());
         registry.register(FLOWS.name, FLOWS.help, metrics.flows.clone());
         registry.register(WORKING.name, WORKING.help, metrics.working.clone());
@@ -160,8 +164,9 @@
     }
 
     /// Sets the gauges of a balancer.
-    pub(crate) fn set_balancer(&self, version: Version, hosts: usize) {
+    pub(crate) fn set_balancer(&self, version: Version, era: Era, hosts: usize) {
         set(&self.version, version.get());
+        set(&self.store_era, era.get());
         set(&self.hosts, hosts as u64);
     }
 
