Order configurations by the operator's number before the store's version

Configurations were ordered by the store's revision alone. Ordering by era and revision, as the type of the version alone would, fails the other way: the copy's document is of a later era and replaces the newer one that the store has lost, until the operator writes it again.

A configuration's version is now the operator's own number, which only rises, then the store's version, which orders documents of the same number. Balancers tell, fetch and log this version (`12@2.11`: number 12, era 2, revision 11). So an older document never comes back, whatever store or peer offers it, and a newer one of a later era wins however small its revision. Hellos change: replace all processes.

Tests: three of the tables in forwarding/tests/restored_store.rs and the process test in node/tests/restored.rs. With revisions alone two fail (documents_over_eras; the process test, at the later change), with era and revision three (documents_over_eras, lost_document; the process test: the older route is back).

--- a/crates/forwarding/src/active_configuration.rs
+++ b/crates/forwarding/src/active_configuration.rs
@@ -1,18 +1,16 @@
 use std::sync::Arc;
 
-use usher_types::Version;
-
-use crate::Configuration;
+use crate::{Configuration, ConfigurationVersion};
 
 /// The active configuration; it is never replaced by an older version.
 ///
 /// ```
-/// use usher_forwarding::{Configuration, ActiveConfiguration};
-/// use usher_types::Version;
+/// use usher_forwarding::{ActiveConfiguration, Configuration, ConfigurationVersion};
 /// let mut active_configuration = ActiveConfiguration::default();
-/// let version = Version::new(5);
+/// let version = "5@9".parse::<ConfigurationVersion>()?;
 /// assert!(active_configuration.adopt(Configuration { version, ..Configuration::default() }));
 /// assert!(!active_configuration.adopt(Configuration { version, ..Configuration::default() }));
+/// # Ok::<(), usher_types::ParseError>(())
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct ActiveConfiguration {
@@ -35,7 +33,7 @@
     }
 
     /// Version of the active configuration.
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> ConfigurationVersion {
         self.current.version
     }
 }
--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -183,7 +183,7 @@
             received: 0,
             reason,
         };
-        if view.configuration.version.get() == 0 {
+        if !view.is_configured() {
             return Verdict::Drop(RejectReason::Unconfigured);
         }
         let Some(route) = view.route(&flow.address) else {
--- a/crates/forwarding/src/balancer/view.rs
+++ b/crates/forwarding/src/balancer/view.rs
@@ -2,11 +2,11 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use usher_types::{Slots, Span, Time, Version};
+use usher_types::{Slots, Span, Time};
 
 use super::report_rate::ReportRate;
 use super::shared_load::SharedLoad;
-use crate::{Configuration, HostState, NodeId, Route, ServiceKey};
+use crate::{Configuration, ConfigurationVersion, HostState, NodeId, Route, ServiceKey};
 
 // Earlier services remembered per route; they may still hold flows of the route.
 const MAX_EARLIER_SERVICES: usize = 4;
@@ -66,10 +66,15 @@
     }
 
     /// Version of the configuration in force.
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> ConfigurationVersion {
         self.configuration.version
     }
 
+    /// Whether any configuration is in force.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.version() > ConfigurationVersion::default()
+    }
+
     pub(crate) fn route(&self, address: &SocketAddrV4) -> Option<&Route> {
         self.configuration.routes.get(address)
     }
--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -1,9 +1,9 @@
 use indexmap::IndexMap;
 use usher_placement::rendezvous_score;
-use usher_types::{DataCentre, Span, Time, Version};
+use usher_types::{DataCentre, Span, Time};
 
 use crate::member::{Member, SILENCE_TIMEOUT};
-use crate::{CpuCapacity, Hello, NodeId};
+use crate::{ConfigurationVersion, CpuCapacity, Hello, NodeId};
 
 mod standby;
 
@@ -292,7 +292,11 @@
     }
 
     /// The heard balancer with the newest configuration, if newer than `version`.
-    pub fn newest_peer(&self, now: Time, version: Version) -> Option<(NodeId, Version)> {
+    pub fn newest_peer(
+        &self,
+        now: Time,
+        version: ConfigurationVersion,
+    ) -> Option<(NodeId, ConfigurationVersion)> {
         let present = self.present(now);
         let newest = self
             .members
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod balancer;
 mod candidates;
+mod configuration_version;
 mod control_targets;
 mod cpu_capacity;
 mod fleet;
@@ -33,6 +34,7 @@
     BalancerForwarder, HostDirectory, HostSource, RejectReason, RoutingView, Verdict,
 };
 pub use candidates::Candidates;
+pub use configuration_version::ConfigurationVersion;
 pub use control_targets::{ControlTargets, Digest};
 pub use cpu_capacity::{CpuCapacity, InvalidCapacity};
 pub use fleet::Fleet;
--- a/crates/forwarding/src/member.rs
+++ b/crates/forwarding/src/member.rs
@@ -1,6 +1,6 @@
-use usher_types::{DataCentre, Span, Time, Version};
+use usher_types::{DataCentre, Span, Time};
 
-use crate::CpuCapacity;
+use crate::{ConfigurationVersion, CpuCapacity};
 
 /// Time without a hello after which a balancer counts as silent.
 ///
@@ -15,7 +15,7 @@
     pub(crate) last_sent: Option<Time>,
     pub(crate) epoch: u64,
     pub(crate) previous_epoch: u64,
-    pub(crate) version: Version,
+    pub(crate) version: ConfigurationVersion,
     pub(crate) leaving: bool,
     pub(crate) centre: Option<DataCentre>,
     pub(crate) capacity: CpuCapacity,
@@ -32,7 +32,7 @@
             last_sent: None,
             epoch: 0,
             previous_epoch: 0,
-            version: Version::default(),
+            version: ConfigurationVersion::default(),
             leaving: false,
             centre: None,
             capacity: CpuCapacity::default(),
--- a/crates/forwarding/src/report.rs
+++ b/crates/forwarding/src/report.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
-use usher_types::{DataCentre, Sequence, Slots, Span, Version};
+use usher_types::{DataCentre, Sequence, Slots, Span};
 
-use crate::{CpuCapacity, HostState, Load, NodeId, ServiceKey};
+use crate::{ConfigurationVersion, CpuCapacity, HostState, Load, NodeId, ServiceKey};
 
 /// Report of an agent to balancers, sent several times a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,7 +34,7 @@
     /// Start of the balancer's process; unique to the process.
     pub epoch: u64,
     /// Version of the balancer's active configuration.
-    pub version: Version,
+    pub version: ConfigurationVersion,
     /// The balancer is about to stop.
     pub leaving: bool,
     /// Data centre of the balancer.
--- a/crates/forwarding/src/route.rs
+++ b/crates/forwarding/src/route.rs
@@ -1,17 +1,15 @@
 use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
-use usher_types::{Span, Version};
+use usher_types::Span;
 
-use crate::ServiceKey;
+use crate::{ConfigurationVersion, ServiceKey};
 
 /// The part of the operator's configuration that forwarding uses.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Configuration {
-    /// Version of the document in the store, which alone orders configurations.
-    pub version: Version,
-    /// Version number that the operator set; for display only.
-    pub operator_version: u64,
+    /// Version of the document, which alone orders configurations.
+    pub version: ConfigurationVersion,
     /// Routes by the address that callers connect to.
     pub routes: IndexMap<SocketAddrV4, Route>,
     /// Number of entries of the document that cannot be used.
--- a/crates/forwarding/tests/balancer.rs
+++ b/crates/forwarding/tests/balancer.rs
@@ -7,7 +7,7 @@
     BalancerForwarder, Configuration, Flags, FlowKey, Hint, HostDirectory, HostSource, HostState,
     Load, NodeId, PacketHeader, RejectReason, Report, Route, RoutingView, ServiceKey, Verdict,
 };
-use usher_types::{Sequence, Slots, Span, Time, Version};
+use usher_types::{Sequence, Slots, Span, Time};
 
 const ADDRESS: &str = "198.18.0.1:443";
 const SERVICE: &str = "namedesk";
@@ -44,7 +44,7 @@
         rank: 2,
     };
     Arc::new(Configuration {
-        version: Version::new(version),
+        version: format!("{version}@{version}").parse().unwrap(),
         routes: [(ADDRESS.parse().unwrap(), route)].into_iter().collect(),
         ..Configuration::default()
     })
--- a/crates/forwarding/tests/control_targets.rs
+++ b/crates/forwarding/tests/control_targets.rs
@@ -1,10 +1,10 @@
 //! Simulates the control traffic of a whole fleet, message by message, without a network.
 
 use usher_forwarding::{
-    ControlTargets, Digest, Fleet, Hello, HostDirectory, HostState, Load, NodeId, Report,
-    ServiceKey,
+    ConfigurationVersion, ControlTargets, Digest, Fleet, Hello, HostDirectory, HostState, Load,
+    NodeId, Report, ServiceKey,
 };
-use usher_types::{DataCentre, Sequence, Slots, Span, Time, Version};
+use usher_types::{DataCentre, Sequence, Slots, Span, Time};
 
 const CENTRES: [&str; 3] = ["kolkata", "howrah", "barasat"];
 const STEP_MILLIS: u64 = 100;
@@ -17,7 +17,7 @@
     fleet: Fleet,
     directory: HostDirectory,
     targets: ControlTargets,
-    version: Version,
+    version: ConfigurationVersion,
     up: bool,
 }
 
@@ -53,6 +53,10 @@
     CENTRES[index % CENTRES.len()].parse().unwrap()
 }
 
+fn version(text: &str) -> ConfigurationVersion {
+    text.parse().unwrap()
+}
+
 impl World {
     // All nodes start at once and know all balancers from the store.
     fn new(balancers: usize, agents: usize) -> Self {
@@ -70,7 +74,7 @@
                         CAPACITY.parse().unwrap(),
                         centre(index),
                     ),
-                    version: Version::new(1),
+                    version: version("1@1"),
                     up: true,
                 })
                 .collect(),
@@ -325,10 +329,10 @@
     for balancers in [4, 15, 60] {
         let mut world = World::new(balancers, 3);
         world.run(5_000);
-        world.balancers[0].version = Version::new(9);
+        world.balancers[0].version = version("9@9");
         world.run(1_500);
         for balancer in &world.balancers {
-            assert_eq!(balancer.version, Version::new(9), "{}", balancer.node);
+            assert_eq!(balancer.version, version("9@9"), "{}", balancer.node);
         }
     }
 }
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -1,7 +1,9 @@
 //! The balancers that a process knows and sends to, and the active configuration.
 
-use usher_forwarding::{ActiveConfiguration, Configuration, Fleet, Hello, NodeId, StaleEntries};
-use usher_types::{Span, Time, Version};
+use usher_forwarding::{
+    ActiveConfiguration, Configuration, ConfigurationVersion, Fleet, Hello, NodeId, StaleEntries,
+};
+use usher_types::{Span, Time};
 
 fn node(last: u8) -> NodeId {
     NodeId::new([10, 1, 0, last].into())
@@ -11,10 +13,14 @@
     Time::ZERO + Span::from_millis(millis)
 }
 
-fn hello(epoch: u64, version: u64) -> Hello {
+fn version(text: &str) -> ConfigurationVersion {
+    text.parse().unwrap()
+}
+
+fn hello(epoch: u64, number: u64) -> Hello {
     Hello {
         epoch,
-        version: Version::new(version),
+        version: version(&format!("{number}@{number}")),
         leaving: false,
         centre: "kolkata".parse().unwrap(),
         capacity: "0.055".parse().unwrap(),
@@ -56,11 +62,11 @@
     let mut fleet = Fleet::default();
     fleet.on_hello(at(0), node(1), &hello(1, 5));
     fleet.on_hello(at(0), node(2), &hello(1, 9));
-    let newest_peer = fleet.newest_peer(at(10), Version::new(5));
-    assert_eq!(newest_peer, Some((node(2), Version::new(9))));
-    assert_eq!(fleet.newest_peer(at(10), Version::new(9)), None);
+    let newest_peer = fleet.newest_peer(at(10), version("5@5"));
+    assert_eq!(newest_peer, Some((node(2), version("9@9"))));
+    assert_eq!(fleet.newest_peer(at(10), version("9@9")), None);
     assert_eq!(
-        fleet.newest_peer(at(5_000), Version::new(5)),
+        fleet.newest_peer(at(5_000), version("5@5")),
         None,
         "it is silent"
     );
@@ -77,8 +83,8 @@
     assert!(fleet.on_hello(at(2), node(1), &hello(50, 6)));
     assert!(!fleet.on_hello(at(3), node(1), &hello(100, 9)));
     assert_eq!(
-        fleet.newest_peer(at(4), Version::new(5)),
-        Some((node(1), Version::new(6)))
+        fleet.newest_peer(at(4), version("5@5")),
+        Some((node(1), version("6@6")))
     );
 }
 
@@ -88,15 +94,15 @@
 fn the_configuration_in_force_never_goes_back() {
     let mut active_configuration = ActiveConfiguration::default();
     let cases = [(5, true), (4, false), (5, false), (9, true), (6, false)];
-    for (version, adopted) in cases {
-        let version = Version::new(version);
+    for (number, adopted) in cases {
+        let version = version(&format!("{number}@{number}"));
         let offered = Configuration {
             version,
             ..Configuration::default()
         };
         assert_eq!(active_configuration.adopt(offered), adopted, "{version}");
     }
-    assert_eq!(active_configuration.version(), Version::new(9));
+    assert_eq!(active_configuration.version(), version("9@9"));
 }
 
 fn hello_from(epoch: u64, cores: &str, centre: &str) -> Hello {
--- a/crates/forwarding/tests/world/model.rs
+++ b/crates/forwarding/tests/world/model.rs
@@ -8,7 +8,7 @@
     AgentForwarder, BalancerForwarder, Configuration, Flags, FlowKey, ForwardHeader, Hint,
     HostDirectory, HostHeartbeat, NodeId, PacketHeader, Report, Route, RoutingView, ServiceKey,
 };
-use usher_types::{Sequence, Slots, Span, Time, Version};
+use usher_types::{Sequence, Slots, Span, Time};
 
 const SERVICES: [&str; 2] = ["namedesk", "pedigree"];
 const BALANCERS: usize = 3;
@@ -109,7 +109,7 @@
         (address(index), route)
     });
     Arc::new(Configuration {
-        version: Version::new(1),
+        version: "1@1".parse().unwrap(),
         routes: routes.collect(),
         ..Configuration::default()
     })
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -3,8 +3,8 @@
 use arc_swap::ArcSwap;
 use serde_json::Value;
 use usher_forwarding::{
-    ActiveConfiguration, ControlTargets, Digest, Fleet, Hello, HostDirectory, HostState, NodeId,
-    Report, RoutingView,
+    ActiveConfiguration, ConfigurationVersion, ControlTargets, Digest, Fleet, Hello, HostDirectory,
+    HostState, NodeId, Report, RoutingView,
 };
 use usher_platform::decode_configuration;
 use usher_types::{Era, Span, Time, Version};
@@ -25,14 +25,14 @@
     pub(crate) settings: Settings,
     pub(crate) fleet: Fleet,
     pub(crate) stopping: bool,
+    /// Era of the store's last answer.
+    era: Option<Era>,
     pub(crate) metrics: Arc<Metrics>,
     epoch: u64,
     started: Time,
     directory: HostDirectory,
     active_configuration: ActiveConfiguration,
     document: Value,
-    /// Era of the store's last answer.
-    era: Option<Era>,
     view: Arc<ArcSwap<RoutingView>>,
     ready: bool,
     targets: ControlTargets,
@@ -54,12 +54,12 @@
             settings,
             fleet: Fleet::default(),
             stopping: false,
+            era: None,
             metrics,
             epoch: usher_clock::epoch(),
             started,
             active_configuration: ActiveConfiguration::default(),
             document: Value::Null,
-            era: None,
             view,
             ready: false,
             targets,
@@ -67,36 +67,33 @@
         }
     }
 
-    /// Applies the operator's document as stored at a version, if that is newer.
-    pub(crate) fn adopt(&mut self, version: Version, spec: Value, source: &str) {
-        let current = self.active_configuration.version();
-        if version < current {
+    /// Applies the operator's document as stored at a version, if it is newer.
+    pub(crate) fn adopt(&mut self, stored: Version, spec: Value, source: &str) {
+        let current = self.version();
+        let parsed = match decode_configuration(stored, &spec) {
+            Ok(parsed) => parsed,
+            Err(fault) => {
+                event::CONFIG_INVALID.log(&[("version", &stored), ("fault", &fault)]);
+                return;
+            }
+        };
+        let (version, routes, ignored) = (parsed.version, parsed.routes.len(), parsed.ignored);
+        if self.active_configuration.adopt(parsed) {
+            self.document = spec;
+            self.publish();
+            event::CONFIGURED.log(&[
+                ("version", &version),
+                ("routes", &routes),
+                ("ignored", &ignored),
+                ("source", &source),
+            ]);
+        } else if version < current {
             event::CONFIG_OUTDATED.log(&[
                 ("offered", &version),
                 ("version", &current),
                 ("source", &source),
             ]);
         }
-        if version <= current {
-            return;
-        }
-        match decode_configuration(version, &spec) {
-            Ok(parsed) => {
-                let (operator_version, routes) = (parsed.operator_version, parsed.routes.len());
-                let ignored = parsed.ignored;
-                self.active_configuration.adopt(parsed);
-                self.document = spec;
-                self.publish();
-                event::CONFIGURED.log(&[
-                    ("version", &version),
-                    ("label", &operator_version),
-                    ("routes", &routes),
-                    ("ignored", &ignored),
-                    ("source", &source),
-                ]);
-            }
-            Err(fault) => event::CONFIG_INVALID.log(&[("version", &version), ("fault", &fault)]),
-        }
     }
 
     /// Records the era of an answer of the store.
@@ -111,14 +108,15 @@
         }
     }
 
-    pub(crate) fn version(&self) -> Version {
+    pub(crate) fn version(&self) -> ConfigurationVersion {
         self.active_configuration.version()
     }
 
     /// The document in force as JSON, for another balancer.
     pub(crate) fn document(&self) -> String {
         let document = &self.document;
-        serde_json::json!({ "version": self.version(), "document": document }).to_string()
+        let stored = self.version().stored;
+        serde_json::json!({ "version": stored, "document": document }).to_string()
     }
 
     pub(crate) fn on_report(&mut self, now: Time, node: NodeId, report: &Report) {
@@ -255,7 +253,7 @@
             .agents()
             .filter_map(|agent| self.directory.state(now, agent));
         let serving = states.any(|(state, _)| state == HostState::Serving);
-        let configured = self.version() > Version::default();
+        let configured = self.version() > ConfigurationVersion::default();
         let settings = &self.settings;
         let (local, capacity) = (settings.node, settings.capacity);
         let standby = self
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,7 +4,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use usher_types::{Era, Span, Version};
+use usher_forwarding::ConfigurationVersion;
+use usher_types::{Era, Span};
 
 use crate::event::EVENTS;
 
@@ -44,7 +45,8 @@
     BYTES = "usher_packet_bytes", "counter", "bytes", "Bytes of packets handled, by direction";
     STORE_CALLS = "usher_store_calls", "counter", "calls", "Calls to the store, by call and outcome";
     EVENTS_SEEN = "usher_events", "counter", "events", "Log events, written or left out, by number";
-    VERSION = "usher_configuration_version", "gauge", "store version", "Version of the configuration in force";
+    VERSION = "usher_configuration_version", "gauge", "revision", "Revision of the configuration in force, in its era of the store";
+    LABEL = "usher_configuration_label", "gauge", "number", "Operator's number of the configuration in force";
     STORE_ERA = "usher_store_era", "gauge", "restores", "How often the store had been restored by its last answer";
     HOSTS = "usher_hosts", "gauge", "hosts", "Hosts that the balancer knows";
     FLOWS = "usher_flows", "gauge", "flows", "Flows in the memory of the agent";
@@ -75,6 +77,7 @@
     store_calls: Family<Labels, Counter>,
     events: Family<[(&'static str, String); 1], Counter>,
     version: Gauge,
+    label: Gauge,
     store_era: Gauge,
     hosts: Gauge,
     flows: Gauge,
@@ -101,6 +104,7 @@
             store_calls: Family::default(),
             events: Family::default(),
             version: Gauge::default(),
+            label: Gauge::default(),
             store_era: Gauge::default(),
             hosts: Gauge::default(),
             flows: Gauge::default(),
@@ -119,6 +123,7 @@
         );
         registry.register(EVENTS_SEEN.name, EVENTS_SEEN.help, metrics.events.clone());
         registry.register(VERSION.name, VERSION.help, metrics.version.clone());
+        registry.register(LABEL.name, LABEL.help, metrics.label.clone());
         registry.register(STORE_ERA.name, STORE_ERA.help, metrics.store_era.clone());
         registry.register(HOSTS.name, HOSTS.help, metrics.hosts.clone());
         registry.register(FLOWS.name, FLOWS.help, metrics.flows.clone());
@@ -164,8 +169,9 @@
     }
 
     /// Sets the gauges of a balancer.
-    pub(crate) fn set_balancer(&self, version: Version, era: Era, hosts: usize) {
-        set(&self.version, version.get());
+    pub(crate) fn set_balancer(&self, version: ConfigurationVersion, era: Era, hosts: usize) {
+        set(&self.version, version.stored.get());
+        set(&self.label, version.label.get());
         set(&self.store_era, era.get());
         set(&self.hosts, hosts as u64);
     }
--- a/crates/types/src/number.rs
+++ b/crates/types/src/number.rs
@@ -62,6 +62,11 @@
     Era(u64),
     "era"
 );
+number!(
+    /// The operator's own number of a configuration; later ones have higher numbers.
+    Label(u64),
+    "label"
+);
 number!(
     /// Raised when an address moves from one service to another.
     Generation(u64),
