Node: read and register again when the store has been restored

A change whose revision the restored store gave out again was missed until the next one: the watch went on from the revision of the earlier era, which the store has, so there was no 410, and the change at that revision was not among the events. Balancers that had registered after the copy were gone from the store for good, and entries of silent balancers were removed under the condition of a revision that may name another entry by then.

The position in the store is now (era, revision), kept by `StorePosition`, which does no I/O: an answer of a later era gives the position up, so everything is read again; one of an earlier era is late or from a stale replica and is not used (MU-E2116). After a restore each balancer registers again, after a pause of up to 0.5 s that depends on its address, and reads the list again; a list without its own entry that is newer than its registration leads to the same (MU-E2117).

Tests: the position's tables in forwarding/tests/restored_store.rs and the process tests `a_revision_that_is_given_out_again_hides_no_change` and `balancers_register_again_in_a_restored_store`.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -25,6 +25,7 @@
 mod route;
 mod service_key;
 mod stale_entries;
+mod store_position;
 
 pub use active_configuration::ActiveConfiguration;
 pub use agent::{
@@ -50,3 +51,4 @@
 pub use route::{Configuration, Route};
 pub use service_key::ServiceKey;
 pub use stale_entries::StaleEntries;
+pub use store_position::{AnswerEra, StorePosition};
--- a/crates/forwarding/tests/restored_store.rs
+++ b/crates/forwarding/tests/restored_store.rs
@@ -1,12 +1,19 @@
 //! Decisions about a store that comes back from a copy.
 
-use usher_forwarding::{ActiveConfiguration, Configuration, ConfigurationVersion, Fleet, Hello};
+use usher_forwarding::{
+    ActiveConfiguration, AnswerEra, Configuration, ConfigurationVersion, Fleet, Hello,
+    StorePosition,
+};
 use usher_types::{Era, Label, Span, Time, Version};
 
 fn version(text: &str) -> ConfigurationVersion {
     text.parse().unwrap()
 }
 
+fn stored(text: &str) -> Version {
+    text.parse().unwrap()
+}
+
 fn offer(active: &mut ActiveConfiguration, offered: &str) -> bool {
     active.adopt(Configuration {
         version: version(offered),
@@ -95,3 +102,91 @@
         assert!(text.parse::<ConfigurationVersion>().is_err(), "{text}");
     }
 }
+
+// What happens to a position.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Answer(u64),
+    Through(&'static str),
+    Gone,
+}
+
+/// Guards against a position of an earlier era from which the feed goes on, against one that goes
+/// back, and against an answer of an earlier era that counts as a restore.
+#[test]
+fn a_position_holds_within_its_era_only() {
+    use Step::{Answer, Gone, Through};
+    let read = [Answer(1), Through("1.17")];
+    let cases: [(&str, &[Step], Option<&str>); 9] = [
+        ("no change", &[Answer(1)], Some("1.17")),
+        ("a change", &[Answer(1), Through("1.18")], Some("1.18")),
+        (
+            "an answer of a replica",
+            &[Answer(1), Through("1.9")],
+            Some("1.17"),
+        ),
+        ("dropped history", &[Answer(1), Gone], None),
+        ("restored", &[Answer(2)], None),
+        ("read again", &[Answer(2), Through("2.12")], Some("2.12")),
+        (
+            "restored twice",
+            &[Answer(2), Through("2.12"), Answer(3)],
+            None,
+        ),
+        (
+            "content of the earlier era",
+            &[Answer(2), Through("1.18")],
+            None,
+        ),
+        (
+            "a late answer",
+            &[Answer(2), Through("2.12"), Answer(1), Through("1.19")],
+            Some("2.12"),
+        ),
+    ];
+    for (name, steps, since) in cases {
+        let mut position = StorePosition::default();
+        for step in read.iter().chain(steps) {
+            match *step {
+                Answer(era) => {
+                    position.observe(Era::new(era));
+                }
+                Through(through) => position.advance(stored(through)),
+                Gone => position.reset(),
+            }
+        }
+        assert_eq!(position.since(), since.map(stored), "{name}");
+    }
+}
+
+/// Guards against a first answer that counts as a restore, and a restore that is seen twice.
+#[test]
+fn each_restore_is_seen_once() {
+    let mut position = StorePosition::default();
+    let era = Era::new;
+    let cases = [
+        (4, AnswerEra::Current),
+        (4, AnswerEra::Current),
+        (5, AnswerEra::Restored { before: era(4) }),
+        (5, AnswerEra::Current),
+        (4, AnswerEra::Outdated { current: era(5) }),
+        (7, AnswerEra::Restored { before: era(5) }),
+    ];
+    for (answered, expected) in cases {
+        assert_eq!(position.observe(era(answered)), expected, "{answered}");
+    }
+    assert_eq!(position.era(), era(7));
+}
+
+/// Guards against the answer to a watch from a position that has been given up meanwhile.
+#[test]
+fn a_watch_from_another_position_continues_nothing() {
+    let mut position = StorePosition::default();
+    position.observe(Era::new(1));
+    position.advance(stored("1.17"));
+    assert!(position.continues(stored("1.17")));
+    position.observe(Era::new(2));
+    assert!(!position.continues(stored("1.17")));
+    position.advance(stored("2.17"));
+    assert!(!position.continues(stored("1.17")));
+}
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -260,10 +260,10 @@
     async fn find_balancers(self: Rc<Self>) {
         let mut client = Client::new(self.settings.store, Arc::clone(&self.shared.metrics));
         loop {
-            if let Some(nodes) = list_balancers(&mut client).await {
+            if let Some(list) = list_balancers(&mut client, true).await {
                 let now = usher_clock::now();
                 let mut fleet = self.fleet.borrow_mut();
-                for listed in nodes {
+                for listed in list.entries {
                     fleet.add(now, listed.node);
                 }
             }
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use usher_clock::SuspendWatch;
@@ -15,8 +14,10 @@
 use usher_platform::Call;
 use usher_types::{Span, Time};
 
+use super::feed::{self, StoreSignals};
+use super::registry::Registry;
 use super::state::State;
-use super::{feed, traffic};
+use super::traffic;
 use crate::codec::PeerMessage;
 use crate::control::{Peers, Signal, Signals, reload, serve_metrics};
 use crate::http::{Answer, serve};
@@ -66,13 +67,13 @@
             state.borrow_mut().fleet.add(usher_clock::now(), *seed);
         }
     }
-    let resync = Rc::new(Notify::new());
+    let store_signals = Rc::new(StoreSignals::default());
     spawn_local(feed::follow(
         Rc::clone(&state),
         settings.store,
-        Rc::clone(&resync),
+        Rc::clone(&store_signals),
     ));
-    spawn_local(feed::find_balancers(Rc::clone(&state)));
+    spawn_local(Registry::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
     event::STARTED.log(&[
         ("role", &"balancer"),
         ("packets", &settings.packets),
@@ -81,7 +82,7 @@
     let control = Control {
         state,
         peers,
-        resync,
+        store_signals,
         fetching: Rc::new(Cell::new(false)),
     };
     control.event_loop(&mut signals, file).await;
@@ -120,7 +121,7 @@
 struct Control {
     state: Rc<RefCell<State>>,
     peers: Peers,
-    resync: Rc<Notify>,
+    store_signals: Rc<StoreSignals>,
     fetching: Rc<Cell<bool>>,
 }
 
@@ -189,7 +190,7 @@
     fn on_tick(&self, now: Time, suspend_watch: &mut SuspendWatch) {
         if let Some(span) = suspend_watch.check() {
             event::RESUMED.log(&[("for", &span)]);
-            self.resync.notify_one();
+            self.store_signals.resync.notify_one();
         }
         let mut state = self.state.borrow_mut();
         state.expire(now);
--- a/crates/node/src/balancer/mod.rs
+++ b/crates/node/src/balancer/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod feed;
+mod registry;
 mod state;
 mod traffic;
 
--- /dev/null
+++ b/crates/node/src/balancer/registry.rs
@@ -0,0 +1,133 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use usher_forwarding::{NodeId, StaleEntries};
+use usher_types::{Era, Version};
+
+use super::feed::StoreSignals;
+use super::state::State;
+use crate::control::{BalancerList, list_balancers, register, remove};
+use crate::event;
+use crate::http::Client;
+
+// How often the list of balancers is read again, to find those that a partition hid.
+const RELIST_INTERVAL: Duration = Duration::from_secs(15);
+// Bits of a pause of up to 511 ms, over which balancers spread their calls after a restore.
+const PAUSE_BITS: u32 = 9;
+// 2^32 over the golden ratio: neighbouring addresses get distant pauses.
+const HASH_FACTOR: u32 = 0x9e37_79b1;
+
+/// Keeps this balancer registered in the store and finds the others there.
+#[derive(Debug)]
+pub(crate) struct Registry {
+    state: Rc<RefCell<State>>,
+    signals: Rc<StoreSignals>,
+    client: Client,
+    name: String,
+    node: NodeId,
+    /// Version at which the own entry was last seen.
+    registered: Version,
+    stale_entries: StaleEntries,
+}
+
+impl Registry {
+    pub(crate) fn new(state: Rc<RefCell<State>>, signals: Rc<StoreSignals>) -> Self {
+        let (client, name, node) = {
+            let state = state.borrow();
+            let settings = &state.settings;
+            let client = Client::new(settings.store, Arc::clone(&state.metrics));
+            (client, settings.name.clone(), settings.node)
+        };
+        Self {
+            state,
+            signals,
+            client,
+            name,
+            node,
+            registered: Version::default(),
+            stale_entries: StaleEntries::default(),
+        }
+    }
+
+    /// Registers, and reads the list from time to time and after each restore of the store.
+    pub(crate) async fn run(mut self) {
+        self.register().await;
+        let mut allow_stale = true;
+        loop {
+            self.refresh(allow_stale).await;
+            allow_stale = tokio::select! {
+                () = sleep(RELIST_INTERVAL) => true,
+                () = self.signals.restored.notified() => {
+                    sleep(pause(self.node)).await;
+                    self.register().await;
+                    false
+                }
+            };
+        }
+    }
+
+    async fn register(&mut self) {
+        self.registered = register(&mut self.client, &self.name, self.node).await;
+        self.is_usable(self.registered.era());
+    }
+
+    async fn refresh(&mut self, allow_stale: bool) {
+        let Some(list) = list_balancers(&mut self.client, allow_stale).await else {
+            return;
+        };
+        if !self.is_usable(list.version.era()) {
+            return;
+        }
+        if list.version >= self.registered && !list.contains(self.node) {
+            event::ENTRY_MISSING
+                .log(&[("registered", &self.registered), ("version", &list.version)]);
+            self.register().await;
+        }
+        let departed = self.add(&list);
+        let entries = list.entries.iter();
+        for entry in entries.filter(|entry| departed.contains(&entry.node)) {
+            // A revision is a condition in its era only.
+            let current = self.state.borrow().position.era();
+            if entry.version.era() != current {
+                continue;
+            }
+            if let Some(era) = remove(&mut self.client, entry).await {
+                self.is_usable(era);
+            }
+        }
+    }
+
+    // Whether an answer may be used; after a restore all readers start again.
+    fn is_usable(&self, era: Era) -> bool {
+        let judged = self.state.borrow_mut().on_era(era);
+        if judged == Some(true) {
+            self.signals.resync.notify_one();
+            self.signals.restored.notify_one();
+        }
+        judged.is_some()
+    }
+
+    // Adds listed balancers to the fleet; returns those whose entries are to be removed.
+    fn add(&mut self, list: &BalancerList) -> Vec<NodeId> {
+        let now = usher_clock::now();
+        let mut state = self.state.borrow_mut();
+        let local = self.node;
+        let nodes = list.entries.iter().map(|entry| entry.node);
+        for node in nodes.clone().filter(|node| *node != local) {
+            state.fleet.add(now, node);
+        }
+        let (fleet, centre) = (&state.fleet, &state.settings.centre);
+        let watched: Vec<NodeId> = nodes.filter(|node| fleet.watches(*node, centre)).collect();
+        let watchers = fleet.watchers(now, centre);
+        self.stale_entries.observe(now, local, &watched, &watchers)
+    }
+}
+
+// Pause of a balancer before it registers again, so that not all write at once.
+fn pause(node: NodeId) -> Duration {
+    let hash = u32::from(node.address()).wrapping_mul(HASH_FACTOR);
+    Duration::from_millis(u64::from(hash >> (u32::BITS - PAUSE_BITS)))
+}
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -3,8 +3,8 @@
 use arc_swap::ArcSwap;
 use serde_json::Value;
 use usher_forwarding::{
-    ActiveConfiguration, ConfigurationVersion, ControlTargets, Digest, Fleet, Hello, HostDirectory,
-    HostState, NodeId, Report, RoutingView,
+    ActiveConfiguration, AnswerEra, ConfigurationVersion, ControlTargets, Digest, Fleet, Hello,
+    HostDirectory, HostState, NodeId, Report, RoutingView, StorePosition,
 };
 use usher_platform::decode_configuration;
 use usher_types::{Era, Span, Time, Version};
@@ -25,8 +25,7 @@
     pub(crate) settings: Settings,
     pub(crate) fleet: Fleet,
     pub(crate) stopping: bool,
-    /// Era of the store's last answer.
-    era: Option<Era>,
+    pub(crate) position: StorePosition,
     pub(crate) metrics: Arc<Metrics>,
     epoch: u64,
     started: Time,
@@ -54,7 +53,7 @@
             settings,
             fleet: Fleet::default(),
             stopping: false,
-            era: None,
+            position: StorePosition::default(),
             metrics,
             epoch: usher_clock::epoch(),
             started,
@@ -96,15 +95,25 @@
         }
     }
 
-    /// Records the era of an answer of the store.
-    pub(crate) fn on_era(&mut self, era: Era) {
-        let before = self.era.replace(era).unwrap_or(era);
-        if before != era {
-            event::STORE_RESTORED.log(&[
-                ("before", &before),
-                ("era", &era),
-                ("version", &self.version()),
-            ]);
+    /// Judges an answer of the store by its era; `None` if it must not be used.
+    ///
+    /// Otherwise returns whether it is the first answer since a restore.
+    pub(crate) fn on_era(&mut self, era: Era) -> Option<bool> {
+        match self.position.observe(era) {
+            AnswerEra::Current => Some(false),
+            AnswerEra::Restored { before } => {
+                let version = self.version();
+                event::STORE_RESTORED.log(&[
+                    ("before", &before),
+                    ("era", &era),
+                    ("version", &version),
+                ]);
+                Some(true)
+            }
+            AnswerEra::Outdated { current } => {
+                event::ANSWER_OUTDATED.log(&[("era", &era), ("current", &current)]);
+                None
+            }
         }
     }
 
@@ -277,7 +286,7 @@
     /// All metrics as text.
     pub(crate) fn metrics_text(&self) -> String {
         let hosts = self.directory.agents().count();
-        let era = self.era.unwrap_or_default();
+        let era = self.position.era();
         self.metrics.set_balancer(self.version(), era, hosts);
         self.metrics.text()
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -18,6 +18,8 @@
     HISTORY_DROPPED = 2113, Info, "store has dropped its history; reading again";
     REGISTERED = 2114, Info, "balancer registered in the store";
     STORE_RESTORED = 2115, Warn, "store restored from a copy";
+    ANSWER_OUTDATED = 2116, Warn, "answer of an earlier era of the store ignored";
+    ENTRY_MISSING = 2117, Warn, "balancer no longer registered; registering again";
     BALANCER_FOUND = 2121, Info, "balancer discovered";
     BALANCER_EXPIRED = 2122, Info, "silent balancer removed from the fleet";
     BALANCER_REMOVED = 2123, Info, "entry of a silent balancer removed from the store";
--- a/crates/node/tests/restored.rs
+++ b/crates/node/tests/restored.rs
@@ -6,6 +6,7 @@
 use usher_platform_standin::store::{ObjectTable, Store};
 use usher_platform_standin::{Deployment, SECOND_BALANCER, SERVICE, eventually, receive};
 
+const BALANCERS: &str = "balancers";
 const ROUTE: (&str, u16, &str) = ("198.18.0.1", 443, SERVICE);
 const OTHER_ROUTE: (&str, u16, &str) = ("198.18.0.9", 443, SERVICE);
 // The platform's bound for a change of the configuration.
@@ -30,10 +31,11 @@
     copy
 }
 
-fn restore(store: &Store, copy: ObjectTable) {
+fn restore(store: &Store, copy: ObjectTable, meanwhile: impl FnOnce()) {
     store.set_down(true);
     std::thread::sleep(Duration::from_millis(500));
     store.restore(copy);
+    meanwhile();
     store.set_down(false);
 }
 
@@ -61,7 +63,7 @@
     }
     store.configure_label(8, &[OTHER_ROUTE]);
     deployment.await_no_route(2_000);
-    restore(store, copy);
+    restore(store, copy, || {});
     refuse_flows(&deployment, &[2], 3_000..3_010);
     let second = deployment.second_balancer(&[2]);
     deployment.await_no_route_at(SECOND_BALANCER, 4_000);
@@ -75,3 +77,36 @@
     assert!(written.elapsed() < APPLY_LIMIT, "{:?}", written.elapsed());
     drop(second);
 }
+
+/// Guards against a change that is missed because its revision is one that was lost.
+#[test]
+fn a_revision_that_is_given_out_again_hides_no_change() {
+    let deployment = start(32);
+    let store = &deployment.store;
+    let copy = store.copy();
+    store.configure_label(8, &[ROUTE, ("198.18.0.2", 443, SERVICE)]);
+    std::thread::sleep(Duration::from_millis(500));
+    restore(store, copy, || store.configure_label(9, &[OTHER_ROUTE]));
+    let written = Instant::now();
+    deployment.await_no_route(2_000);
+    assert!(written.elapsed() < APPLY_LIMIT, "{:?}", written.elapsed());
+}
+
+/// Guards against balancers that the store has lost and that no process finds there again.
+#[test]
+fn balancers_register_again_in_a_restored_store() {
+    let deployment = start(33);
+    let store = &deployment.store;
+    eventually("the balancer is registered", || {
+        store.names(BALANCERS) == ["node-2"]
+    });
+    for _ in 0..2 {
+        restore(store, early_copy(store), || {});
+        assert!(store.names(BALANCERS).is_empty());
+        let restored = Instant::now();
+        eventually("the balancer is registered again", || {
+            store.names(BALANCERS) == ["node-2"]
+        });
+        assert!(restored.elapsed() < APPLY_LIMIT, "{:?}", restored.elapsed());
+    }
+}
