Node: tests of conditions over eras and of a removed registration

A removal under the condition of a revision that names another entry by now, and a registration that is gone although the store was not restored, had no test. `StorePosition::covers` holds the rule for conditions; a process test removes an entry and awaits it again. A document whose stored version is already in force is no longer decoded again.

--- a/crates/forwarding/src/store_position.rs
+++ b/crates/forwarding/src/store_position.rs
@@ -65,6 +65,11 @@
         self.era.unwrap_or_default()
     }
 
+    /// Whether a version may be the condition of a write: it is of the present era.
+    pub fn covers(&self, version: Version) -> bool {
+        self.era == Some(version.era())
+    }
+
     /// Version after which to wait for changes; `None` to read everything.
     pub fn since(&self) -> Option<Version> {
         self.since
@@ -79,7 +84,7 @@
     ///
     /// Within the era the position never goes back.
     pub fn advance(&mut self, through: Version) {
-        if through.era() == self.era() {
+        if self.covers(through) {
             self.since = self.since.max(Some(through));
         }
     }
--- a/crates/forwarding/tests/restored_store.rs
+++ b/crates/forwarding/tests/restored_store.rs
@@ -178,6 +178,21 @@
     assert_eq!(position.era(), era(7));
 }
 
+/// Guards against a write under the condition of a revision that now names another change.
+#[test]
+fn a_revision_is_a_condition_in_its_era_only() {
+    let mut position = StorePosition::default();
+    assert!(
+        !position.covers(Version::new(3)),
+        "nothing is known of the store"
+    );
+    position.observe(Era::new(1));
+    assert!(position.covers(stored("1.17")));
+    position.observe(Era::new(2));
+    assert!(!position.covers(stored("1.17")));
+    assert!(position.covers(stored("2.3")));
+}
+
 /// Guards against the answer to a watch from a position that has been given up meanwhile.
 #[test]
 fn a_watch_from_another_position_continues_nothing() {
--- a/crates/node/src/balancer/registry.rs
+++ b/crates/node/src/balancer/registry.rs
@@ -89,9 +89,9 @@
         let departed = self.add(&list);
         let entries = list.entries.iter();
         for entry in entries.filter(|entry| departed.contains(&entry.node)) {
-            // A revision is a condition in its era only.
-            let current = self.state.borrow().position.era();
-            if entry.version.era() != current {
+            // The store may have been restored since the list was read.
+            let position = self.state.borrow().position;
+            if !position.covers(entry.version) {
                 continue;
             }
             if let Some(era) = remove(&mut self.client, entry).await {
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -69,6 +69,9 @@
     /// Applies the operator's document as stored at a version, if it is newer.
     pub(crate) fn adopt(&mut self, stored: Version, spec: Value, source: &str) {
         let current = self.version();
+        if stored == current.stored {
+            return;
+        }
         let parsed = match decode_configuration(stored, &spec) {
             Ok(parsed) => parsed,
             Err(fault) => {
--- a/crates/node/tests/restored.rs
+++ b/crates/node/tests/restored.rs
@@ -12,6 +12,9 @@
 // The platform's bound for a change of the configuration.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
 
+// Most of the time after which a balancer reads the list of balancers again.
+const RELIST_TIME: Duration = Duration::from_secs(10);
+
 fn start(net: u8) -> Deployment {
     let program = Path::new(env!("CARGO_BIN_EXE_marigoldusher-node"));
     let deployment = Deployment::start(net, program, Path::new(env!("CARGO_TARGET_TMPDIR")));
@@ -92,6 +95,21 @@
     assert!(written.elapsed() < APPLY_LIMIT, "{:?}", written.elapsed());
 }
 
+/// Guards against a balancer whose entry was removed by mistake and that registers only at its start.
+#[test]
+fn a_removed_entry_is_written_again() {
+    let deployment = start(34);
+    let store = &deployment.store;
+    eventually("the balancer is registered", || {
+        store.names(BALANCERS) == ["node-2"]
+    });
+    store.remove(BALANCERS, "node-2");
+    std::thread::sleep(RELIST_TIME);
+    eventually("the balancer is registered again", || {
+        store.names(BALANCERS) == ["node-2"]
+    });
+}
+
 /// Guards against balancers that the store has lost and that no process finds there again.
 #[test]
 fn balancers_register_again_in_a_restored_store() {
