Node: a file for each type of the store's readers

`Feed` holds what its steps passed to each other, as `Registry` does; `StoreSignals`, `AnswerEra` and `BalancerList` have their own files. No behaviour changes.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod active_configuration;
 mod agent;
+mod answer_era;
 mod balancer;
 mod candidates;
 mod configuration_version;
@@ -31,6 +32,7 @@
 pub use agent::{
     AgentForwarder, ForwardReason, HeartbeatEffect, Inbound, InboundAction, Outbound, Release,
 };
+pub use answer_era::AnswerEra;
 pub use balancer::{
     BalancerForwarder, HostDirectory, HostSource, RejectReason, RoutingView, Verdict,
 };
@@ -51,4 +53,4 @@
 pub use route::{Configuration, Route};
 pub use service_key::ServiceKey;
 pub use stale_entries::StaleEntries;
-pub use store_position::{AnswerEra, StorePosition};
+pub use store_position::StorePosition;
--- a/crates/forwarding/src/store_position.rs
+++ b/crates/forwarding/src/store_position.rs
@@ -1,5 +1,7 @@
 use usher_types::{Era, Version};
 
+use crate::AnswerEra;
+
 /// Where a process has got to in the changes of the store.
 ///
 /// The store's versions are in one order only within an era. When the store is restored from a copy,
@@ -22,23 +24,6 @@
     since: Option<Version>,
 }
 
-/// What the era of an answer says about it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnswerEra {
-    /// The answer is of the present era.
-    Current,
-    /// The store has been restored since the answers before.
-    Restored {
-        /// Era of the answers before.
-        before: Era,
-    },
-    /// The answer is late, or from a replica that is behind; it must not be used.
-    Outdated {
-        /// Era of a later answer that has come before.
-        current: Era,
-    },
-}
-
 impl StorePosition {
     /// Judges an answer by its era, before its content is used.
     ///
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -14,9 +14,10 @@
 use usher_platform::Call;
 use usher_types::{Span, Time};
 
-use super::feed::{self, StoreSignals};
+use super::feed::{self, Feed};
 use super::registry::Registry;
 use super::state::State;
+use super::store_signals::StoreSignals;
 use super::traffic;
 use crate::codec::PeerMessage;
 use crate::control::{Peers, Signal, Signals, reload, serve_metrics};
@@ -68,11 +69,7 @@
         }
     }
     let store_signals = Rc::new(StoreSignals::default());
-    spawn_local(feed::follow(
-        Rc::clone(&state),
-        settings.store,
-        Rc::clone(&store_signals),
-    ));
+    spawn_local(Feed::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
     spawn_local(Registry::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
     event::STARTED.log(&[
         ("role", &"balancer"),
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -5,12 +5,12 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use tokio::sync::Notify;
 use usher_forwarding::NodeId;
 use usher_platform::{Listing, Reply, Request, WatchAnswer};
 use usher_types::{Span, Version};
 
 use super::state::State;
+use super::store_signals::StoreSignals;
 use crate::control::Backoff;
 use crate::event;
 use crate::http::Client;
@@ -22,129 +22,126 @@
 const OK: u16 = 200;
 const GONE: u16 = 410;
 
-/// What the readers of the store tell each other.
-#[derive(Debug, Default)]
-pub(crate) struct StoreSignals {
-    /// The call in flight may never be answered, or is of an earlier era.
-    pub(crate) resync: Notify,
-    /// The store has been restored; what it lost is to be written again.
-    pub(crate) restored: Notify,
-}
-
 /// Follows the operator's configuration in the store.
-pub(crate) async fn follow(
+#[derive(Debug)]
+pub(crate) struct Feed {
     state: Rc<RefCell<State>>,
-    store: SocketAddrV4,
     signals: Rc<StoreSignals>,
-) {
-    let metrics = Arc::clone(&state.borrow().metrics);
-    let mut client = Client::new(store, Arc::clone(&metrics));
-    let mut backoff = Backoff::new();
-    let mut available = true;
-    loop {
-        let since = state.borrow().position.since();
-        let outcome = match since {
-            None => read(&state, &mut client, &signals).await,
-            Some(since) => tokio::select! {
-                outcome = watch(&state, &mut client, &signals, since) => outcome,
-                () = signals.resync.notified() => {
-                    // Drops the call in flight together with its connection.
-                    client = Client::new(store, Arc::clone(&metrics));
-                    state.borrow_mut().position.reset();
-                    Ok(())
-                }
-            },
-        };
-        let fault = match outcome {
-            Ok(()) => {
-                backoff.reset();
-                if !available {
-                    available = true;
-                    event::STORE_UP.log(&[("version", &state.borrow().version())]);
+    client: Client,
+}
+
+impl Feed {
+    pub(crate) fn new(state: Rc<RefCell<State>>, signals: Rc<StoreSignals>) -> Self {
+        let client = state.borrow().store_client();
+        Self {
+            state,
+            signals,
+            client,
+        }
+    }
+
+    /// Reads the configuration and waits for changes, as long as the balancer runs.
+    pub(crate) async fn run(mut self) {
+        let mut backoff = Backoff::new();
+        let mut available = true;
+        loop {
+            let fault = match self.step().await {
+                Ok(()) => {
+                    backoff.reset();
+                    if !available {
+                        available = true;
+                        event::STORE_UP.log(&[("version", &self.state.borrow().version())]);
+                    }
+                    continue;
                 }
-                continue;
+                Err(fault) => fault,
+            };
+            if available {
+                available = false;
+                event::STORE_DOWN.log(&[
+                    ("call", &"configuration"),
+                    ("fault", &fault),
+                    ("version", &self.state.borrow().version()),
+                ]);
             }
-            Err(fault) => fault,
-        };
-        if available {
-            available = false;
-            event::STORE_DOWN.log(&[
-                ("call", &"configuration"),
-                ("fault", &fault),
-                ("version", &state.borrow().version()),
-            ]);
+            backoff.wait().await;
         }
-        backoff.wait().await;
     }
-}
 
-// Reads the configuration and takes its version as the position.
-async fn read(
-    state: &RefCell<State>,
-    client: &mut Client,
-    signals: &StoreSignals,
-) -> Result<(), String> {
-    let request = Request::configuration();
-    let reply = call(state, client, signals, ("read", &request, CALL_TIMEOUT)).await?;
-    if reply.status != OK {
-        return Err(format!("status {}", reply.status));
-    }
-    let listing = Listing::parse(&reply).map_err(|fault| fault.to_string())?;
-    let mut state = state.borrow_mut();
-    state.position.advance(listing.store_version);
-    if let Some(object) = listing.configuration() {
-        state.adopt(object.version, object.spec, "store");
+    async fn step(&mut self) -> Result<(), String> {
+        let since = self.state.borrow().position.since();
+        let Some(since) = since else {
+            return self.read().await;
+        };
+        let signals = Rc::clone(&self.signals);
+        tokio::select! {
+            outcome = self.watch(since) => outcome,
+            () = signals.resync.notified() => {
+                // Drops the call in flight together with its connection.
+                self.client = self.state.borrow().store_client();
+                self.state.borrow_mut().position.reset();
+                Ok(())
+            }
+        }
     }
-    Ok(())
-}
 
-// Waits for changes since the position, and moves it on or gives it up.
-async fn watch(
-    state: &RefCell<State>,
-    client: &mut Client,
-    signals: &StoreSignals,
-    since: Version,
-) -> Result<(), String> {
-    let request = Request::watch_configuration(since, WATCH_WAIT);
-    let limit = WATCH_WAIT + CALL_TIMEOUT;
-    let reply = call(state, client, signals, ("watch", &request, limit)).await?;
-    let mut state = state.borrow_mut();
-    if !state.position.continues(since) {
-        return Ok(());
-    }
-    if reply.status == GONE {
-        event::HISTORY_DROPPED.log(&[("since", &since)]);
-        state.position.reset();
-        return Ok(());
-    }
-    if reply.status != OK {
-        return Err(format!("status {}", reply.status));
+    // Reads the configuration and takes the store's version as the position.
+    async fn read(&mut self) -> Result<(), String> {
+        let request = Request::configuration();
+        let reply = self.call("read", &request, CALL_TIMEOUT).await?;
+        if reply.status != OK {
+            return Err(format!("status {}", reply.status));
+        }
+        let listing = Listing::parse(&reply).map_err(|fault| fault.to_string())?;
+        let mut state = self.state.borrow_mut();
+        state.position.advance(listing.store_version);
+        if let Some(object) = listing.configuration() {
+            state.adopt(object.version, object.spec, "store");
+        }
+        Ok(())
     }
-    let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
-    state.position.advance(answer.store_version);
-    for object in answer.configurations() {
-        state.adopt(object.version, object.spec, "store");
+
+    // Waits for changes since the position, and moves it on or gives it up.
+    async fn watch(&mut self, since: Version) -> Result<(), String> {
+        let request = Request::watch_configuration(since, WATCH_WAIT);
+        let limit = WATCH_WAIT + CALL_TIMEOUT;
+        let reply = self.call("watch", &request, limit).await?;
+        let mut state = self.state.borrow_mut();
+        if !state.position.continues(since) {
+            return Ok(());
+        }
+        if reply.status == GONE {
+            event::HISTORY_DROPPED.log(&[("since", &since)]);
+            state.position.reset();
+            return Ok(());
+        }
+        if reply.status != OK {
+            return Err(format!("status {}", reply.status));
+        }
+        let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
+        state.position.advance(answer.store_version);
+        for object in answer.configurations() {
+            state.adopt(object.version, object.spec, "store");
+        }
+        Ok(())
     }
-    Ok(())
-}
 
-// Calls the store; refuses an answer of an earlier era.
-async fn call(
-    state: &RefCell<State>,
-    client: &mut Client,
-    signals: &StoreSignals,
-    (what, request, limit): (&'static str, &Request, Span),
-) -> Result<Reply, String> {
-    let reply = client.call(what, request, limit).await;
-    let reply = reply.map_err(|fault| fault.to_string())?;
-    match state.borrow_mut().on_era(reply.era) {
-        Some(restored) => {
-            if restored {
-                signals.restored.notify_one();
-            }
-            Ok(reply)
+    // Calls the store; refuses an answer of an earlier era.
+    async fn call(
+        &mut self,
+        what: &'static str,
+        request: &Request,
+        limit: Span,
+    ) -> Result<Reply, String> {
+        let reply = self.client.call(what, request, limit).await;
+        let reply = reply.map_err(|fault| fault.to_string())?;
+        let restored = self.state.borrow_mut().on_era(reply.era);
+        match restored {
+            None => return Err(format!("answer of era {}", reply.era)),
+            Some(true) => self.signals.restored.notify_one(),
+            Some(false) => {}
         }
-        None => Err(format!("answer of era {}", reply.era)),
+        Ok(reply)
     }
 }
 
--- a/crates/node/src/balancer/mod.rs
+++ b/crates/node/src/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod feed;
 mod registry;
 mod state;
+mod store_signals;
 mod traffic;
 
 pub(crate) use control::run;
--- a/crates/node/src/balancer/registry.rs
+++ b/crates/node/src/balancer/registry.rs
@@ -1,14 +1,13 @@
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::sleep;
 use usher_forwarding::{NodeId, StaleEntries};
 use usher_types::{Era, Version};
 
-use super::feed::StoreSignals;
 use super::state::State;
+use super::store_signals::StoreSignals;
 use crate::control::{BalancerList, list_balancers, register, remove};
 use crate::event;
 use crate::http::Client;
@@ -38,8 +37,7 @@
         let (client, name, node) = {
             let state = state.borrow();
             let settings = &state.settings;
-            let client = Client::new(settings.store, Arc::clone(&state.metrics));
-            (client, settings.name.clone(), settings.node)
+            (state.store_client(), settings.name.clone(), settings.node)
         };
         Self {
             state,
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -10,6 +10,7 @@
 use usher_types::{Era, Span, Time, Version};
 
 use crate::codec::PeerMessage;
+use crate::http::Client;
 use crate::metrics::Metrics;
 use crate::{Settings, event};
 
@@ -66,6 +67,11 @@
         }
     }
 
+    /// A new client of the store.
+    pub(crate) fn store_client(&self) -> Client {
+        Client::new(self.settings.store, Arc::clone(&self.metrics))
+    }
+
     /// Applies the operator's document as stored at a version, if it is newer.
     pub(crate) fn adopt(&mut self, stored: Version, spec: Value, source: &str) {
         let current = self.version();
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,13 +1,15 @@
 //! Code that the control threads of balancers and agents share.
 
+mod balancer_list;
 mod metrics;
 mod peers;
 mod reload;
 mod signals;
 mod store;
 
+pub(crate) use balancer_list::BalancerList;
 pub(crate) use metrics::serve_metrics;
 pub(crate) use peers::Peers;
 pub(crate) use reload::reload;
 pub(crate) use signals::{Signal, Signals};
-pub(crate) use store::{Backoff, BalancerList, list_balancers, register, remove};
+pub(crate) use store::{Backoff, list_balancers, register, remove};
--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -5,6 +5,7 @@
 use usher_platform::{Listing, Object, Request};
 use usher_types::{Era, Span, Version};
 
+use super::balancer_list::BalancerList;
 use crate::event;
 use crate::http::Client;
 
@@ -91,20 +92,6 @@
     pub(crate) version: Version,
 }
 
-/// The balancers that the store lists.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct BalancerList {
-    /// Version of the store as of which the list is complete.
-    pub(crate) version: Version,
-    pub(crate) entries: Vec<Listed>,
-}
-
-impl BalancerList {
-    pub(crate) fn contains(&self, node: NodeId) -> bool {
-        self.entries.iter().any(|entry| entry.node == node)
-    }
-}
-
 /// Removes a balancer's entry, unless it has changed since it was listed.
 ///
 /// Returns the era of the answer. If the answer is lost, the next list shows the outcome.
