--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod active_configuration;
 mod agent;
+mod answer_era;
 mod balancer;
 mod candidates;
+mod configuration_version;
 mod control_targets;
 mod cpu_capacity;
 mod fleet;
@@ -26,15 +28,18 @@
 mod route;
 mod service_key;
 mod stale_entries;
+mod store_position;
 
 pub use active_configuration::ActiveConfiguration;
 pub use agent::{
     AgentForwarder, ForwardReason, HeartbeatEffect, Inbound, InboundAction, Outbound, Release,
 };
+pub use answer_era::AnswerEra;
 pub use balancer::{
     BalancerForwarder, HostDirectory, HostSource, RejectReason, RoutingView, StartUp, Verdict,
 };
 pub use candidates::Candidates;
+pub use configuration_version::ConfigurationVersion;
 pub use control_targets::{ControlTargets, Digest};
 pub use cpu_capacity::{CpuCapacity, InvalidCapacity};
 pub use fleet::Fleet;
@@ -52,3 +57,4 @@
 pub use route::{Configuration, Route};
 pub use service_key::ServiceKey;
 pub use stale_entries::StaleEntries;
+pub use store_position::StorePosition;
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use usher_clock::SuspendWatch;
@@ -15,8 +14,12 @@
 use usher_platform::Call;
 use usher_types::{Span, Time};
 
+use super::feed::{self, Feed};
+use super::host_fetch::fetch_hosts;
+use super::registry::Registry;
 use super::state::State;
-use super::{feed, traffic};
+use super::store_signals::StoreSignals;
+use super::traffic;
 use crate::codec::PeerMessage;
 use crate::control::{Peers, Signal, Signals, reload, serve_metrics};
 use crate::http::{Answer, serve};
@@ -69,13 +72,9 @@
             state.borrow_mut().fleet.add(usher_clock::now(), *seed);
         }
     }
-    let resync = Rc::new(Notify::new());
-    spawn_local(feed::follow(
-        Rc::clone(&state),
-        settings.store,
-        Rc::clone(&resync),
-    ));
-    spawn_local(feed::find_balancers(Rc::clone(&state)));
+    let store_signals = Rc::new(StoreSignals::default());
+    spawn_local(Feed::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
+    spawn_local(Registry::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
     event::STARTED.log(&[
         ("role", &"balancer"),
         ("packets", &settings.packets),
@@ -84,9 +83,9 @@
     let control = Control {
         state,
         peers,
-        resync,
+        store_signals,
         fetching: Rc::new(Cell::new(false)),
-        taking: Rc::new(Cell::new(false)),
+        fetching_hosts: Rc::new(Cell::new(false)),
     };
     control.event_loop(&mut signals, file).await;
     event::STOPPED.log(&[]);
@@ -128,11 +127,11 @@
 struct Control {
     state: Rc<RefCell<State>>,
     peers: Peers,
-    resync: Rc<Notify>,
+    store_signals: Rc<StoreSignals>,
     /// A fetch of the configuration is in progress.
     fetching: Rc<Cell<bool>>,
     /// A fetch of hosts is in progress.
-    taking: Rc<Cell<bool>>,
+    fetching_hosts: Rc<Cell<bool>>,
 }
 
 impl Control {
@@ -179,7 +178,7 @@
                 let new = state.on_hello(now, node, hello);
                 let agents = state.unknown_agents(now, hello);
                 if hello.complete && state.is_starting(now) {
-                    self.take_hosts(node, state.settings.peer_port);
+                    self.fetch_hosts(node, state.settings.peer_port);
                 }
                 if new {
                     self.peers.send([&node], &state.balancer_hello(now, false));
@@ -191,14 +190,14 @@
         }
     }
 
-    fn take_hosts(&self, from: NodeId, port: u16) {
-        if self.taking.replace(true) {
+    fn fetch_hosts(&self, from: NodeId, port: u16) {
+        if self.fetching_hosts.replace(true) {
             return;
         }
-        let (state, taking) = (Rc::clone(&self.state), Rc::clone(&self.taking));
+        let (state, fetching) = (Rc::clone(&self.state), Rc::clone(&self.fetching_hosts));
         spawn_local(async move {
-            feed::take_hosts(state, from, port).await;
-            taking.set(false);
+            fetch_hosts(state, from, port).await;
+            fetching.set(false);
         });
     }
 
@@ -214,7 +213,7 @@
     fn on_tick(&self, now: Time, suspend_watch: &mut SuspendWatch) {
         if let Some(span) = suspend_watch.check() {
             event::RESUMED.log(&[("for", &span)]);
-            self.resync.notify_one();
+            self.store_signals.resync.notify_one();
         }
         let mut state = self.state.borrow_mut();
         state.expire(now);
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -2,17 +2,16 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
-use tokio::sync::Notify;
-use usher_forwarding::{HostPage, NodeId, StaleEntries};
-use usher_platform::{Listing, Request, WatchAnswer};
+use usher_forwarding::NodeId;
+use usher_platform::{Listing, Reply, Request, WatchAnswer};
 use usher_types::{Span, Version};
 
 use super::state::State;
-use crate::control::{Backoff, Listed, list_balancers, register, remove};
+use super::store_signals::StoreSignals;
+use crate::control::Backoff;
 use crate::event;
 use crate::http::Client;
 
@@ -20,98 +19,130 @@
 const WATCH_WAIT: Span = Span::from_secs(10);
 // The store answers in 4 ms; one that is 50 times slower is still usable.
 const CALL_TIMEOUT: Span = Span::from_millis(1_000);
-// How often the list of balancers is read again, to find those that a partition hid.
-const RELIST_INTERVAL: Duration = Duration::from_secs(15);
 const OK: u16 = 200;
 const GONE: u16 = 410;
 
 /// Follows the operator's configuration in the store.
-pub(crate) async fn follow(state: Rc<RefCell<State>>, store: SocketAddrV4, resync: Rc<Notify>) {
-    let metrics = Arc::clone(&state.borrow().metrics);
-    let mut client = Client::new(store, Arc::clone(&metrics));
-    let mut backoff = Backoff::new();
-    let mut since: Option<Version> = None;
-    let mut available = true;
-    loop {
-        let outcome = match since {
-            None => read(&state, &mut client).await,
-            Some(version) => tokio::select! {
-                outcome = watch(&state, &mut client, version) => outcome,
-                () = resync.notified() => {
-                    // Drops the call in flight together with its connection.
-                    client = Client::new(store, Arc::clone(&metrics));
-                    Ok(None)
-                }
-            },
-        };
-        let fault = match outcome {
-            Ok(next) => {
-                since = next;
-                backoff.reset();
-                if !available {
-                    available = true;
-                    event::STORE_UP.log(&[("version", &state.borrow().version())]);
+#[derive(Debug)]
+pub(crate) struct Feed {
+    state: Rc<RefCell<State>>,
+    signals: Rc<StoreSignals>,
+    client: Client,
+}
+
+impl Feed {
+    pub(crate) fn new(state: Rc<RefCell<State>>, signals: Rc<StoreSignals>) -> Self {
+        let client = state.borrow().store_client();
+        Self {
+            state,
+            signals,
+            client,
+        }
+    }
+
+    /// Reads the configuration and waits for changes, as long as the balancer runs.
+    pub(crate) async fn run(mut self) {
+        let mut backoff = Backoff::new();
+        let mut available = true;
+        loop {
+            let fault = match self.step().await {
+                Ok(()) => {
+                    backoff.reset();
+                    if !available {
+                        available = true;
+                        event::STORE_UP.log(&[("version", &self.state.borrow().version())]);
+                    }
+                    continue;
                 }
-                continue;
+                Err(fault) => fault,
+            };
+            if available {
+                available = false;
+                event::STORE_DOWN.log(&[
+                    ("call", &"configuration"),
+                    ("fault", &fault),
+                    ("version", &self.state.borrow().version()),
+                ]);
             }
-            Err(fault) => fault,
-        };
-        if available {
-            available = false;
-            event::STORE_DOWN.log(&[
-                ("call", &"configuration"),
-                ("fault", &fault),
-                ("version", &state.borrow().version()),
-            ]);
+            backoff.wait().await;
         }
-        backoff.wait().await;
     }
-}
 
-// Reads the configuration; returns the version to watch from.
-async fn read(state: &RefCell<State>, client: &mut Client) -> Result<Option<Version>, String> {
-    let request = Request::configuration();
-    let reply = client
-        .call("read", &request, CALL_TIMEOUT)
-        .await
-        .map_err(|fault| fault.to_string())?;
-    if reply.status != OK {
-        return Err(format!("status {}", reply.status));
-    }
-    let listing = Listing::parse(&reply.body).map_err(|fault| fault.to_string())?;
-    let store_version = listing.store_version;
-    if let Some(object) = listing.configuration() {
-        let mut state = state.borrow_mut();
-        state.adopt(object.version, object.spec, "store");
+    async fn step(&mut self) -> Result<(), String> {
+        let since = self.state.borrow().position.since();
+        let Some(since) = since else {
+            return self.read().await;
+        };
+        let signals = Rc::clone(&self.signals);
+        tokio::select! {
+            outcome = self.watch(since) => outcome,
+            () = signals.resync.notified() => {
+                // Drops the call in flight together with its connection.
+                self.client = self.state.borrow().store_client();
+                self.state.borrow_mut().position.reset();
+                Ok(())
+            }
+        }
     }
-    Ok(Some(store_version))
-}
 
-// Waits for changes; returns the version to watch from, or `None` to read all again.
-async fn watch(
-    state: &RefCell<State>,
-    client: &mut Client,
-    since: Version,
-) -> Result<Option<Version>, String> {
-    let request = Request::watch_configuration(since, WATCH_WAIT);
-    let reply = client
-        .call("watch", &request, WATCH_WAIT + CALL_TIMEOUT)
-        .await
-        .map_err(|fault| fault.to_string())?;
-    if reply.status == GONE {
-        event::HISTORY_DROPPED.log(&[("since", &since)]);
-        return Ok(None);
+    // Reads the configuration and takes the store's version as the position.
+    async fn read(&mut self) -> Result<(), String> {
+        let request = Request::configuration();
+        let reply = self.call("read", &request, CALL_TIMEOUT).await?;
+        if reply.status != OK {
+            return Err(format!("status {}", reply.status));
+        }
+        let listing = Listing::parse(&reply).map_err(|fault| fault.to_string())?;
+        let mut state = self.state.borrow_mut();
+        state.position.advance(listing.store_version);
+        if let Some(object) = listing.configuration() {
+            state.adopt(object.version, object.spec, "store");
+        }
+        Ok(())
     }
-    if reply.status != OK {
-        return Err(format!("status {}", reply.status));
+
+    // Waits for changes since the position, and moves it on or gives it up.
+    async fn watch(&mut self, since: Version) -> Result<(), String> {
+        let request = Request::watch_configuration(since, WATCH_WAIT);
+        let limit = WATCH_WAIT + CALL_TIMEOUT;
+        let reply = self.call("watch", &request, limit).await?;
+        let mut state = self.state.borrow_mut();
+        if !state.position.continues(since) {
+            return Ok(());
+        }
+        if reply.status == GONE {
+            event::HISTORY_DROPPED.log(&[("since", &since)]);
+            state.position.reset();
+            return Ok(());
+        }
+        if reply.status != OK {
+            return Err(format!("status {}", reply.status));
+        }
+        let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
+        state.position.advance(answer.store_version);
+        for object in answer.configurations() {
+            state.adopt(object.version, object.spec, "store");
+        }
+        Ok(())
     }
-    let answer = WatchAnswer::parse(&reply.body).map_err(|fault| fault.to_string())?;
-    let store_version = answer.store_version.max(since);
-    for object in answer.configurations() {
-        let mut state = state.borrow_mut();
-        state.adopt(object.version, object.spec, "store");
+
+    // Calls the store; refuses an answer of an earlier era.
+    async fn call(
+        &mut self,
+        what: &'static str,
+        request: &Request,
+        limit: Span,
+    ) -> Result<Reply, String> {
+        let reply = self.client.call(what, request, limit).await;
+        let reply = reply.map_err(|fault| fault.to_string())?;
+        let restored = self.state.borrow_mut().on_era(reply.era);
+        match restored {
+            None => return Err(format!("answer of era {}", reply.era)),
+            Some(true) => self.signals.restored.notify_one(),
+            Some(false) => {}
+        }
+        Ok(reply)
     }
-    Ok(Some(store_version))
 }
 
 #[derive(Debug, Deserialize)]
@@ -148,77 +179,3 @@
         Err(fault) => event::CONFIG_FETCH_FAILED.log(&[("balancer", &from), ("fault", &fault)]),
     }
 }
-
-/// Takes over the hosts that another balancer knows.
-pub(crate) async fn take_hosts(state: Rc<RefCell<State>>, from: NodeId, port: u16) {
-    let address = SocketAddrV4::new(from.address(), port);
-    let metrics = Arc::clone(&state.borrow().metrics);
-    let mut client = Client::new(address, metrics);
-    let mut after = NodeId::NONE;
-    loop {
-        let request = Request {
-            method: "GET",
-            path: format!("{}{after}", super::control::HOSTS_PATH),
-            body: String::new(),
-        };
-        let page = match client.call("hosts", &request, CALL_TIMEOUT).await {
-            Ok(reply) if reply.status == OK => {
-                serde_json::from_slice::<HostPage>(&reply.body).map_err(|fault| fault.to_string())
-            }
-            Ok(reply) => Err(format!("status {}", reply.status)),
-            Err(fault) => Err(fault.to_string()),
-        };
-        let page = match page {
-            Ok(page) => page,
-            Err(fault) => {
-                event::HOSTS_NOT_TAKEN.log(&[("balancer", &from), ("fault", &fault)]);
-                return;
-            }
-        };
-        state.borrow_mut().merge_hosts(from, &page);
-        match page.hosts.last().filter(|_| page.more) {
-            Some(last) => after = last.agent,
-            None => return,
-        }
-    }
-}
-
-/// Registers this balancer in the store and finds the others there.
-pub(crate) async fn find_balancers(state: Rc<RefCell<State>>) {
-    let (store, name, node) = {
-        let state = state.borrow();
-        let settings = &state.settings;
-        (settings.store, settings.name.clone(), settings.node)
-    };
-    let metrics = Arc::clone(&state.borrow().metrics);
-    let mut client = Client::new(store, metrics);
-    register(&mut client, &name, node).await;
-    let mut stale_entries = StaleEntries::default();
-    loop {
-        if let Some(listed) = list_balancers(&mut client).await {
-            let departed = add_listed(&state, &mut stale_entries, &listed);
-            for entry in listed.iter().filter(|entry| departed.contains(&entry.node)) {
-                remove(&mut client, entry).await;
-            }
-        }
-        tokio::time::sleep(RELIST_INTERVAL).await;
-    }
-}
-
-// Adds listed balancers to the fleet; returns those whose entries are to be removed.
-fn add_listed(
-    state: &RefCell<State>,
-    stale_entries: &mut StaleEntries,
-    listed: &[Listed],
-) -> Vec<NodeId> {
-    let now = usher_clock::now();
-    let mut state = state.borrow_mut();
-    let local = state.settings.node;
-    for entry in listed.iter().filter(|entry| entry.node != local) {
-        state.fleet.add(now, entry.node);
-    }
-    let (fleet, centre) = (&state.fleet, &state.settings.centre);
-    let nodes = listed.iter().map(|entry| entry.node);
-    let watched: Vec<NodeId> = nodes.filter(|node| fleet.watches(*node, centre)).collect();
-    stale_entries.observe(now, local, &watched, &fleet.watchers(now, centre))
-}
--- a/crates/node/src/balancer/mod.rs
+++ b/crates/node/src/balancer/mod.rs
@@ -2,7 +2,10 @@
 
 mod control;
 mod feed;
+mod host_fetch;
+mod registry;
 mod state;
+mod store_signals;
 mod traffic;
 
 pub(crate) use control::run;
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -3,13 +3,15 @@
 use arc_swap::ArcSwap;
 use serde_json::Value;
 use usher_forwarding::{
-    ActiveConfiguration, ControlTargets, Digest, Fleet, Hello, HelloRotation, HostDirectory,
-    HostPage, HostState, NodeId, Report, RoutingView, StartUp,
+    ActiveConfiguration, AnswerEra, ConfigurationVersion, ControlTargets, Digest, Fleet, Hello,
+    HelloRotation, HostDirectory, HostPage, HostState, NodeId, Report, RoutingView, StartUp,
+    StorePosition,
 };
 use usher_platform::decode_configuration;
-use usher_types::{Span, Time, Version};
+use usher_types::{Era, Span, Time, Version};
 
 use crate::codec::PeerMessage;
+use crate::http::Client;
 use crate::metrics::Metrics;
 use crate::{Settings, event};
 
@@ -27,6 +29,7 @@
     pub(crate) settings: Settings,
     pub(crate) fleet: Fleet,
     pub(crate) stopping: bool,
+    pub(crate) position: StorePosition,
     pub(crate) metrics: Arc<Metrics>,
     epoch: u64,
     started: Time,
@@ -56,6 +59,7 @@
             settings,
             fleet: Fleet::default(),
             stopping: false,
+            position: StorePosition::default(),
             metrics,
             epoch: usher_clock::epoch(),
             started,
@@ -70,38 +74,74 @@
         }
     }
 
-    /// Applies the operator's document as stored at a version, if that is newer.
-    pub(crate) fn adopt(&mut self, version: Version, spec: Value, source: &str) {
-        if version <= self.active_configuration.version() {
+    /// A new client of the store.
+    pub(crate) fn store_client(&self) -> Client {
+        Client::new(self.settings.store, Arc::clone(&self.metrics))
+    }
+
+    /// Applies the operator's document as stored at a version, if it is newer.
+    pub(crate) fn adopt(&mut self, stored: Version, spec: Value, source: &str) {
+        let current = self.version();
+        if stored == current.stored {
             return;
         }
-        match decode_configuration(version, &spec) {
-            Ok(parsed) => {
-                let (operator_version, routes) = (parsed.operator_version, parsed.routes.len());
-                let ignored = parsed.ignored;
-                self.active_configuration.adopt(parsed);
-                self.document = spec;
-                self.publish();
-                event::CONFIGURED.log(&[
+        let parsed = match decode_configuration(stored, &spec) {
+            Ok(parsed) => parsed,
+            Err(fault) => {
+                event::CONFIG_INVALID.log(&[("version", &stored), ("fault", &fault)]);
+                return;
+            }
+        };
+        let (version, routes, ignored) = (parsed.version, parsed.routes.len(), parsed.ignored);
+        if self.active_configuration.adopt(parsed) {
+            self.document = spec;
+            self.publish();
+            event::CONFIGURED.log(&[
+                ("version", &version),
+                ("routes", &routes),
+                ("ignored", &ignored),
+                ("source", &source),
+            ]);
+        } else if version < current {
+            event::CONFIG_OUTDATED.log(&[
+                ("offered", &version),
+                ("version", &current),
+                ("source", &source),
+            ]);
+        }
+    }
+
+    /// Judges an answer of the store by its era; `None` if it must not be used.
+    ///
+    /// Otherwise returns whether it is the first answer since a restore.
+    pub(crate) fn on_era(&mut self, era: Era) -> Option<bool> {
+        match self.position.observe(era) {
+            AnswerEra::Current => Some(false),
+            AnswerEra::Restored { before } => {
+                let version = self.version();
+                event::STORE_RESTORED.log(&[
+                    ("before", &before),
+                    ("era", &era),
                     ("version", &version),
-                    ("label", &operator_version),
-                    ("routes", &routes),
-                    ("ignored", &ignored),
-                    ("source", &source),
                 ]);
+                Some(true)
+            }
+            AnswerEra::Outdated { current } => {
+                event::ANSWER_OUTDATED.log(&[("era", &era), ("current", &current)]);
+                None
             }
-            Err(fault) => event::CONFIG_INVALID.log(&[("version", &version), ("fault", &fault)]),
         }
     }
 
-    pub(crate) fn version(&self) -> Version {
+    pub(crate) fn version(&self) -> ConfigurationVersion {
         self.active_configuration.version()
     }
 
     /// The document in force as JSON, for another balancer.
     pub(crate) fn document(&self) -> String {
         let document = &self.document;
-        serde_json::json!({ "version": self.version(), "document": document }).to_string()
+        let stored = self.version().stored;
+        serde_json::json!({ "version": stored, "document": document }).to_string()
     }
 
     pub(crate) fn on_report(&mut self, now: Time, node: NodeId, report: &Report) {
@@ -144,7 +184,7 @@
         if !page.more {
             self.start_up.finish();
         }
-        event::HOSTS_TAKEN.log(&[
+        event::HOSTS_FETCHED.log(&[
             ("balancer", &from),
             ("hosts", &page.hosts.len()),
             ("new", &added),
@@ -271,7 +311,7 @@
             .agents()
             .filter_map(|agent| self.directory.state(now, agent));
         let serving = states.any(|(state, _)| state == HostState::Serving);
-        let configured = self.version() > Version::default();
+        let configured = self.version() > ConfigurationVersion::default();
         let settings = &self.settings;
         let (local, capacity) = (settings.node, settings.capacity);
         let standby = self
@@ -298,7 +338,8 @@
     /// All metrics as text.
     pub(crate) fn metrics_text(&self) -> String {
         let hosts = self.directory.agents().count();
-        self.metrics.set_balancer(self.version(), hosts);
+        let era = self.position.era();
+        self.metrics.set_balancer(self.version(), era, hosts);
         self.metrics.text()
     }
 
