Objects of a store that was restored: order by era and version, position apart from it

The product's own objects were ordered by the store's revision alone. After a restore from a copy, a value that came back could not be told from a new one, what was written since was gone for processes that start later, a watch went on in a history that gave its revision out again, and a condition on a revision could hold by accident. Operators would have seen changes without effect until revisions passed the old ones.

A stored value now names the era of its write, and its version is era and revision of that write in this order: a value that a restore brings back keeps its rank, and a write of a later era outranks it however small its revision. Where the store holds a value is its position (era of the answer and revision), which orders watches, requests to peers and conditions. The cache lists the objects that a restored store has lost or holds in an older value; `Store::write_again` writes one with its version and write id kept, after reading it and conditional on what was read, so any number of processes may do so and no roster gets a new version. A whole list follows each change of era, pages of two eras are read again, and answers of an earlier era than the latest are ignored and counted. A creation acknowledged in a later era than it states is written again in that era; a write with a condition of an earlier era that was acknowledged nonetheless has an unknown outcome. A lease of the store ends with its era.

--- a/crates/capacity/src/sample.rs
+++ b/crates/capacity/src/sample.rs
@@ -117,6 +117,7 @@
         kind,
         name: parse(name),
         version: Version::new(version),
+        position: Version::new(version),
         write_id: WriteId::new(u128::from(version) << 64),
         value: Some(value),
     }
--- a/crates/cli/src/commands/edit.rs
+++ b/crates/cli/src/commands/edit.rs
@@ -1,7 +1,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use usher_config::{Condition, Diff, Kind, Object, ObjectKey, ObjectName};
+use usher_config::{Diff, Kind, Object, ObjectKey, ObjectName};
 
 use crate::document::Draft;
 use crate::error::CliError;
@@ -42,7 +42,8 @@
         };
         let cache = session.load().await?;
         let stored = cache.get(&key);
-        if Condition::unchanged(stored) != Condition::Version(version) {
+        let current = stored.filter(|object| object.value.is_some());
+        if current.map(|object| object.version) != Some(version) {
             return Err(version_mismatch(key, version.to_string(), stored, &draft));
         }
         let change = change(key, stored, Some(draft.value));
--- a/crates/cli/src/processes.rs
+++ b/crates/cli/src/processes.rs
@@ -109,7 +109,7 @@
         }
     }
     // The write is refused if the fleet has changed meanwhile, for example when a balancer joins.
-    let condition = Condition::Version(object.version);
+    let condition = Condition::Version(object.position);
     store
         .put(object.key(), condition, Value::Fleet(fleet))
         .await?;
@@ -156,12 +156,12 @@
     rollout.state()
 }
 
-/// Highest version of all profiles and services, including tombstones.
+/// Highest position of all profiles and services, including tombstones.
 pub(crate) async fn newest_version(store: &Store) -> Result<Version, CliError> {
     let mut newest_version = Version::default();
     for kind in [Kind::Profile, Kind::Service] {
         let batch = store.list(Some(kind), Version::default()).await?;
-        let versions = batch.objects.iter().map(|object| object.version);
+        let versions = batch.objects.iter().map(|object| object.position);
         newest_version = versions.fold(newest_version, Version::max);
     }
     Ok(newest_version)
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use usher_types::{Buckets, Generation, Profile, ProfileName, Service, ServiceName};
+use usher_types::{Buckets, Generation, Profile, ProfileName, Service, ServiceName, Version};
 
 use crate::profile_rules::check_profile;
 use crate::{Cache, Change, ConfigError, Kind, ObjectKey, Value};
@@ -73,13 +73,19 @@
     }
 }
 
-// A service that gains an address gets a generation above every version seen, and thereby above
-// the generation of any service that had the address before, even one that has been deleted.
+// A service that gains an address gets a generation above the number of every version seen, and
+// thereby above the generation of any service that had the address before, even one that has been
+// deleted. Revisions alone do not suffice, because they fall when the store is restored.
 fn derive_generations(
     cache: &Cache,
     mut changes: Vec<Change>,
     faults: &mut Vec<ConfigError>,
 ) -> Vec<Change> {
+    let highest = cache
+        .since(Version::default())
+        .map(|object| object.version.get().max(object.position.get()))
+        .max()
+        .unwrap_or_default();
     for change in &mut changes {
         let Some(Value::Service(service)) = &mut change.value else {
             continue;
@@ -98,9 +104,7 @@
         service.generation = if unchanged {
             generation
         } else {
-            generation
-                .max(Generation::new(cache.revision().get()))
-                .next()
+            generation.max(Generation::new(highest)).next()
         };
     }
     changes
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use cache::{Adoption, Cache};
 pub use catalog::{Catalog, ServiceEntry};
-pub use change::{Change, Condition, Write};
+pub use change::{Change, Condition, Rank, Write};
 pub use check::check;
 pub use conflict::Conflict;
 pub use diff::{Diff, FieldChange};
--- a/crates/config/src/object.rs
+++ b/crates/config/src/object.rs
@@ -50,8 +50,13 @@
     pub kind: Kind,
     /// Name within the kind.
     pub name: ObjectName,
-    /// Rises with each write; alone decides which value of the object is newer.
+    /// Era and number of the write; alone decides which value of the object is newer.
     pub version: Version,
+    /// Era and revision under which the store holds the value, for conditions and watches.
+    ///
+    /// It differs from `version` once the store was restored from a copy. Earlier builds omit it.
+    #[serde(default)]
+    pub position: Version,
     /// Write that made this version.
     pub write_id: WriteId,
     /// `None` is a tombstone: the object was deleted.
@@ -67,6 +72,7 @@
     ///     kind: Kind::Profile,
     ///     name: "fast".parse()?,
     ///     version: usher_types::Version::new(4),
+    ///     position: usher_types::Version::new(4),
     ///     write_id: WriteId::new(1),
     ///     value: None,
     /// };
--- a/crates/config/src/store_lease.rs
+++ b/crates/config/src/store_lease.rs
@@ -1,4 +1,4 @@
-use usher_types::{Peer, Span, Time, Version};
+use usher_types::{Era, Peer, Span, Time, Version};
 
 use crate::{
     Change, Condition, ConfigError, Kind, LeaseRecord, Object, ObjectKey, ObjectName, Write,
@@ -17,7 +17,7 @@
 
 #[derive(Debug, Clone)]
 struct Observation {
-    version: Version,
+    position: Version,
     term: Option<Span>,
     since: Time,
 }
@@ -25,18 +25,19 @@
 /// Life-cycle state of a lease that this process holds.
 #[derive(Debug, Clone)]
 pub struct Held {
-    version: Version,
+    position: Version,
     until: Time,
 }
 
 /// A lease on an object of the store, as one process sees it.
 ///
 /// The holder checks its own clock before it acts, and each write of the lease is conditional on
-/// the version last written by the holder, so a holder that resumes after its term cannot write.
+/// the position last written by the holder, so a holder that resumes after its term cannot write. A
+/// store that was restored from a copy may have lost the lease, so it ends with the store's era.
 ///
 /// ```
 /// use usher_config::{StoreLease, WriteId};
-/// use usher_types::{Peer, Span, Time, Version};
+/// use usher_types::{Era, Peer, Span, Time, Version};
 /// let own = Peer::Instance("riga-centrs-1".parse().unwrap());
 /// let mut lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
 /// lease.observe(Time::ZERO, None);
@@ -55,7 +56,7 @@
 }
 
 impl<State> StoreLease<State> {
-    fn write(&self, id: WriteId, condition: Condition, held: bool) -> Write {
+    fn write(&self, id: WriteId, condition: Condition, era: Era, held: bool) -> Write {
         let record = LeaseRecord {
             holder: self.own.clone(),
             term: self.term,
@@ -65,7 +66,7 @@
             condition,
             value: held.then(|| record.into()),
         };
-        Write { id, change }
+        Write::new(id, change, era)
     }
 
     fn into_state<Next>(self, state: Next) -> StoreLease<Next> {
@@ -110,7 +111,7 @@
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
     pub fn observe(&mut self, now: Time, object: Option<&Object>) {
-        let version = object.map_or_else(Version::default, |object| object.version);
+        let position = object.map_or_else(Version::default, |object| object.position);
         let term = match object.and_then(|object| object.value.as_ref()) {
             Some(crate::Value::Lease(record)) => Some(record.term),
             _ => None,
@@ -119,10 +120,10 @@
             .state
             .observation
             .as_ref()
-            .is_none_or(|observation| observation.version < version)
+            .is_none_or(|observation| observation.position < position)
         {
             self.state.observation = Some(Observation {
-                version,
+                position,
                 term,
                 since: now,
             });
@@ -131,7 +132,7 @@
 
     /// The write that takes the lease, if no process can still hold it.
     ///
-    /// A lease whose version has not changed for its term plus the drift margin has lapsed.
+    /// A lease whose position has not changed for its term plus the drift margin has lapsed.
     ///
     /// ```
     /// # use usher_config::{StoreLease, WriteId};
@@ -147,39 +148,39 @@
         let condition = match observation.term {
             None => Condition::Absent,
             Some(term) if now - observation.since >= term.scale(DRIFT_FACTOR) => {
-                Condition::Version(observation.version)
+                Condition::Version(observation.position)
             }
             Some(_) => return None,
         };
-        Some(self.write(id, condition, true))
+        Some(self.write(id, condition, observation.position.era(), true))
     }
 
     /// The acquiring write sent at `sent` took effect; the term counts from its sending.
     ///
     /// ```
     /// # use usher_config::StoreLease;
-    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # use usher_types::{Era, Peer, Span, Time, Version};
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// let lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// let held = lease.granted(Time::ZERO, Version::new(5));
     /// assert_eq!(held.check(Time::ZERO)?, Version::new(5));
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
-    pub fn granted(self, sent: Time, version: Version) -> StoreLease<Held> {
+    pub fn granted(self, sent: Time, position: Version) -> StoreLease<Held> {
         let until = sent + self.term;
-        self.into_state(Held { version, until })
+        self.into_state(Held { position, until })
     }
 }
 
 impl StoreLease<Held> {
-    /// Version of the held lease, if its term has not ended at `now`.
+    /// Position of the held lease, if its term has not ended at `now`.
     ///
     /// # Errors
     /// `MU-2015` when the term has ended on this process's clock.
     ///
     /// ```
     /// # use usher_config::StoreLease;
-    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # use usher_types::{Era, Peer, Span, Time, Version};
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// # let lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// let held = lease.granted(Time::ZERO, Version::new(5));
@@ -191,7 +192,7 @@
         if now >= until {
             return Err(ConfigError::LeaseLapsed { until, now });
         }
-        Ok(self.state.version)
+        Ok(self.state.position)
     }
 
     /// The write that extends the lease.
@@ -201,7 +202,7 @@
     ///
     /// ```
     /// # use usher_config::{Condition, StoreLease, WriteId};
-    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # use usher_types::{Era, Peer, Span, Time, Version};
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// # let lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// let held = lease.granted(Time::ZERO, Version::new(5));
@@ -210,8 +211,8 @@
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
     pub fn renewal(&self, now: Time, id: WriteId) -> Result<Write, ConfigError> {
-        let version = self.check(now)?;
-        Ok(self.write(id, Condition::Version(version), true))
+        let position = self.check(now)?;
+        Ok(self.write(id, Condition::Version(position), position.era(), true))
     }
 
     /// The write that releases the lease.
@@ -221,7 +222,7 @@
     ///
     /// ```
     /// # use usher_config::{StoreLease, WriteId};
-    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # use usher_types::{Era, Peer, Span, Time, Version};
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// # let lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// let held = lease.granted(Time::ZERO, Version::new(5));
@@ -229,15 +230,15 @@
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
     pub fn release(&self, now: Time, id: WriteId) -> Result<Write, ConfigError> {
-        let version = self.check(now)?;
-        Ok(self.write(id, Condition::Version(version), false))
+        let position = self.check(now)?;
+        Ok(self.write(id, Condition::Version(position), position.era(), false))
     }
 
     /// The renewal sent at `sent` took effect; the term counts from its sending.
     ///
     /// ```
     /// # use usher_config::StoreLease;
-    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # use usher_types::{Era, Peer, Span, Time, Version};
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// # let lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// let held = lease.granted(Time::ZERO, Version::new(5));
@@ -246,16 +247,40 @@
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
     #[must_use]
-    pub fn renewed(self, sent: Time, version: Version) -> Self {
+    pub fn renewed(self, sent: Time, position: Version) -> Self {
         let until = sent + self.term;
-        self.into_state(Held { version, until })
+        self.into_state(Held { position, until })
+    }
+
+    /// The lease, unless the store is in a later era than the one in which it was granted.
+    ///
+    /// The restored store may have lost the lease and granted it to another process.
+    ///
+    /// # Errors
+    /// The lapsed lease, which has to be read and acquired again.
+    ///
+    /// ```
+    /// # use usher_config::StoreLease;
+    /// # use usher_types::{Era, Peer, Span, Time, Version};
+    /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
+    /// # let lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
+    /// let held = lease.granted(Time::ZERO, Version::new(5));
+    /// let held = held.in_era(Era::default()).unwrap();
+    /// assert!(held.in_era(Era::new(1)).is_err());
+    /// # Ok::<(), usher_config::ConfigError>(())
+    /// ```
+    pub fn in_era(self, era: Era) -> Result<Self, StoreLease<Lapsed>> {
+        if era > self.state.position.era() {
+            return Err(self.lapse());
+        }
+        Ok(self)
     }
 
     /// The lease ended, was released or was taken by another process.
     ///
     /// ```
     /// # use usher_config::{StoreLease, WriteId};
-    /// # use usher_types::{Peer, Span, Time, Version};
+    /// # use usher_types::{Era, Peer, Span, Time, Version};
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// # let lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// let lapsed = lease.granted(Time::ZERO, Version::new(5)).lapse();
--- a/crates/config/tests/cache.rs
+++ b/crates/config/tests/cache.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value as Json, json};
 use support::{key, object};
 use usher_config::{Adoption, Cache, Object};
-use usher_types::Version;
+use usher_types::{Era, Version};
 
 fn profile(version: u64, hunt: &Json) -> Object {
     let value = match hunt.as_str() {
@@ -40,6 +40,63 @@
     }
 }
 
+fn version(json: &Json) -> Version {
+    serde_json::from_value(json.clone()).unwrap()
+}
+
+// An object whose value at `[version, hunt, position]` stands at `position` in the store.
+fn stored(name: &str, offer: &Json) -> Object {
+    let hunt = json!({ "hunt": format!("{}ms", offer[1].as_str().unwrap().as_bytes()[0]) });
+    Object {
+        version: version(&offer[0]),
+        position: version(&offer[2]),
+        ..object(name, 1, 1, &hunt)
+    }
+}
+
+#[test]
+fn restores_lose_no_value() {
+    let rows: Vec<Json> = serde_json::from_str(include_str!("restores.json")).unwrap();
+    for row in rows {
+        let guards = &row["guards"];
+        let mut cache = Cache::default();
+        let name = row["object"].as_str().unwrap();
+        for step in row["steps"].as_array().unwrap() {
+            let through = version(&step["through"]);
+            let objects: Vec<Object> = step["objects"]
+                .as_array()
+                .unwrap()
+                .iter()
+                .map(|offer| stored(name, offer))
+                .collect();
+            match &step["after"] {
+                Json::Null => cache.apply_list(through, objects),
+                after => cache.apply_since(version(after), through, objects),
+            };
+            let held = cache.get(&key(name)).unwrap();
+            let expected = stored(name, &step["held"]);
+            assert_eq!(held, &expected, "{guards}");
+            assert_eq!(cache.complete(), through, "{guards}");
+            let lost: Vec<&Object> = cache.lost().collect();
+            let is_lost = step["lost"].as_bool().unwrap();
+            let expected: &[&Object] = if is_lost { &[&expected] } else { &[] };
+            assert_eq!(lost, expected, "{guards}");
+        }
+    }
+}
+
+// Guards against a peer that moves its position past a lost object without receiving it.
+#[test]
+fn objects_written_again_are_newer_for_peers() {
+    let mut cache = Cache::default();
+    cache.adopt(stored("profile/fast", &json!([9, "b", 9])));
+    cache.apply_list(Version::new(5).in_era(Era::new(1)), Vec::new());
+    let peer = cache.complete();
+    cache.adopt(stored("profile/fast", &json!([9, "b", "1.6"])));
+    let newer: Vec<Version> = cache.since(peer).map(|object| object.version).collect();
+    assert_eq!(newer, [Version::new(9)]);
+}
+
 // Guards against a watch that resumes above objects that never arrived.
 #[test]
 fn completeness_has_no_gaps() {
--- a/crates/config/tests/lease.rs
+++ b/crates/config/tests/lease.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use support::object;
 use usher_config::{Condition, Lapsed, Report, Rollout, RolloutState, StoreLease, WriteId};
-use usher_types::{Incarnation, Peer, Span, Time, Version};
+use usher_types::{Era, Incarnation, Peer, Span, Time, Version};
 
 const ID: WriteId = WriteId::new(1);
 
@@ -76,6 +76,37 @@
     );
 }
 
+// Guards against a lease that two processes hold, because a restored store has lost it.
+#[test]
+fn lease_ends_with_the_era_of_the_store() {
+    let held = lease("one").granted(at(0), Version::new(9));
+    let held = held.in_era(Era::default()).unwrap();
+    let lapsed = held.in_era(Era::new(1)).unwrap_err();
+    assert!(lapsed.acquire(at(9_000), ID).is_none(), "not read again");
+    let record = json!({ "holder": { "Instance": "one" }, "term": "3s" });
+    let mut contender = lease("two");
+    contender.observe(at(0), Some(&object("lease/watcher", 9, 1, &record)));
+    let position = Version::new(5).in_era(Era::new(1));
+    let restored = usher_config::Object {
+        position,
+        ..object("lease/watcher", 5, 1, &record)
+    };
+    contender.observe(at(3_000), Some(&restored));
+    assert!(contender.acquire(at(6_059), ID).is_none());
+    let taken = contender.acquire(at(6_060), ID).unwrap();
+    assert_eq!(taken.change.condition, Condition::Version(position));
+}
+
+// Guards against a lease that a restore brings back and that its holder writes again.
+#[test]
+fn leases_are_not_written_again() {
+    let record = json!({ "holder": { "Instance": "one" }, "term": "3s" });
+    let mut cache = usher_config::Cache::default();
+    cache.adopt(object("lease/watcher", 9, 1, &record));
+    cache.apply_list(Version::new(5).in_era(Era::new(1)), Vec::new());
+    assert_eq!(cache.lost().count(), 0);
+}
+
 // Guards against a version reported as in force while a process lags, restarted or never reported.
 #[test]
 fn rollout_names_the_processes_that_lack_the_version() {
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -26,6 +26,7 @@
     let key = key(text);
     Object {
         version: Version::new(version),
+        position: Version::new(version),
         write_id: WriteId::new(write_id),
         value: value(key.kind, json),
         kind: key.kind,
--- a/crates/config/tests/writes.rs
+++ b/crates/config/tests/writes.rs
@@ -4,23 +4,27 @@
 
 use serde_json::{Value as Json, json};
 use support::{key, object, value};
-use usher_config::{Answer, Change, Condition, Kind, Object, Pending, Step, Write, WriteId};
-use usher_types::Version;
+use usher_config::{Answer, Change, Condition, Kind, Object, Pending, Rank, Step, Write, WriteId};
+use usher_types::{Era, Version};
 
 const OWN: u128 = 7;
 
 fn version(json: &Json) -> Version {
-    Version::new(json.as_u64().unwrap())
+    serde_json::from_value(json.clone()).unwrap()
 }
 
 fn found(answer: &Json) -> Option<Object> {
-    let version = answer[1].as_u64()?;
+    if answer[1].is_null() {
+        return None;
+    }
+    let position = version(&answer[1]);
     let profile = json!({});
-    Some(match answer[2].as_str().unwrap() {
-        "own" => object("profile/fast", version, OWN, &profile),
-        "tombstone" => object("profile/fast", version, 1, &Json::Null),
-        _ => object("profile/fast", version, 1, &profile),
-    })
+    let object = match answer[2].as_str().unwrap() {
+        "own" => object("profile/fast", position.get(), OWN, &profile),
+        "tombstone" => object("profile/fast", position.get(), 1, &Json::Null),
+        _ => object("profile/fast", position.get(), 1, &profile),
+    };
+    Some(Object { position, ..object })
 }
 
 fn answer(step: Step, answer: &Json) -> Step {
@@ -48,21 +52,36 @@
         let write = Write {
             id: WriteId::new(OWN),
             change,
+            rank: match &row["kept"] {
+                Json::Null => Rank::Newest(Era::default()),
+                json => Rank::Kept(version(json)),
+            },
         };
         let mut step = Step::Retry(Pending::new(write));
         for given in row["answers"].as_array().unwrap() {
             step = answer(step, given);
         }
         let ends = match step {
-            Step::Done(version) => json!(["done", version]),
+            Step::Done(position) => {
+                assert_eq!(position, version(&row["ends"][1]), "{}", row["guards"]);
+                row["ends"].clone()
+            }
+            Step::Restored(_) => json!(["restored"]),
+            Step::Retry(pending) => {
+                let write = pending.write();
+                let Condition::Version(position) = write.change.condition else {
+                    panic!("{}: {write:?}", row["guards"]);
+                };
+                assert_eq!(write.rank, Rank::Newest(position.era()));
+                assert_eq!(position, version(&row["ends"][1]), "{}", row["guards"]);
+                row["ends"].clone()
+            }
             Step::Conflict(conflict) => {
-                json!([
-                    "conflict",
-                    conflict.current.unwrap().version,
-                    conflict.uncertain
-                ])
+                let position = conflict.current.unwrap().position;
+                assert_eq!(position, version(&row["ends"][1]), "{}", row["guards"]);
+                json!(["conflict", row["ends"][1], conflict.uncertain])
             }
-            step => panic!("{}: {step:?}", row["guards"]),
+            step @ Step::ReadBack(_) => panic!("{}: {step:?}", row["guards"]),
         };
         assert_eq!(ends, row["ends"], "{}", row["guards"]);
     }
--- a/crates/scenario/src/simulation/mod.rs
+++ b/crates/scenario/src/simulation/mod.rs
@@ -13,7 +13,7 @@
 use rand_pcg::Pcg64;
 use usher_config::{Cache, Condition, Kind, ObjectKey, Value, Write, WriteId};
 use usher_types::{
-    Buckets, DataCentre, Profile, RequestKey, Service, ServiceName, Span, Time, Version,
+    Buckets, DataCentre, Era, Profile, RequestKey, Service, ServiceName, Span, Time, Version,
 };
 
 use crate::backend::Backend;
@@ -182,7 +182,7 @@
             condition,
             value,
         };
-        Write { id, change }
+        Write::new(id, change, Era::default())
     }
 
     fn add_machine(&mut self, name: MachineName, centre: DataCentre, service: Option<ServiceName>) {
--- a/crates/scenario/src/simulation/watch.rs
+++ b/crates/scenario/src/simulation/watch.rs
@@ -138,9 +138,9 @@
     }
 }
 
-// The condition on a tombstone is its version, as for an object with a value.
+// The condition on a tombstone is its position, as for an object with a value.
 fn condition(current: Option<&Object>) -> Condition {
     current.map_or(Condition::Absent, |object| {
-        Condition::Version(object.version)
+        Condition::Version(object.position)
     })
 }
--- a/crates/scenario/src/store.rs
+++ b/crates/scenario/src/store.rs
@@ -65,7 +65,8 @@
                 Step::Done(version) => return Ok(version),
                 Step::Conflict(_) => return Err(Failure::Conflict),
                 Step::Retry(retry) => pending = retry,
-                Step::ReadBack(_) => break,
+                // This store is never restored.
+                Step::ReadBack(_) | Step::Restored(_) => break,
             }
         }
         Err(Failure::NoAnswer)
@@ -83,7 +84,9 @@
         let current = self.objects.get(&change.key);
         let holds = match change.condition {
             Condition::Absent => current.is_none_or(|object| object.value.is_none()),
-            Condition::Version(version) => current.is_some_and(|object| object.version == version),
+            Condition::Version(position) => {
+                current.is_some_and(|object| object.position == position)
+            }
         };
         if !holds {
             return Answer::Refused(current.cloned());
@@ -93,6 +96,7 @@
             kind: change.key.kind,
             name: change.key.name.clone(),
             version: self.last,
+            position: self.last,
             write_id: write.id,
             value: change.value.clone(),
         };
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,6 +1,6 @@
 use thiserror::Error;
 use usher_config::{Conflict, ObjectKey, WriteId};
-use usher_types::ByteCount;
+use usher_types::{ByteCount, Version};
 
 /// Failure of a call to the store (`MU-3xxx`).
 #[derive(Debug, Error)]
@@ -54,6 +54,19 @@
         /// Message of the decoder.
         cause: String,
     },
+    /// The store was restored from a copy since the object was read; nothing was written.
+    #[error("MU-3008: the store was restored since {0} was read; read it again before writing it")]
+    Restored(ObjectKey),
+    /// A restored store holds an older value of the object than this process knows.
+    #[error("MU-3009: the store holds {key} in version {found}, but version {known} is known")]
+    Outdated {
+        /// The object.
+        key: ObjectKey,
+        /// Version in the store.
+        found: Version,
+        /// Version that this process knows.
+        known: Version,
+    },
 }
 
 impl StoreError {
@@ -71,6 +84,8 @@
             Self::Status(_) => "MU-3005",
             Self::Unreadable(_) => "MU-3006",
             Self::Value { .. } => "MU-3007",
+            Self::Restored(_) => "MU-3008",
+            Self::Outdated { .. } => "MU-3009",
         }
     }
 }
--- a/crates/store/src/retry_client.rs
+++ b/crates/store/src/retry_client.rs
@@ -4,13 +4,15 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use usher_config::{Answer, Change, Lost, ObjectKey, Pending, Step, Write, WriteId};
-use usher_types::{ByteCount, Span, Version};
+use usher_types::{ByteCount, Era, Span, Version};
 
 use crate::backoff::{Backoff, random_fraction};
 use crate::exchange::{CONFLICT, CREATED, Exchange, Failure, NOT_FOUND, OK};
-use crate::stored_object::{expected_version, write_request};
+use crate::stored_object::{expected_position, write_request};
 use crate::{Batch, Limits, StoreError, StoredObject, encode};
 
+const RESTORED: &str = "the store was restored from a copy";
+
 /// Retries requests within the limits until their outcome is known.
 #[derive(Debug, Clone)]
 pub(crate) struct RetryClient {
@@ -35,12 +37,23 @@
         WriteId::new(random.random())
     }
 
+    /// Latest era of the store that an answer has shown.
+    pub(crate) fn era(&self) -> Era {
+        self.exchange.era()
+    }
+
+    pub(crate) fn late_answers(&self) -> u64 {
+        self.exchange.late_answers()
+    }
+
+    /// Makes a write and returns its position.
     pub(crate) async fn write(&self, write: Write) -> Result<Version, StoreError> {
         self.check_size(&write.change)?;
         let mut backoff = Backoff::new(&self.limits, Span::ZERO);
         let mut pending = Pending::new(write);
-        let mut answer_lost = false;
+        let mut uncertain = false;
         loop {
+            self.check_condition(pending.write(), uncertain)?;
             let answer = match self.try_write(pending.write()).await {
                 Ok(answer) => answer,
                 Err(Failure::Final(error)) => return Err(error),
@@ -48,31 +61,43 @@
                     if backoff.pause(self.jitter()).await {
                         continue;
                     }
-                    return Err(self.final_error(pending.write(), answer_lost, cause));
+                    return Err(self.final_error(pending.write(), uncertain, cause));
                 }
                 Err(Failure::NoAnswer(_)) => Answer::Lost,
             };
             let step = match pending.answered(answer) {
-                Step::ReadBack(unanswered) => {
-                    answer_lost = true;
-                    self.read_back(unanswered, &mut backoff).await?
-                }
+                Step::ReadBack(unanswered) => self.read_back(unanswered, &mut backoff).await?,
                 step => step,
             };
             pending = match step {
-                Step::Done(version) => return Ok(version),
+                Step::Done(position) => return Ok(position),
+                Step::Restored(write) => return Err(unknown(&write, RESTORED.to_owned())),
                 Step::Conflict(conflict) => {
                     return Err(StoreError::Conflict(Box::new(conflict)));
                 }
-                Step::Retry(pending) => pending,
+                Step::Retry(pending) => {
+                    uncertain = true;
+                    pending
+                }
                 Step::ReadBack(_) => unreachable!("reading back never returns another read-back"),
             };
         }
     }
 
+    // A restored store gives out revisions again, so a condition of an earlier era is not sent.
+    fn check_condition(&self, write: &Write, uncertain: bool) -> Result<(), StoreError> {
+        if !write.change.condition.is_outdated(self.era()) {
+            return Ok(());
+        }
+        if uncertain {
+            return Err(unknown(write, RESTORED.to_owned()));
+        }
+        Err(StoreError::Restored(write.change.key.clone()))
+    }
+
     // A deleted object remains in the store as a tombstone, which a creation must replace.
     async fn try_write(&self, write: &Write) -> Result<Answer, Failure> {
-        let replaced = expected_version(write.change.condition);
+        let replaced = expected_position(write.change.condition);
         let answer = self.attempt(write, replaced).await?;
         match &answer {
             Answer::Refused(Some(current))
@@ -80,7 +105,7 @@
                     && current.value.is_none()
                     && current.write_id != write.id =>
             {
-                self.attempt(write, Some(current.version)).await
+                self.attempt(write, Some(current.position)).await
             }
             _ => Ok(answer),
         }
@@ -92,7 +117,7 @@
         match reply.status {
             // An answer that cannot be decoded says as little as a lost one.
             OK | CREATED => Ok(match StoredObject::parse(&reply) {
-                Ok(stored) => Answer::Written(stored.version),
+                Ok(stored) => Answer::Written(stored.position),
                 Err(_unreadable) => Answer::Lost,
             }),
             // Without the object, a refusal does not tell whether an earlier attempt created it.
@@ -126,13 +151,9 @@
     }
 
     // The error after the last attempt; a write with a lost answer has an unknown outcome.
-    fn final_error(&self, write: &Write, answer_lost: bool, cause: String) -> StoreError {
-        if answer_lost {
-            return StoreError::Unknown {
-                key: write.change.key.clone(),
-                id: write.id,
-                cause,
-            };
+    fn final_error(&self, write: &Write, uncertain: bool, cause: String) -> StoreError {
+        if uncertain {
+            return unknown(write, cause);
         }
         self.unreachable(cause)
     }
@@ -153,7 +174,7 @@
         }
     }
 
-    /// Reads the changes since a version; waits up to `wait` for one.
+    /// Reads the changes since a position; waits up to `wait` for one.
     pub(crate) async fn since(&self, since: Version, wait: Span) -> Result<Batch, StoreError> {
         let mut backoff = Backoff::new(&self.limits, wait);
         loop {
@@ -198,3 +219,11 @@
         random_fraction(&mut *self.random.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
+
+fn unknown(write: &Write, cause: String) -> StoreError {
+    StoreError::Unknown {
+        key: write.change.key.clone(),
+        id: write.id,
+        cause,
+    }
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddrV4;
 
 use usher_config::{Change, Condition, Kind, Object, ObjectKey, Value, Write, WriteId};
-use usher_types::{Span, Version};
+use usher_types::{Era, Span, Version};
 
 use crate::retry_client::RetryClient;
 use crate::{Batch, Limits, StoreError, StoredObject};
@@ -48,6 +48,30 @@
         self.client.write_id()
     }
 
+    /// Latest era of the store that an answer has shown; 0 before the first answer.
+    ///
+    /// The era rises when the store is restored from a copy.
+    ///
+    /// ```
+    /// use usher_store::{Limits, Store};
+    /// let store = Store::new("127.0.0.1:7000".parse().unwrap(), Limits::default());
+    /// assert_eq!(store.era(), usher_types::Era::default());
+    /// ```
+    pub fn era(&self) -> Era {
+        self.client.era()
+    }
+
+    /// Number of answers that were ignored because a later era had been seen.
+    ///
+    /// ```
+    /// use usher_store::{Limits, Store};
+    /// let store = Store::new("127.0.0.1:7000".parse().unwrap(), Limits::default());
+    /// assert_eq!(store.late_answers(), 0);
+    /// ```
+    pub fn late_answers(&self) -> u64 {
+        self.client.late_answers()
+    }
+
     /// Reads one object, which may be a tombstone; `None` if it never existed.
     ///
     /// # Errors
@@ -65,7 +89,7 @@
         stored.map(StoredObject::object).transpose()
     }
 
-    /// Reads all objects changed after a version, of one kind or of all kinds.
+    /// Reads all objects changed after a position, of one kind or of all kinds.
     ///
     /// # Errors
     /// `MU-3001`, `MU-3005` or `MU-3006`.
@@ -107,7 +131,7 @@
         Ok(batch)
     }
 
-    /// Creates or replaces an object, if the condition holds.
+    /// Creates or replaces an object, if the condition holds; returns its position.
     ///
     /// # Errors
     /// See `write`.
@@ -136,7 +160,7 @@
         .await
     }
 
-    /// Deletes an object, if it is still at the version.
+    /// Deletes an object, if it is still at the position.
     ///
     /// # Errors
     /// See `write`.
@@ -144,13 +168,13 @@
     /// ```no_run
     /// # async_std::task::block_on(async {
     /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
-    /// let version = usher_types::Version::new(4);
-    /// store.delete("profile/fast".parse().unwrap(), version).await?;
+    /// let position = usher_types::Version::new(4);
+    /// store.delete("profile/fast".parse().unwrap(), position).await?;
     /// # Ok::<(), usher_store::StoreError>(())
     /// # }).unwrap();
     /// ```
-    pub async fn delete(&self, key: ObjectKey, version: Version) -> Result<Version, StoreError> {
-        let condition = Condition::Version(version);
+    pub async fn delete(&self, key: ObjectKey, position: Version) -> Result<Version, StoreError> {
+        let condition = Condition::Version(position);
         let value = None;
         self.write(Change {
             key,
@@ -163,7 +187,7 @@
     /// Makes a change under a new random write id.
     ///
     /// # Errors
-    /// `MU-3001` to `MU-3006`. After `MU-3003` the change may have taken effect; after the others it
+    /// `MU-3001` to `MU-3008`. After `MU-3003` the change may have taken effect; after the others it
     /// has not.
     ///
     /// ```no_run
@@ -178,7 +202,7 @@
     /// ```
     pub async fn write(&self, change: Change) -> Result<Version, StoreError> {
         let id = self.write_id();
-        self.write_as(Write { id, change }).await
+        self.write_as(Write::new(id, change, self.era())).await
     }
 
     /// Makes a change under a given write id.
@@ -193,11 +217,41 @@
     /// # let condition = usher_config::Condition::Absent;
     /// # let change = usher_config::Change { key, condition, value: None };
     /// let id = store.write_id();
-    /// store.write_as(usher_config::Write { id, change }).await?;
+    /// store.write_as(usher_config::Write::new(id, change, store.era())).await?;
     /// # Ok::<(), usher_store::StoreError>(())
     /// # }).unwrap();
     /// ```
     pub async fn write_as(&self, write: Write) -> Result<Version, StoreError> {
         self.client.write(write).await
     }
+
+    /// Writes an object again that the store has lost, under its version and write id.
+    ///
+    /// Reads the object first and replaces only an older value. Returns the object as the store then
+    /// holds it, which may be a newer one.
+    ///
+    /// # Errors
+    /// See `write`.
+    ///
+    /// ```no_run
+    /// # async_std::task::block_on(async {
+    /// # let store = usher_store::Store::new("127.0.0.1:7000".parse().unwrap(), Default::default());
+    /// # let cache = usher_config::Cache::default();
+    /// for lost in cache.lost() {
+    ///     store.write_again(lost).await?;
+    /// }
+    /// # Ok::<(), usher_store::StoreError>(())
+    /// # }).unwrap();
+    /// ```
+    pub async fn write_again(&self, lost: &Object) -> Result<Object, StoreError> {
+        let stored = self.get(&lost.key()).await?;
+        let Some(write) = Write::again(lost, stored.as_ref()) else {
+            return Ok(stored.unwrap_or_else(|| lost.clone()));
+        };
+        let position = self.client.write(write).await?;
+        Ok(Object {
+            position,
+            ..lost.clone()
+        })
+    }
 }
--- a/crates/store/src/stored_object.rs
+++ b/crates/store/src/stored_object.rs
@@ -1,8 +1,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value as Json;
-use usher_config::{Condition, Object, ObjectKey, Write};
+use usher_config::{Condition, Object, ObjectKey, Rank, Write};
 use usher_platform::{Object as PlatformObject, Reply, Request};
-use usher_types::Version;
+use usher_types::{Era, Version};
 
 use crate::{StoreError, decode, encode};
 
@@ -15,7 +15,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct StoredObject {
     key: ObjectKey,
-    pub(crate) version: Version,
+    /// Era of the answer and revision of the object.
+    pub(crate) position: Version,
     spec: Spec,
 }
 
@@ -26,6 +27,12 @@
     /// matches no id of this client.
     #[serde(default)]
     write_id: String,
+    /// Era of the store in which the value was written; earlier builds omit it.
+    #[serde(default)]
+    era: Era,
+    /// Revision of the value's first write, if a restored store lost it and it was written again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    revision: Option<u64>,
     /// `None` marks a deleted object.
     #[serde(default)]
     value: Option<Json>,
@@ -45,22 +52,31 @@
             .try_into()
     }
 
-    /// Turns the object into a tombstone at the version of its deletion.
-    pub(crate) fn tombstone(mut self, version: Version) -> Self {
+    /// Turns the object into a tombstone at the position of its deletion.
+    pub(crate) fn tombstone(mut self, position: Version) -> Self {
         self.spec.value = None;
-        self.version = version;
+        self.spec.era = position.era();
+        self.spec.revision = None;
+        self.position = position;
         self
     }
 
+    fn version(&self) -> Version {
+        let revision = self.spec.revision.unwrap_or(self.position.get());
+        Version::new(revision).in_era(self.spec.era)
+    }
+
     /// Decodes the value.
     pub(crate) fn object(self) -> Result<Object, StoreError> {
         let kind = self.key.kind;
+        let version = self.version();
         let value = self.spec.value.map(|json| decode(kind, json)).transpose();
         let value = value.map_err(|cause| value_error(&self.key.to_string(), &cause))?;
         Ok(Object {
             kind,
             name: self.key.name,
-            version: self.version,
+            version,
+            position: self.position,
             write_id: self.spec.write_id.parse().unwrap_or_default(),
             value,
         })
@@ -76,7 +92,7 @@
         let spec = Spec::deserialize(stored.spec).map_err(|cause| value_error(&path, &cause))?;
         Ok(Self {
             key,
-            version: stored.version,
+            position: stored.version,
             spec,
         })
     }
@@ -84,7 +100,7 @@
 
 /// Encodes the request for a write.
 ///
-/// It replaces the object at version `replaced`, or creates it if that is `None`.
+/// It replaces the object at position `replaced`, or creates it if that is `None`.
 pub(crate) fn write_request(
     write: &Write,
     replaced: Option<Version>,
@@ -94,8 +110,14 @@
     let value = change.value.as_ref().map(encode).transpose();
     let value = value.map_err(encode_error)?;
     let value = value.map(|bytes| serde_json::from_slice(&bytes));
+    let (era, revision) = match write.rank {
+        Rank::Newest(era) => (era, None),
+        Rank::Kept(version) => (version.era(), Some(version.get())),
+    };
     let spec = Spec {
         write_id: write.id.to_string(),
+        era,
+        revision,
         value: value.transpose().map_err(encode_error)?,
     };
     let spec = serde_json::to_value(spec).map_err(encode_error)?;
@@ -106,11 +128,11 @@
     })
 }
 
-/// Returns the version that the object must have; `None` if it must not exist.
-pub(crate) fn expected_version(condition: Condition) -> Option<Version> {
+/// Returns the position that the object must have; `None` if it must not exist.
+pub(crate) fn expected_position(condition: Condition) -> Option<Version> {
     match condition {
         Condition::Absent => None,
-        Condition::Version(version) => Some(version),
+        Condition::Version(position) => Some(position),
     }
 }
 
