Daemon: log events of the configured level again

Operators saw only warnings and errors of `marigoldusherd`, whatever level the settings name: "joined the roster" or "configuration adopted" never appeared. Events are written by the crate `events`, so their log records carry its name, and the filter raised the level of `usher_runtime` and `usher_daemon` only. The filter names `usher_events` too.

--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -26,6 +26,7 @@
             ));
         })
         .level(LevelFilter::Warn)
+        .level_for("usher_events", level)
         .level_for("usher_runtime", level)
         .level_for("usher_daemon", level);
     let dispatch = match file {
--- a/crates/daemon/tests/processes/deployment.rs
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -203,6 +203,11 @@
         self.fabric.set_balancers(&addresses).unwrap();
     }
 
+    /// Log of a process so far.
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap()
+    }
+
     pub fn process(&mut self, name: &str) -> &mut Process {
         self.processes.get_mut(name).unwrap()
     }
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod isolation;
 mod load;
+mod logs;
 mod paused_agent;
 mod planned_stop;
 mod process;
