Store tests: the name of the era's header stays in the platform's folder

`scripts/check-words` refused the test of late answers, which named the header of the platform. The stand-in answers in the eras that a test lists.

--- a/crates/store/tests/restores.rs
+++ b/crates/store/tests/restores.rs
@@ -1,8 +1,6 @@
 //! Tests the client against a stand-in of the platform's store that is restored from a copy.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddrV4, TcpListener};
-use std::thread;
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
@@ -289,26 +287,11 @@
     assert!(written > object.version);
 }
 
-// Answers each connection with 404 in the next era of the list.
-fn answer_in_eras(eras: &'static [u64]) -> SocketAddrV4 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    thread::spawn(move || {
-        for era in eras {
-            let (mut stream, _) = listener.accept().unwrap();
-            let _ = stream.read(&mut [0; 4_096]).unwrap();
-            let answer =
-                format!("HTTP/1.1 404 Not Found\r\nStore-Era: {era}\r\nContent-Length: 0\r\n\r\n");
-            stream.write_all(answer.as_bytes()).unwrap();
-        }
-    });
-    address.parse().unwrap()
-}
-
 // Guards against an answer of the store before its restore that is taken for its present state.
 #[async_std::test]
 async fn answers_of_an_earlier_era_are_ignored() {
-    let store = Store::new(answer_in_eras(&[2, 1, 2]), limits());
+    let server = standin::answer_in_eras(vec![2, 1, 2]).unwrap();
+    let store = Store::new(server, limits());
     for late in [0, 1] {
         assert_eq!(store.get(&key("fast")).await.unwrap(), None);
         assert_eq!(store.late_answers(), late);
