Processes hold a restored store and write again what it has lost

After a restore of the store from a copy, processes kept what they had but ignored every change until revisions passed the old ones, and objects written since the copy were missing for processes that started later. Operators would have seen `apply` acknowledged and without effect.

`follow` now delivers whole lists as such, so that the cache knows which objects the store has lost, and logs the restore (MU-E1303), late answers (MU-E1304) and older values that are not adopted (MU-E1204). While objects are lost, each process that holds them writes a random one of them after a random pause (MU-E1305, MU-E1306): reads it, and replaces only an older value.

Evidence: `store_restored::restored_store_reverts_nothing` (two balancers, four hosts, traffic of both kinds, a profile, a service and a roster written since the copy) and `change_after_a_restore_takes_effect` (two restores) failed on the earlier processes: the lost objects were not back after 5 s, and the profile was not in force after 4 s. Both pass now, with no request lost and no connection reset.

--- a/crates/daemon/tests/processes/deployment.rs
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -8,11 +8,12 @@
 use async_std::task;
 use indexmap::IndexMap;
 use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
 use jsonrpsee::server::ServerHandle;
 use serde_json::{Value as Json, json};
-use usher_config::{Condition, Kind, ObjectKey, Value};
+use usher_config::{Condition, Kind, Object, ObjectKey, Value};
 use usher_platform::{Client, Request};
 use usher_platform_standin::store;
 use usher_standins::{Backend, BackendArgs, BackendControl, Caller, Fabric};
@@ -220,17 +221,28 @@
 
     /// Calls the administration RPC of a process; `None` when it does not answer.
     pub fn call(&self, name: &str, method: &str) -> Option<Json> {
+        self.call_with(name, method, rpc_params![])
+    }
+
+    fn call_with(&self, name: &str, method: &str, params: ArrayParams) -> Option<Json> {
         let address = self.admin(name);
         let client = HttpClientBuilder::default()
             .request_timeout(CALL_TIMEOUT)
             .build(format!("http://{address}"))
             .unwrap();
-        task::block_on(async { client.request(method, rpc_params![]).await.ok() })
+        task::block_on(async { client.request(method, params).await.ok() })
+    }
+
+    /// Position in the store up to which a process has the configuration in force.
+    pub fn revision(&self, name: &str) -> Option<Version> {
+        serde_json::from_value(self.call(name, "status")?["revision"].take()).ok()
     }
 
-    /// Version of the configuration that a process has in force.
-    pub fn revision(&self, name: &str) -> Option<u64> {
-        self.call(name, "status")?["revision"].as_u64()
+    /// Objects that a process holds.
+    pub fn objects(&self, name: &str) -> Option<Vec<Object>> {
+        let none = rpc_params![Version::default()];
+        let mut batch = self.call_with(name, "config.since", none)?;
+        serde_json::from_value(batch["objects"].take()).ok()
     }
 
     /// Creates or replaces an object and returns its version.
@@ -239,7 +251,7 @@
         let value = value.into();
         task::block_on(async {
             let condition = match self.store.get(&key).await.unwrap() {
-                Some(object) => Condition::Version(object.version),
+                Some(object) => Condition::Version(object.position),
                 None => Condition::Absent,
             };
             self.store.put(key, condition, value).await.unwrap()
@@ -263,6 +275,12 @@
         self.set_store_faults(&json!({}));
     }
 
+    /// All objects in the store.
+    pub fn stored(&self) -> Vec<Object> {
+        let listed = task::block_on(self.store.list(None, Version::default()));
+        listed.unwrap().objects
+    }
+
     /// Hosts in the roster of a service.
     pub fn members(&self, service: &str) -> Vec<String> {
         let key = ObjectKey::new(Kind::Roster, service.parse().unwrap());
@@ -282,7 +300,7 @@
     /// Waits until every running process has the newest configuration in force.
     pub fn await_in_force(&self, limit: Duration) {
         let newest = task::block_on(self.store.list(None, Version::default()));
-        let newest = newest.unwrap().through.get();
+        let newest = newest.unwrap().through;
         await_until("the configuration in force", limit, || {
             let mut names = self.processes.keys();
             names.all(|name| self.revision(name).is_some_and(|held| held >= newest))
--- a/crates/daemon/tests/processes/isolation.rs
+++ b/crates/daemon/tests/processes/isolation.rs
@@ -5,7 +5,7 @@
 use usher_types::{AgentMessage, Message};
 use usher_types::{
     Attempt, AttemptBudget, Claim, Generation, HostId, Incarnation, Offer, Payload, Priority,
-    RequestId, Span, Time, Version,
+    RequestId, Span, Time,
 };
 use usher_wire::encode_message;
 
@@ -43,7 +43,7 @@
         holder,
         incarnation: Incarnation::new(1),
         reply,
-        roster: Version::new(deployment.revision("entry-1").unwrap()),
+        roster: deployment.revision("entry-1").unwrap(),
         sent: Time::from_micros(1),
     };
     vec![AgentMessage::Offer(offer), AgentMessage::Claim(claim)]
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -15,3 +15,4 @@
 mod settings;
 mod starvation;
 mod store_down;
+mod store_restored;
--- a/crates/daemon/tests/processes/store_down.rs
+++ b/crates/daemon/tests/processes/store_down.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use serde_json::{Value as Json, json};
 use usher_config::Kind;
-use usher_types::{Profile, Span};
+use usher_types::{Profile, Span, Version};
 
 use crate::deployment::{ANSWER_LIMIT, BOOKING, Deployment, await_until};
 use crate::load::{Load, once, open, read};
@@ -16,9 +16,9 @@
 // Interval at which the versions of all processes are read during an outage.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
-// Highest version seen in force in each process; a lower one fails the test.
+// Highest position seen in force in each process; a lower one fails the test.
 #[derive(Default)]
-struct Revisions(IndexMap<String, u64>);
+struct Revisions(IndexMap<String, Version>);
 
 impl Revisions {
     fn observe(&mut self, deployment: &Deployment) {
--- /dev/null
+++ b/crates/daemon/tests/processes/store_restored.rs
@@ -0,0 +1,132 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use usher_config::{Kind, Object, Value};
+use usher_types::{Profile, Service, Span};
+
+use crate::deployment::{ANSWER_LIMIT, BOOKING, Deployment, await_until};
+use crate::load::{Load, once, open, read};
+
+const FLOWS: usize = 30;
+// P8: an accepted change is in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(4);
+// Time for which the store is away.
+const OUTAGE: Duration = Duration::from_secs(1);
+// Time within which everything is back in the store, on a busy machine.
+const RESTORE_LIMIT: Duration = Duration::from_secs(5);
+const LATE: &str = "late-desk";
+
+fn hunt(objects: &[Object], name: &str) -> Option<Span> {
+    let mut objects = objects.iter();
+    let found =
+        objects.find(|object| object.kind == Kind::Profile && object.name.as_str() == name)?;
+    match &found.value {
+        Some(Value::Profile(profile)) => Some(profile.hunt),
+        _ => None,
+    }
+}
+
+fn set_hunt(deployment: &Deployment, name: &str, hunt: u64) {
+    let hunt = Span::from_millis(hunt);
+    let profile = Profile {
+        hunt,
+        ..Profile::default()
+    };
+    deployment.put(Kind::Profile, name, profile);
+}
+
+fn add_service(deployment: &Deployment) {
+    set_hunt(deployment, LATE, 9);
+    let service = Service {
+        address: "192.0.2.99:7000".parse().unwrap(),
+        profile: LATE.parse().unwrap(),
+        generation: usher_types::Generation::default(),
+    };
+    deployment.put(Kind::Service, LATE, service);
+}
+
+// Kind, name and version of all objects but leases.
+fn versions(objects: &[Object]) -> Vec<String> {
+    let objects = objects.iter().filter(|object| object.kind != Kind::Lease);
+    let mut versions: Vec<String> = objects
+        .map(|object| format!("{} {}", object.key(), object.version))
+        .collect();
+    versions.sort();
+    versions
+}
+
+fn await_hunt(deployment: &Deployment, hunt_of: &str, millis: u64) {
+    let expected = Some(Span::from_millis(millis));
+    await_until("the profile in force", IN_FORCE, || {
+        let mut names = deployment.processes.keys();
+        names.all(|name| {
+            let objects = deployment.objects(name);
+            objects.is_some_and(|objects| hunt(&objects, hunt_of) == expected)
+        })
+    });
+}
+
+fn restore(deployment: &Deployment) {
+    deployment.set_store_faults(&json!({ "down": "refuse", "backup": "restore" }));
+    std::thread::sleep(OUTAGE);
+    deployment.clear_store_faults();
+}
+
+// Guards against a restored store that reverts or freezes the configuration, or that stays without
+// what was written since its copy (P8).
+#[test]
+fn restored_store_reverts_nothing() {
+    let mut deployment = Deployment::start("store-restored", 2, 3);
+    let caller = Arc::new(deployment.caller());
+    let flows = open(&caller, BOOKING, FLOWS);
+    let reads = Load::start(&caller, flows.clone(), read);
+    let bookings = Load::start(&caller, flows, once);
+    set_hunt(&deployment, BOOKING, 7);
+    deployment.await_in_force(IN_FORCE);
+    deployment.set_store_faults(&json!({ "backup": "take" }));
+    set_hunt(&deployment, BOOKING, 8);
+    add_service(&deployment);
+    deployment.add_host(BOOKING, 4);
+    deployment.await_members(BOOKING, 4);
+    deployment.await_in_force(IN_FORCE);
+    let before = versions(&deployment.stored());
+    restore(&deployment);
+    await_until("the lost objects in the store", RESTORE_LIMIT, || {
+        versions(&deployment.stored()) == before
+    });
+    deployment.await_in_force(IN_FORCE);
+    for name in deployment.processes.keys() {
+        let held = deployment.objects(name).unwrap();
+        assert_eq!(versions(&held), before, "{name}");
+    }
+    set_hunt(&deployment, BOOKING, 11);
+    await_hunt(&deployment, BOOKING, 11);
+    deployment.add_balancer(3);
+    await_until("an answer of the new balancer", ANSWER_LIMIT, || {
+        deployment.call("entry-3", "status").is_some()
+    });
+    await_hunt(&deployment, BOOKING, 11);
+    await_hunt(&deployment, LATE, 9);
+    assert_eq!(deployment.members(BOOKING).len(), 4);
+    let (reads, bookings) = (reads.stop(), bookings.stop());
+    assert!(reads.is_complete(), "{reads:?}");
+    assert!(bookings.is_complete(), "{bookings:?}");
+    assert_eq!(caller.resets(), 0);
+}
+
+// Guards against a change after a restore that has no effect because its revision is small.
+#[test]
+fn change_after_a_restore_takes_effect() {
+    let deployment = Deployment::start("change-after-restore", 2, 2);
+    deployment.set_store_faults(&json!({ "backup": "take" }));
+    for hunt in 20..30 {
+        set_hunt(&deployment, BOOKING, hunt);
+    }
+    deployment.await_in_force(IN_FORCE);
+    for hunt in [40, 41] {
+        restore(&deployment);
+        set_hunt(&deployment, BOOKING, hunt);
+        await_hunt(&deployment, BOOKING, hunt);
+    }
+}
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -130,17 +130,14 @@
 
     fn handle(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Objects {
-                after,
-                through,
-                objects,
-            } => {
+            ControlEvent::Objects(update) => {
                 let before = self.core.state.complete();
-                let changed = self.core.adopt(after, through, objects);
+                let changed = self.core.adopt(update);
                 if !changed.is_empty() || self.core.state.complete() > before {
                     self.apply();
                 }
             }
+            ControlEvent::WriteAgain => self.core.write_again(),
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
             ControlEvent::Beat { source, beat } => {
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -121,15 +121,12 @@
 
     fn handle(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Objects {
-                after,
-                through,
-                objects,
-            } => {
-                let changed = self.core.adopt(after, through, objects);
+            ControlEvent::Objects(update) => {
+                let changed = self.core.adopt(update);
                 self.apply(&changed);
                 self.report_revision();
             }
+            ControlEvent::WriteAgain => self.core.write_again(),
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
             ControlEvent::Beat { source, beat } => {
--- a/crates/runtime/src/control/core.rs
+++ b/crates/runtime/src/control/core.rs
@@ -6,12 +6,12 @@
 use jsonrpsee::server::ServerHandle;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
-use usher_config::{Object, ObjectKey};
+use usher_config::ObjectKey;
 use usher_members::{Action, Event, Identity, Membership};
 use usher_store::{Limits, Store};
 use usher_types::{Message, Peer, ServiceName, Time, Version};
 
-use super::{CatchUp, ConfigState, ControlEvent, follow, serve};
+use super::{CatchUp, ConfigState, ControlEvent, Restorer, Update, follow, serve};
 use crate::{CommonSettings, RuntimeError, socket};
 use usher_clock::now;
 
@@ -27,6 +27,7 @@
     socket: UdpSocket,
     membership: Membership,
     catch_up: CatchUp,
+    restorer: Restorer,
 }
 
 impl Core {
@@ -44,6 +45,7 @@
             socket,
             membership: Membership::new(identity, Box::new(Pcg64::from_os_rng())),
             catch_up: CatchUp::default(),
+            restorer: Restorer::new(),
         }
     }
 
@@ -56,20 +58,24 @@
     }
 
     /// Adopts objects and returns the keys of those that were newer.
-    pub(crate) fn adopt(
-        &mut self,
-        after: Version,
-        through: Version,
-        objects: Vec<Object>,
-    ) -> BTreeSet<ObjectKey> {
+    ///
+    /// Objects that the store has lost are written again.
+    pub(crate) fn adopt(&mut self, update: Update) -> BTreeSet<ObjectKey> {
         let before = self.state.complete();
-        let changed = self.state.adopt(after, through, objects);
+        let changed = self.state.adopt(update);
+        self.restorer.start(&self.state, &self.events);
         if !changed.is_empty() || self.state.complete() > before {
             self.catch_up.reset();
         }
         changed
     }
 
+    /// Writes the next object that the store has lost.
+    pub(crate) fn write_again(&mut self) {
+        self.restorer
+            .write_next(&self.state, &self.store, &self.events);
+    }
+
     /// Asks a peer for configuration if it stays ahead of this process.
     pub(crate) fn compare_revision(
         &mut self,
--- a/crates/runtime/src/control/event.rs
+++ b/crates/runtime/src/control/event.rs
@@ -1,22 +1,19 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use usher_config::Object;
 use usher_types::{Beat, BeatAck, Roster, Span, Version, Weight};
 
-use super::Call;
+use super::{Call, Update};
 
 /// Input of the control thread.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
-    /// All objects that a source holds above `after`, complete up to `through`.
-    Objects {
-        after: Version,
-        through: Version,
-        objects: Vec<Object>,
-    },
+    /// Objects arrived from the store or a peer.
+    Objects(Update),
     /// Whether the store can be reached.
     Store(bool),
+    /// The next object that the store has lost may be written again.
+    WriteAgain,
     /// A heartbeat arrived.
     Beat { source: SocketAddrV4, beat: Beat },
     /// A heartbeat was acknowledged.
--- a/crates/runtime/src/control/feed.rs
+++ b/crates/runtime/src/control/feed.rs
@@ -9,7 +9,7 @@
 use usher_store::{Batch, Store};
 use usher_types::{Span, Version};
 
-use super::{ControlEvent, ObjectBatch};
+use super::{ControlEvent, ObjectBatch, Update};
 use crate::event;
 
 // The platform counts a waiting watch as one call. A watch that a hung store never answers is
@@ -22,14 +22,16 @@
 pub(crate) async fn follow(store: Store, events: Sender<ControlEvent>) {
     let mut since = Version::default();
     let mut up = None;
+    let mut late = 0;
     loop {
         // The first call does not wait for a change, so that the process starts at once.
-        let wait = if since == Version::default() {
+        let wait = if since.get() == 0 {
             Span::ZERO
         } else {
             WATCH_WAIT
         };
         let batch = store.watch(None, since, wait).await;
+        log_late(&store, &mut late);
         if up != Some(batch.is_ok()) {
             up = Some(batch.is_ok());
             log_store(batch.is_ok());
@@ -43,11 +45,13 @@
         }
         match batch {
             Ok(batch) => {
+                log_restored(since, batch.through);
+                // A stale replica lags behind `since`; a later era is above it in any case.
                 since = since.max(batch.through);
                 if !deliver(&events, batch).await {
                     return;
                 }
-                if since == Version::default() {
+                if since.get() == 0 {
                     task::sleep(RETRY_DELAY).await;
                 }
             }
@@ -56,6 +60,22 @@
     }
 }
 
+// Logs the first batch of a later era.
+fn log_restored(since: Version, through: Version) {
+    if since != Version::default() && since.era() < through.era() {
+        let (era, revision) = (through.era(), through.get());
+        event::STORE_RESTORED.log(&[("since", &since), ("era", &era), ("revision", &revision)]);
+    }
+}
+
+fn log_late(store: &Store, logged: &mut u64) {
+    let late = store.late_answers();
+    if late > *logged {
+        *logged = late;
+        event::STORE_LATE.log(&[("era", &store.era()), ("total", &late)]);
+    }
+}
+
 fn log_store(up: bool) {
     if up {
         event::STORE_UP.log(&[]);
@@ -65,41 +85,24 @@
 }
 
 async fn deliver(events: &Sender<ControlEvent>, batch: Batch) -> bool {
-    for fault in &batch.unreadable {
-        event::CONFIG_INVALID.log(&[("fault", fault)]);
-    }
-    let Batch {
-        after,
-        through,
-        objects,
-        ..
-    } = batch;
     events
-        .send(ControlEvent::Objects {
-            after,
-            through,
-            objects,
-        })
+        .send(ControlEvent::Objects(batch.into()))
         .await
         .is_ok()
 }
 
-/// Fetches the objects newer than a version from each peer that answers.
+/// Fetches the objects above a position from each peer that answers.
 pub(crate) async fn fetch_from_peers(
     peers: Vec<SocketAddrV4>,
     after: Version,
     events: Sender<ControlEvent>,
 ) {
     for peer in peers {
-        let Ok(ObjectBatch { through, objects }) = since(peer, after).await else {
+        let Ok(batch) = since(peer, after).await else {
             continue;
         };
-        event::CONFIG_PEER.log(&[("peer", &peer), ("objects", &objects.len())]);
-        let fetched = ControlEvent::Objects {
-            after,
-            through,
-            objects,
-        };
+        event::CONFIG_PEER.log(&[("peer", &peer), ("objects", &batch.objects.len())]);
+        let fetched = ControlEvent::Objects(Update::from_peer(after, batch));
         if events.send(fetched).await.is_err() {
             return;
         }
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use usher_config::{Cache, Catalog, Kind, Object, ObjectKey, ServiceEntry, Value};
+use usher_config::{Adoption, Cache, Catalog, Kind, Object, ObjectKey, ServiceEntry, Value};
 use usher_types::{Fleet, Peer, Roster, ServiceName, Version};
 
-use super::ObjectBatch;
+use super::{ObjectBatch, Update};
 use crate::event;
 
 /// Configuration and rosters that this process knows.
@@ -18,18 +18,19 @@
 
 impl ConfigState {
     /// Adopts objects and returns the keys of those that were newer.
-    pub(crate) fn adopt(
-        &mut self,
-        after: Version,
-        through: Version,
-        objects: Vec<Object>,
-    ) -> BTreeSet<ObjectKey> {
-        let changed: BTreeSet<ObjectKey> = objects
+    pub(crate) fn adopt(&mut self, update: Update) -> BTreeSet<ObjectKey> {
+        let changed: BTreeSet<ObjectKey> = update
+            .objects
             .iter()
             .filter(|object| self.is_newer(object))
             .map(Object::key)
             .collect();
-        self.cache.apply_since(after, through, objects);
+        if update.whole {
+            self.cache.apply_list(update.through, update.objects);
+        } else {
+            self.cache
+                .apply_since(update.after, update.through, update.objects);
+        }
         if changed
             .iter()
             .any(|key| matches!(key.kind, Kind::Service | Kind::Profile))
@@ -37,29 +38,44 @@
             self.rebuild_catalog();
         }
         for key in &changed {
-            let version = self
-                .cache
-                .get(key)
-                .map_or_else(Version::default, |held| held.version);
-            event::CONFIG.log(&[("object", key), ("version", &version)]);
+            event::CONFIG.log(&[("object", key), ("version", &self.version(key))]);
         }
         changed
     }
 
     fn is_newer(&self, object: &Object) -> bool {
+        let adoption = self.cache.compare(object);
+        if adoption == Adoption::Outdated {
+            let key = object.key();
+            let known = self.version(&key);
+            event::CONFIG_OUTDATED.log(&[
+                ("object", &key),
+                ("version", &object.version),
+                ("known", &known),
+            ]);
+        }
+        adoption == Adoption::Adopted
+    }
+
+    fn version(&self, key: &ObjectKey) -> Version {
         self.cache
-            .get(&object.key())
-            .is_none_or(|held| held.version < object.version)
+            .get(key)
+            .map_or_else(Version::default, |held| held.version)
+    }
+
+    /// Objects that the store has lost and does not hold again yet.
+    pub(crate) fn lost(&self) -> impl Iterator<Item = &Object> {
+        self.cache.lost()
     }
 
-    /// Version up to which this process has every object.
+    /// Position up to which this process has every object.
     pub(crate) fn complete(&self) -> Version {
         self.cache.complete()
     }
 
-    /// Objects newer than a version, for a peer that asks.
-    pub(crate) fn since(&self, version: Version) -> ObjectBatch {
-        let objects = self.cache.since(version).cloned().collect();
+    /// Objects above a position, for a peer that asks.
+    pub(crate) fn since(&self, position: Version) -> ObjectBatch {
+        let objects = self.cache.since(position).cloned().collect();
         ObjectBatch {
             through: self.complete(),
             objects,
--- a/crates/runtime/src/control/writer.rs
+++ b/crates/runtime/src/control/writer.rs
@@ -68,10 +68,10 @@
     Ok(ObjectKey::new(kind, name))
 }
 
-// A tombstone has a version too, and is replaced by a write conditional on it.
+// A tombstone has a position too, and is replaced by a write conditional on it.
 fn condition(current: Option<&Object>) -> Condition {
     match current {
-        Some(object) if object.version > Version::default() => Condition::Version(object.version),
+        Some(object) if object.position > Version::default() => Condition::Version(object.position),
         _ => Condition::Absent,
     }
 }
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -16,8 +16,13 @@
     CONFIG = 1201, Info, "configuration adopted";
     CONFIG_PEER = 1202, Info, "configuration fetched from a peer";
     CONFIG_INVALID = 1203, Error, "object cannot be parsed";
+    CONFIG_OUTDATED = 1204, Info, "older object from the store ignored";
     STORE_DOWN = 1301, Warn, "store not reachable";
     STORE_UP = 1302, Info, "store reachable";
+    STORE_RESTORED = 1303, Warn, "store restored from a copy; reading again";
+    STORE_LATE = 1304, Info, "late answers of an earlier era of the store ignored";
+    WRITTEN_AGAIN = 1305, Info, "lost object written again";
+    WRITE_AGAIN_FAILED = 1306, Warn, "lost object not written again yet";
     BACKEND_UP = 1401, Info, "backend server connected";
     BACKEND_DOWN = 1402, Warn, "backend server not reachable";
     HANDED_OVER = 1501, Info, "flows handed over";
