Rosters and fleets are not edited on an older value of a restored store

An agent that started just after a restore joined the roster that the copy held. Its write was of the new era and outranked the roster that the other processes knew, so a host that had joined since the copy was dropped from it, and key owners of the rosters in between were unknown to the history. A balancer that left or joined again did the same to its fleet. Callers could have seen refused requests that may not be repeated.

An edit based on a version of an earlier era than the store's waits until 3 s after this process first saw the era; by then the processes that know a newer value have written it again, and the proposal no longer fits its base.

Evidence: `store_restored::starting_agent_does_not_edit_a_restored_roster` stops four agents and the balancer, restores the store and starts a fifth agent. The table in `restore_wait.rs` holds the wait. No test makes a balancer leave within the moment in which the fleet is older.

--- a/crates/daemon/tests/processes/store_restored.rs
+++ b/crates/daemon/tests/processes/store_restored.rs
@@ -1,11 +1,13 @@
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
+use rustix::process::Signal;
 use serde_json::json;
 use usher_config::{Kind, Object, Value};
 use usher_types::{Profile, Service, Span};
 
-use crate::deployment::{ANSWER_LIMIT, BOOKING, Deployment, await_until};
+use crate::deployment::{ANSWER_LIMIT, BOOKING, Deployment, START_LIMIT, await_until};
 use crate::load::{Load, once, open, read};
 
 const FLOWS: usize = 30;
@@ -15,6 +17,8 @@
 const OUTAGE: Duration = Duration::from_secs(1);
 // Time within which everything is back in the store, on a busy machine.
 const RESTORE_LIMIT: Duration = Duration::from_secs(5);
+// A process that has just started proposes to join within a second of its first answer.
+const PAUSE: Duration = Duration::from_millis(1_200);
 const LATE: &str = "late-desk";
 
 fn hunt(objects: &[Object], name: &str) -> Option<Span> {
@@ -69,7 +73,7 @@
 
 fn restore(deployment: &Deployment) {
     deployment.set_store_faults(&json!({ "down": "refuse", "backup": "restore" }));
-    std::thread::sleep(OUTAGE);
+    thread::sleep(OUTAGE);
     deployment.clear_store_faults();
 }
 
@@ -130,3 +134,34 @@
         await_hunt(&deployment, BOOKING, hunt);
     }
 }
+
+// Guards against an agent that joins an older roster of a restored store, before the processes that
+// know the newest one have written it again, and so drops a host that joined since the copy.
+#[test]
+fn starting_agent_does_not_edit_a_restored_roster() {
+    let mut deployment = Deployment::start("restored-roster", 1, 3);
+    deployment.set_store_faults(&json!({ "backup": "take" }));
+    deployment.add_host(BOOKING, 4);
+    deployment.await_members(BOOKING, 4);
+    deployment.await_in_force(IN_FORCE);
+    let signal_all = |deployment: &Deployment, signal| {
+        for process in deployment.processes.values() {
+            process.signal(signal);
+        }
+    };
+    signal_all(&deployment, Signal::STOP);
+    restore(&deployment);
+    assert_eq!(deployment.members(BOOKING).len(), 3);
+    deployment.add_host(BOOKING, 5);
+    await_until("an answer of the new host", ANSWER_LIMIT, || {
+        deployment.call("booking-desk-5", "status").is_some()
+    });
+    thread::sleep(PAUSE);
+    signal_all(&deployment, Signal::CONT);
+    await_until("the roster", START_LIMIT, || {
+        let members = deployment.members(BOOKING);
+        let has = |name: &str| members.iter().any(|member| member == name);
+        assert!(has("booking-desk-4") || !has("booking-desk-5"));
+        members.len() == 5
+    });
+}
--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -138,6 +138,8 @@
                 }
             }
             ControlEvent::WriteAgain => self.core.write_again(),
+            // Membership proposes to join until the roster lists this host.
+            ControlEvent::Restored => {}
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
             ControlEvent::Beat { source, beat } => {
@@ -237,7 +239,9 @@
         let (store, events) = (self.core.store.clone(), self.core.events.clone());
         let service = self.settings.service.clone();
         let unsettled = self.unsettled.clone();
+        let delay = self.core.edit_delay(proposal.base);
         task::spawn(async move {
+            task::sleep(Duration::from_micros(delay.as_micros())).await;
             let edit =
                 |current: &Roster| proposal.apply_with_history(current, unsettled.as_deref());
             let written = edit_roster(&store, &service, edit).await;
--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -87,12 +87,19 @@
         };
         stop.race(self.process_events(receiver)).await;
         event::STOPPING.log(&[]);
-        self.fleet_entry.leave().await;
+        let known = self.known_fleet();
+        self.fleet_entry.leave(known).await;
         Ok(())
     }
 
     fn join(&self) {
-        task::spawn(self.fleet_entry.clone().join());
+        task::spawn(self.fleet_entry.clone().join(self.known_fleet()));
+    }
+
+    // Version of the data centre's fleet that this balancer has adopted.
+    fn known_fleet(&self) -> Version {
+        let fleet = self.core.state.fleet(self.settings.common.centre.as_str());
+        fleet.map_or_else(Version::default, |fleet| fleet.version)
     }
 
     async fn process_events(&mut self, receiver: Receiver<ControlEvent>) {
@@ -126,6 +133,8 @@
                 self.apply(&changed);
                 self.report_revision();
             }
+            // The store may have lost an entry that no process has adopted.
+            ControlEvent::Restored => self.join(),
             ControlEvent::WriteAgain => self.core.write_again(),
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
--- a/crates/runtime/src/balancer/fleet_entry.rs
+++ b/crates/runtime/src/balancer/fleet_entry.rs
@@ -3,7 +3,7 @@
 use async_std::task;
 use usher_members::FleetProposal;
 use usher_store::Store;
-use usher_types::{Balancer, DataCentre, Fleet, Incarnation, InstanceId};
+use usher_types::{Balancer, DataCentre, Fleet, Incarnation, InstanceId, Version};
 
 use crate::control::edit_fleet;
 use crate::{BalancerSettings, event};
@@ -36,7 +36,9 @@
     }
 
     /// Writes the entry, and retries until the store has accepted it.
-    pub(crate) async fn join(self) {
+    ///
+    /// `known` is the version of the fleet that this balancer has adopted.
+    pub(crate) async fn join(self, known: Version) {
         loop {
             let edit = |fleet: &mut Fleet| {
                 let earlier = fleet
@@ -44,7 +46,7 @@
                     .insert(self.instance.clone(), self.entry.clone());
                 earlier.as_ref() != Some(&self.entry)
             };
-            match edit_fleet(&self.store, &self.centre, edit).await {
+            match edit_fleet(&self.store, (&self.centre, known), edit).await {
                 Ok(_) => return event::JOINED.log(&[("centre", &self.centre)]),
                 Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
             }
@@ -53,7 +55,7 @@
     }
 
     /// Removes the entry of this process; a later process's entry stays.
-    pub(crate) async fn leave(self) {
+    pub(crate) async fn leave(self, known: Version) {
         for _ in 0..LEAVE_ATTEMPTS {
             let edit = |fleet: &mut Fleet| {
                 let listed = fleet.balancers.get(&self.instance);
@@ -61,7 +63,7 @@
                     listed.is_some_and(|entry| entry.incarnation == self.entry.incarnation);
                 is_own && fleet.balancers.shift_remove(&self.instance).is_some()
             };
-            match edit_fleet(&self.store, &self.centre, edit).await {
+            match edit_fleet(&self.store, (&self.centre, known), edit).await {
                 Ok(_) => return event::LEFT.log(&[("centre", &self.centre)]),
                 Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
             }
@@ -81,7 +83,8 @@
             }
             None => false,
         };
-        match edit_fleet(&self.store, &proposal.centre, edit).await {
+        let target = (&proposal.centre, proposal.base);
+        match edit_fleet(&self.store, target, edit).await {
             Ok(true) => {
                 for (balancer, _) in &proposal.balancers {
                     event::REMOVED.log(&[("centre", &proposal.centre), ("balancer", balancer)]);
--- a/crates/runtime/src/control/core.rs
+++ b/crates/runtime/src/control/core.rs
@@ -6,10 +6,10 @@
 use jsonrpsee::server::ServerHandle;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
-use usher_config::ObjectKey;
+use usher_config::{ObjectKey, RestoreWait};
 use usher_members::{Action, Event, Identity, Membership};
 use usher_store::{Limits, Store};
-use usher_types::{Message, Peer, ServiceName, Time, Version};
+use usher_types::{Message, Peer, ServiceName, Span, Time, Version};
 
 use super::{CatchUp, ConfigState, ControlEvent, Restorer, Update, follow, serve};
 use crate::{CommonSettings, RuntimeError, socket};
@@ -28,6 +28,7 @@
     membership: Membership,
     catch_up: CatchUp,
     restorer: Restorer,
+    restore_wait: RestoreWait,
 }
 
 impl Core {
@@ -46,6 +47,7 @@
             membership: Membership::new(identity, Box::new(Pcg64::from_os_rng())),
             catch_up: CatchUp::default(),
             restorer: Restorer::new(),
+            restore_wait: RestoreWait::default(),
         }
     }
 
@@ -64,12 +66,19 @@
         let before = self.state.complete();
         let changed = self.state.adopt(update);
         self.restorer.start(&self.state, &self.events);
+        self.restore_wait
+            .observe(now(), self.state.complete().era());
         if !changed.is_empty() || self.state.complete() > before {
             self.catch_up.reset();
         }
         changed
     }
 
+    /// How long to wait before an object is edited that this process knows in version `base`.
+    pub(crate) fn edit_delay(&self, base: Version) -> Span {
+        self.restore_wait.before_edit(now(), base)
+    }
+
     /// Writes the next object that the store has lost.
     pub(crate) fn write_again(&mut self) {
         self.restorer
--- a/crates/runtime/src/control/event.rs
+++ b/crates/runtime/src/control/event.rs
@@ -12,6 +12,8 @@
     Objects(Update),
     /// Whether the store can be reached.
     Store(bool),
+    /// The store was restored from a copy.
+    Restored,
     /// The next object that the store has lost may be written again.
     WriteAgain,
     /// A heartbeat arrived.
--- a/crates/runtime/src/control/feed.rs
+++ b/crates/runtime/src/control/feed.rs
@@ -45,10 +45,10 @@
         }
         match batch {
             Ok(batch) => {
-                log_restored(since, batch.through);
+                let restored = is_restored(since, batch.through);
                 // A stale replica lags behind `since`; a later era is above it in any case.
                 since = since.max(batch.through);
-                if !deliver(&events, batch).await {
+                if !deliver(&events, batch, restored).await {
                     return;
                 }
                 if since.get() == 0 {
@@ -61,11 +61,13 @@
 }
 
 // Logs the first batch of a later era.
-fn log_restored(since: Version, through: Version) {
-    if since != Version::default() && since.era() < through.era() {
+fn is_restored(since: Version, through: Version) -> bool {
+    let restored = since != Version::default() && since.era() < through.era();
+    if restored {
         let (era, revision) = (through.era(), through.get());
         event::STORE_RESTORED.log(&[("since", &since), ("era", &era), ("revision", &revision)]);
     }
+    restored
 }
 
 fn log_late(store: &Store, logged: &mut u64) {
@@ -84,11 +86,15 @@
     }
 }
 
-async fn deliver(events: &Sender<ControlEvent>, batch: Batch) -> bool {
-    events
+async fn deliver(events: &Sender<ControlEvent>, batch: Batch, restored: bool) -> bool {
+    if events
         .send(ControlEvent::Objects(batch.into()))
         .await
-        .is_ok()
+        .is_err()
+    {
+        return false;
+    }
+    !restored || events.send(ControlEvent::Restored).await.is_ok()
 }
 
 /// Fetches the objects above a position from each peer that answers.
--- a/crates/runtime/src/control/writer.rs
+++ b/crates/runtime/src/control/writer.rs
@@ -6,7 +6,8 @@
 
 /// Edits a service's roster, with a write conditional on the version read.
 ///
-/// Returns the written roster, or `None` when `edit` finds nothing to change.
+/// Returns the written roster, or `None` when `edit` finds nothing to change. A proposal names the
+/// version that it is based on, so an older value of a restored store is not edited.
 ///
 /// # Errors
 /// Fails when the store cannot be reached or another process wrote first.
@@ -38,10 +39,11 @@
 /// Returns whether the list was written; `edit` returns whether it changed anything.
 ///
 /// # Errors
-/// Fails when the store cannot be reached or another process wrote first.
+/// Fails when the store cannot be reached, another process wrote first, or the store was restored
+/// and does not hold the `known` version again yet.
 pub(crate) async fn edit_fleet(
     store: &Store,
-    centre: &DataCentre,
+    (centre, known): (&DataCentre, Version),
     edit: impl FnOnce(&mut Fleet) -> bool,
 ) -> Result<bool, StoreError> {
     let key = key(Kind::Fleet, centre.as_str())?;
@@ -53,6 +55,10 @@
     fleet.version = current
         .as_ref()
         .map_or_else(Version::default, |object| object.version);
+    if fleet.version < known {
+        let found = fleet.version;
+        return Err(StoreError::Outdated { key, found, known });
+    }
     if !edit(&mut fleet) {
         return Ok(false);
     }
