Balancers join a restored fleet only after it is written again

The edit waits as that of a roster does.

Evidence: `store_restored::starting_balancer_does_not_edit_a_restored_fleet` failed without the wait (the fleet listed the new balancer and not the second one) and passes with it; one run each.

--- a/crates/daemon/tests/processes/deployment.rs
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -291,6 +291,19 @@
         }
     }
 
+    /// Balancers in all fleets.
+    pub fn balancers(&self) -> Vec<String> {
+        let objects = self.stored().into_iter();
+        let fleets = objects.filter_map(|object| match object.value {
+            Some(Value::Fleet(fleet)) => Some(fleet),
+            _ => None,
+        });
+        fleets
+            .flat_map(|fleet| fleet.balancers.into_keys())
+            .map(|name| name.to_string())
+            .collect()
+    }
+
     pub fn await_members(&self, service: &str, count: usize) {
         await_until("the roster", START_LIMIT, || {
             self.members(service).len() == count
--- a/crates/daemon/tests/processes/store_restored.rs
+++ b/crates/daemon/tests/processes/store_restored.rs
@@ -77,6 +77,16 @@
     deployment.clear_store_faults();
 }
 
+fn signal_all(deployment: &Deployment, signal: Signal) {
+    for process in deployment.processes.values() {
+        process.signal(signal);
+    }
+}
+
+fn has(names: &[String], name: &str) -> bool {
+    names.iter().any(|listed| listed == name)
+}
+
 // Guards against a restored store that reverts or freezes the configuration, or that stays without
 // what was written since its copy (P8).
 #[test]
@@ -144,11 +154,6 @@
     deployment.add_host(BOOKING, 4);
     deployment.await_members(BOOKING, 4);
     deployment.await_in_force(IN_FORCE);
-    let signal_all = |deployment: &Deployment, signal| {
-        for process in deployment.processes.values() {
-            process.signal(signal);
-        }
-    };
     signal_all(&deployment, Signal::STOP);
     restore(&deployment);
     assert_eq!(deployment.members(BOOKING).len(), 3);
@@ -160,8 +165,39 @@
     signal_all(&deployment, Signal::CONT);
     await_until("the roster", START_LIMIT, || {
         let members = deployment.members(BOOKING);
-        let has = |name: &str| members.iter().any(|member| member == name);
-        assert!(has("booking-desk-4") || !has("booking-desk-5"));
+        assert!(has(&members, "booking-desk-4") || !has(&members, "booking-desk-5"));
         members.len() == 5
     });
 }
+
+// Guards against a balancer that joins an older fleet and so drops one that joined since the copy.
+#[test]
+fn starting_balancer_does_not_edit_a_restored_fleet() {
+    // Balancers of the same data centre.
+    const NUMBERS: [u16; 3] = [1, 4, 7];
+    let mut deployment = Deployment::new("restored-fleet");
+    deployment.add_balancer(NUMBERS[0]);
+    await_until("the first entry", START_LIMIT, || {
+        deployment.balancers().len() == 1
+    });
+    deployment.set_store_faults(&json!({ "backup": "take" }));
+    deployment.add_balancer(NUMBERS[1]);
+    await_until("the second entry", START_LIMIT, || {
+        deployment.balancers().len() == 2
+    });
+    deployment.await_in_force(IN_FORCE);
+    signal_all(&deployment, Signal::STOP);
+    restore(&deployment);
+    assert_eq!(deployment.balancers(), ["entry-1"]);
+    deployment.add_balancer(NUMBERS[2]);
+    await_until("an answer of the new balancer", ANSWER_LIMIT, || {
+        deployment.call("entry-7", "status").is_some()
+    });
+    thread::sleep(PAUSE);
+    signal_all(&deployment, Signal::CONT);
+    await_until("the fleet", START_LIMIT, || {
+        let balancers = deployment.balancers();
+        assert!(has(&balancers, "entry-4") || !has(&balancers, "entry-7"));
+        balancers.len() == 3
+    });
+}
--- a/crates/runtime/src/balancer/fleet_entry.rs
+++ b/crates/runtime/src/balancer/fleet_entry.rs
@@ -1,9 +1,11 @@
 use std::time::Duration;
 
 use async_std::task;
+use usher_clock::now;
+use usher_config::RestoreWait;
 use usher_members::FleetProposal;
 use usher_store::Store;
-use usher_types::{Balancer, DataCentre, Fleet, Incarnation, InstanceId, Version};
+use usher_types::{Balancer, DataCentre, Fleet, Incarnation, InstanceId, Span, Version};
 
 use crate::control::edit_fleet;
 use crate::{BalancerSettings, event};
@@ -39,14 +41,22 @@
     ///
     /// `known` is the version of the fleet that this balancer has adopted.
     pub(crate) async fn join(self, known: Version) {
+        let mut restore_wait = RestoreWait::default();
         loop {
+            let mut delay = Span::ZERO;
             let edit = |fleet: &mut Fleet| {
+                restore_wait.observe(now(), self.store.era());
+                delay = restore_wait.before_edit(now(), fleet.version);
+                if delay > Span::ZERO {
+                    return false;
+                }
                 let earlier = fleet
                     .balancers
                     .insert(self.instance.clone(), self.entry.clone());
                 earlier.as_ref() != Some(&self.entry)
             };
             match edit_fleet(&self.store, (&self.centre, known), edit).await {
+                Ok(_) if delay > Span::ZERO => {}
                 Ok(_) => return event::JOINED.log(&[("centre", &self.centre)]),
                 Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
             }
