Writes after a restore are spread by the number of processes

Each process waited at most half a second before it wrote lost objects again, so hundreds of processes would have called the restored store at once.

Evidence: the process tests of a restore pass; in the run of `restored_store_reverts_nothing` four lost values led to four writes of six processes. A large deployment was not run.

--- a/crates/runtime/src/control/restorer.rs
+++ b/crates/runtime/src/control/restorer.rs
@@ -5,14 +5,13 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use usher_config::Object;
+use usher_config::{Object, RestorePace};
 use usher_store::Store;
+use usher_types::Span;
 
 use super::{ConfigState, ControlEvent, Update};
 use crate::event;
 
-// All processes notice a restore at the same time; most objects are written by the first ones.
-const SPREAD: Duration = Duration::from_millis(500);
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Writes objects that the store has lost again, one at a time.
@@ -36,7 +35,7 @@
             return;
         }
         self.active = true;
-        task::spawn(continue_after(self.part(SPREAD), events.clone()));
+        task::spawn(continue_after(self.part(pace(state).delay), events.clone()));
     }
 
     /// Writes a random object of those that are still lost.
@@ -50,16 +49,20 @@
             self.active = false;
             return;
         };
-        let count = u32::try_from(state.lost().count()).unwrap_or(u32::MAX);
-        let pause = self.part(SPREAD / count.max(1));
+        let pause = self.part(pace(state).pause);
         task::spawn(write(lost, store.clone(), events.clone(), pause));
     }
 
-    fn part(&mut self, whole: Duration) -> Duration {
-        whole.mul_f64(self.random.random_range(0.0..1.0))
+    fn part(&mut self, whole: Span) -> Duration {
+        let part = whole.scale(self.random.random_range(0.0..1.0));
+        Duration::from_micros(part.as_micros())
     }
 }
 
+fn pace(state: &ConfigState) -> RestorePace {
+    RestorePace::new(state.processes(), state.lost().count())
+}
+
 async fn write(lost: Object, store: Store, events: Sender<ControlEvent>, pause: Duration) {
     let pause = match store.write_again(&lost).await {
         Ok(stored) => {
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -68,6 +68,15 @@
         self.cache.lost()
     }
 
+    /// Number of processes that rosters and fleets list.
+    pub(crate) fn processes(&self) -> usize {
+        let rosters = self.cache.list(Kind::Roster).filter_map(roster_of);
+        let fleets = self.cache.list(Kind::Fleet).filter_map(fleet_of);
+        let hosts: usize = rosters.map(|roster| roster.members.len()).sum();
+        let balancers: usize = fleets.map(|fleet| fleet.balancers.len()).sum();
+        hosts + balancers
+    }
+
     /// Position up to which this process has every object.
     pub(crate) fn complete(&self) -> Version {
         self.cache.complete()
