Scenarios: a store that is restored from a copy

No scenario let the store lose what it had acknowledged while rosters change and requests that may not be repeated are in progress. The scenario language has `store copy` and `store restore`; the processes of the simulation write again what is lost and wait with edits as the real ones do.

--- a/crates/scenario/src/agent_node.rs
+++ b/crates/scenario/src/agent_node.rs
@@ -19,6 +19,7 @@
 
 use crate::backend::RunRequest;
 use crate::effect::{Content, Effect, HandoverReply, HandoverRequest};
+use crate::machine::apply;
 
 // Interval at which the agent's load is reported to membership.
 const REPORT_INTERVAL: Span = Span::from_millis(500);
@@ -146,7 +147,7 @@
         through: Version,
         objects: Vec<Object>,
     ) {
-        if self.cache.apply_since(after, through, objects) > 0 {
+        if apply(&mut self.cache, after, through, objects) > 0 {
             self.apply(now);
         }
     }
--- a/crates/scenario/src/balancer_node.rs
+++ b/crates/scenario/src/balancer_node.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::effect::Effect;
+use crate::machine::apply;
 
 const MAX_HINTS: usize = 1_000;
 
@@ -111,7 +112,7 @@
         through: Version,
         objects: Vec<Object>,
     ) {
-        if self.cache.apply_since(after, through, objects) == 0 {
+        if apply(&mut self.cache, after, through, objects) == 0 {
             return;
         }
         let services: Vec<ServiceName> = self.cache.services().map(|(name, _)| name).collect();
--- a/crates/scenario/src/fault.rs
+++ b/crates/scenario/src/fault.rs
@@ -25,6 +25,10 @@
     LoseAnswers(u32),
     /// For this time, half of the reads see the state at its start.
     StoreStale(Span),
+    /// Keeps a copy of the store.
+    CopyStore,
+    /// Restores the store from the copy kept last.
+    RestoreStore,
     /// An operator changes fields of a profile.
     SetProfile(ProfileName, Vec<String>),
     /// Two operators change one profile after reading the same version.
--- a/crates/scenario/src/machine.rs
+++ b/crates/scenario/src/machine.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddrV4;
 
-use usher_config::Object;
+use usher_config::{Cache, Object, RestoreWait};
 use usher_types::{DataCentre, Message, Peer, ServiceName, Time, Version};
 
 use crate::agent_node::AgentNode;
@@ -31,12 +31,15 @@
     pub(crate) role: Role,
     /// Time of the run at which the scheduled timer event is due.
     pub(crate) armed: Option<Time>,
-    /// Version up to which the process has read the store.
+    /// Position up to which the process has read the store.
     pub(crate) since: Version,
     /// Whether the store was reachable at the last poll; `None` before the first one.
     pub(crate) store_up: Option<bool>,
     /// Whether a poll of the store is scheduled.
     pub(crate) polling: bool,
+    /// Whether the process writes objects again that the store has lost.
+    pub(crate) restoring: bool,
+    pub(crate) restore_wait: RestoreWait,
 }
 
 /// Kind of a process with its state.
@@ -130,12 +133,29 @@
         }
     }
 
-    /// All configuration objects in the cache of the process.
-    pub(crate) fn known(&self) -> Vec<Object> {
-        let cache = match self {
+    pub(crate) fn cache(&self) -> &Cache {
+        match self {
             Self::Agent(node) => &node.cache,
             Self::Balancer(node) => &node.cache,
-        };
-        cache.since(Version::default()).cloned().collect()
+        }
+    }
+
+    /// All configuration objects in the cache of the process.
+    pub(crate) fn known(&self) -> Vec<Object> {
+        let objects = self.cache().since(Version::default());
+        objects.cloned().collect()
+    }
+}
+
+/// Adds objects to a cache; a poll from the start reads everything that the store holds.
+pub(crate) fn apply(
+    cache: &mut Cache,
+    after: Version,
+    through: Version,
+    objects: Vec<Object>,
+) -> usize {
+    if after == Version::default() && through > after {
+        return cache.apply_list(through, objects);
     }
+    cache.apply_since(after, through, objects)
 }
--- a/crates/scenario/src/scheduled_event.rs
+++ b/crates/scenario/src/scheduled_event.rs
@@ -50,6 +50,8 @@
     Poll,
     /// Objects that the process fetched from another one at its start.
     PeerObjects(Vec<Object>),
+    /// The process writes an object again that the store has lost.
+    WriteAgain,
     /// A balancer writes its entry into the fleet.
     JoinFleet,
     /// The first step of a roster change; its result is written by `WriteRoster`.
@@ -96,6 +98,7 @@
             Self::Timer => "timer",
             Self::Poll => "poll",
             Self::PeerObjects(_) => "peer-objects",
+            Self::WriteAgain => "write-again",
             Self::JoinFleet => "join-fleet",
             Self::ReadRoster(..) => "read-roster",
             Self::WriteRoster(..) => "write-roster",
--- a/crates/scenario/src/simulation/execute.rs
+++ b/crates/scenario/src/simulation/execute.rs
@@ -1,4 +1,5 @@
 use usher_agent::{Event, Settings};
+use usher_config::RestoreWait;
 use usher_types::{Incarnation, Packet, Peer, Roster, Span, Version};
 
 use rand::Rng;
@@ -58,6 +59,8 @@
             since: Version::default(),
             store_up: None,
             polling: true,
+            restoring: false,
+            restore_wait: RestoreWait::default(),
         });
         let delay = between(&mut self.rng, Span::ZERO, Span::from_millis(50));
         self.push_on(delay, name, MachineEvent::Poll);
@@ -133,6 +136,7 @@
                 let none = Version::default();
                 self.adopt(name, none, none, objects);
             }
+            MachineEvent::WriteAgain => self.write_again(name),
             MachineEvent::JoinFleet => self.join_fleet(name),
             MachineEvent::ReadRoster(proposal, unsettled) => {
                 self.read_roster(name, &proposal, unsettled.as_deref());
@@ -248,6 +252,7 @@
                 unsettled,
             } => {
                 let delay = self.network.delay() + self.network.delay();
+                let delay = delay + self.edit_delay(name, proposal.base);
                 self.push_on(delay, name, MachineEvent::ReadRoster(proposal, unsettled));
             }
         }
--- a/crates/scenario/src/simulation/inject.rs
+++ b/crates/scenario/src/simulation/inject.rs
@@ -48,6 +48,11 @@
                 self.store.set_stale(true);
                 self.push(span, ScheduledEvent::EndFault(Ending::StoreStale));
             }
+            Fault::CopyStore => self.store.keep_copy(),
+            Fault::RestoreStore => {
+                self.store.restore();
+                self.wake_watches();
+            }
             Fault::SetProfile(profile, fields) => self.set_profile(&profile, &fields),
             Fault::RaceProfile(profile, fields) => self.race_profile(&profile, &fields),
             Fault::DeleteProfile(profile) => self.delete_profile(&profile),
--- a/crates/scenario/src/simulation/mod.rs
+++ b/crates/scenario/src/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod inject;
 mod measure;
 mod operator;
+mod restore;
 mod watch;
 
 use std::collections::{BTreeMap, HashMap};
@@ -13,7 +14,7 @@
 use rand_pcg::Pcg64;
 use usher_config::{Cache, Condition, Kind, ObjectKey, Value, Write, WriteId};
 use usher_types::{
-    Buckets, DataCentre, Era, Profile, RequestKey, Service, ServiceName, Span, Time, Version,
+    Buckets, DataCentre, Profile, RequestKey, Service, ServiceName, Span, Time, Version,
 };
 
 use crate::backend::Backend;
@@ -182,7 +183,7 @@
             condition,
             value,
         };
-        Write::new(id, change, Era::default())
+        Write::new(id, change, self.store.era())
     }
 
     fn add_machine(&mut self, name: MachineName, centre: DataCentre, service: Option<ServiceName>) {
--- a/crates/scenario/src/simulation/operator.rs
+++ b/crates/scenario/src/simulation/operator.rs
@@ -1,5 +1,5 @@
 use usher_config::{Change, Condition, Kind, ObjectKey, Value, Write, WriteId, check};
-use usher_types::{Era, Profile, ProfileName, Service, ServiceName, Span};
+use usher_types::{Profile, ProfileName, Service, ServiceName, Span};
 
 use rand::Rng;
 
@@ -81,9 +81,10 @@
                 .or_default() += 1;
             return;
         };
+        let era = self.store.era();
         let writes = changes
             .into_iter()
-            .map(|change| Write::new(WriteId::new(self.rng.random()), change, Era::default()));
+            .map(|change| Write::new(WriteId::new(self.rng.random()), change, era));
         let writes = writes.collect();
         self.push(COMMAND_TIME, ScheduledEvent::OperatorWrites(writes));
     }
--- a/crates/scenario/src/simulation/watch.rs
+++ b/crates/scenario/src/simulation/watch.rs
@@ -32,7 +32,11 @@
             process.polling = true;
             return self.push_on(WATCH_RETRY_DELAY, name, MachineEvent::Poll);
         }
-        let after = process.since;
+        // A watch of an earlier era is refused, and everything is read.
+        let after = match process.since {
+            since if since.era() < self.store.era() => Version::default(),
+            since => since,
+        };
         let (through, objects) = self.store.since(after, &mut self.rng);
         process.since = process.since.max(through);
         self.adopt(name, after, through, objects);
@@ -50,9 +54,12 @@
         let incarnation = machine.incarnation;
         if let Some(process) = &mut machine.process {
             process.role.adopt_objects(now, after, through, objects);
+            let era = process.role.cache().complete().era();
+            process.restore_wait.observe(now, era);
             let known = process.role.known();
             self.tally.note_objects(name, incarnation, &known);
         }
+        self.begin_restore(name);
         self.note_revisions();
     }
 
@@ -90,6 +97,12 @@
             Some(Value::Fleet(fleet)) => fleet,
             _ => Fleet::default(),
         };
+        let version = current
+            .as_ref()
+            .map_or_else(Version::default, |object| object.version);
+        if self.is_older_fleet(name, &key, version) {
+            return self.push_on(JOIN_RETRY_DELAY, name, MachineEvent::JoinFleet);
+        }
         fleet.balancers.insert(instance, entry);
         let write = self.write(key, condition(current.as_ref()), Some(fleet.into()));
         match self.store.put(write, &mut self.rng) {
@@ -98,6 +111,20 @@
         }
     }
 
+    // Whether the fleet may be an older one of a restored store.
+    fn is_older_fleet(&mut self, name: &str, key: &ObjectKey, version: Version) -> bool {
+        let era = self.store.era();
+        let machine = &mut self.machines[name];
+        let now = machine.clock.read(self.now);
+        let Some(process) = &mut machine.process else {
+            return false;
+        };
+        process.restore_wait.observe(now, era);
+        let known = process.role.cache().get(key);
+        known.is_some_and(|known| known.version > version)
+            || process.restore_wait.before_edit(now, version) > Span::ZERO
+    }
+
     pub(super) fn read_roster(
         &mut self,
         name: &str,
--- a/crates/scenario/src/statement.rs
+++ b/crates/scenario/src/statement.rs
@@ -139,6 +139,8 @@
         ["store", "down", "for", span] => Fault::StoreDown(span.parse()?),
         ["store", "lose-answers", count] => Fault::LoseAnswers(number(count)?),
         ["store", "stale", "for", span] => Fault::StoreStale(span.parse()?),
+        ["store", "copy"] => Fault::CopyStore,
+        ["store", "restore"] => Fault::RestoreStore,
         ["set", "profile", name, fields @ ..] => Fault::SetProfile(
             name.parse()?,
             fields.iter().map(|field| (*field).to_owned()).collect(),
--- a/crates/scenario/src/store.rs
+++ b/crates/scenario/src/store.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 
 use rand::Rng;
-use usher_config::{Answer, Condition, Object, ObjectKey, Pending, Step, Write};
-use usher_types::Version;
+use usher_config::{Answer, Condition, Object, ObjectKey, Pending, Rank, Step, Write};
+use usher_types::{Era, Version};
 
 // Steps of one write after which its result counts as unknown.
 const MAX_STEPS: usize = 8;
@@ -25,6 +25,7 @@
     objects: BTreeMap<ObjectKey, Object>,
     // State of a stale replica; half of the reads see it.
     replica: Option<(Version, BTreeMap<ObjectKey, Object>)>,
+    copy: (Version, BTreeMap<ObjectKey, Object>),
 }
 
 impl Store {
@@ -33,6 +34,28 @@
         self.replica = stale.then(|| (self.last, self.objects.clone()));
     }
 
+    /// Number of restores.
+    pub(crate) fn era(&self) -> Era {
+        self.last.era()
+    }
+
+    /// Keeps a copy of all objects.
+    pub(crate) fn keep_copy(&mut self) {
+        self.copy = (self.last, self.objects.clone());
+    }
+
+    /// Goes back to the copy kept last; its revisions are given out again, in the next era.
+    pub(crate) fn restore(&mut self) {
+        let era = Era::new(self.era().get() + 1);
+        let (last, objects) = self.copy.clone();
+        self.last = last.in_era(era);
+        self.objects = objects;
+        for object in self.objects.values_mut() {
+            object.position = object.position.in_era(era);
+        }
+        self.replica = None;
+    }
+
     pub(crate) fn get(&self, key: &ObjectKey, rng: &mut impl Rng) -> Option<Object> {
         self.view(rng).1.get(key).cloned()
     }
@@ -42,10 +65,10 @@
         self.objects.get(key)
     }
 
-    /// Objects newer than `version`, and the version up to which they are complete.
-    pub(crate) fn since(&self, version: Version, rng: &mut impl Rng) -> (Version, Vec<Object>) {
+    /// Objects above `position`, and the position up to which they are complete.
+    pub(crate) fn since(&self, position: Version, rng: &mut impl Rng) -> (Version, Vec<Object>) {
         let (last, objects) = self.view(rng);
-        let newer = objects.values().filter(|object| object.version > version);
+        let newer = objects.values().filter(|object| object.position > position);
         (last, newer.cloned().collect())
     }
 
@@ -65,7 +88,6 @@
                 Step::Done(version) => return Ok(version),
                 Step::Conflict(_) => return Err(Failure::Conflict),
                 Step::Retry(retry) => pending = retry,
-                // This store is never restored.
                 Step::ReadBack(_) | Step::Restored(_) => break,
             }
         }
@@ -85,7 +107,7 @@
         let holds = match change.condition {
             Condition::Absent => current.is_none_or(|object| object.value.is_none()),
             Condition::Version(position) => {
-                current.is_some_and(|object| object.position == position)
+                current.is_some_and(|object| object.position.get() == position.get())
             }
         };
         if !holds {
@@ -95,7 +117,10 @@
         let object = Object {
             kind: change.key.kind,
             name: change.key.name.clone(),
-            version: self.last,
+            version: match write.rank {
+                Rank::Newest(era) => self.last.in_era(era),
+                Rank::Kept(version) => version,
+            },
             position: self.last,
             write_id: write.id,
             value: change.value.clone(),
