Balancers that a restored fleet lists do not join it again

After each restore of the store every balancer read the fleet and logged "joined the roster" (MU-E1101), though its entry had never left what the processes hold and is written again with the fleet. Only a balancer that the adopted fleet does not list with its own process joins again.

No test loses an entry that no other process has seen.

--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -96,6 +96,17 @@
         task::spawn(self.fleet_entry.clone().join(self.known_fleet()));
     }
 
+    // The store may have lost an entry that no process has adopted.
+    fn rejoin(&self) {
+        let fleet = self.core.state.fleet(self.settings.common.centre.as_str());
+        let listed = fleet
+            .as_ref()
+            .and_then(|fleet| fleet.balancers.get(&self.settings.instance));
+        if listed.is_none_or(|entry| entry.incarnation != self.incarnation) {
+            self.join();
+        }
+    }
+
     // Version of the data centre's fleet that this balancer has adopted.
     fn known_fleet(&self) -> Version {
         let fleet = self.core.state.fleet(self.settings.common.centre.as_str());
@@ -133,8 +144,7 @@
                 self.apply(&changed);
                 self.report_revision();
             }
-            // The store may have lost an entry that no process has adopted.
-            ControlEvent::Restored => self.join(),
+            ControlEvent::Restored => self.rejoin(),
             ControlEvent::WriteAgain => self.core.write_again(),
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
