--- a/crates/runtime/src/balancer/control.rs
+++ b/crates/runtime/src/balancer/control.rs
@@ -87,12 +87,30 @@
         };
         stop.race(self.process_events(receiver)).await;
         event::STOPPING.log(&[]);
-        self.fleet_entry.leave().await;
+        let known = self.known_fleet();
+        self.fleet_entry.leave(known).await;
         Ok(())
     }
 
     fn join(&self) {
-        task::spawn(self.fleet_entry.clone().join());
+        task::spawn(self.fleet_entry.clone().join(self.known_fleet()));
+    }
+
+    // The store may have lost an entry that no process has adopted.
+    fn rejoin(&self) {
+        let fleet = self.core.state.fleet(self.settings.common.centre.as_str());
+        let listed = fleet
+            .as_ref()
+            .and_then(|fleet| fleet.balancers.get(&self.settings.instance));
+        if listed.is_none_or(|entry| entry.incarnation != self.incarnation) {
+            self.join();
+        }
+    }
+
+    // Version of the data centre's fleet that this balancer has adopted.
+    fn known_fleet(&self) -> Version {
+        let fleet = self.core.state.fleet(self.settings.common.centre.as_str());
+        fleet.map_or_else(Version::default, |fleet| fleet.version)
     }
 
     async fn process_events(&mut self, receiver: Receiver<ControlEvent>) {
@@ -121,15 +139,13 @@
 
     fn handle(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Objects {
-                after,
-                through,
-                objects,
-            } => {
-                let changed = self.core.adopt(after, through, objects);
+            ControlEvent::Objects(update) => {
+                let changed = self.core.adopt(update);
                 self.apply(&changed);
                 self.report_revision();
             }
+            ControlEvent::Restored => self.rejoin(),
+            ControlEvent::WriteAgain => self.core.write_again(),
             ControlEvent::Store(true) => self.advance(Event::StoreUp),
             ControlEvent::Store(false) => self.advance(Event::StoreDown),
             ControlEvent::Beat { source, beat } => {
--- a/crates/runtime/src/balancer/fleet_entry.rs
+++ b/crates/runtime/src/balancer/fleet_entry.rs
@@ -1,9 +1,11 @@
 use std::time::Duration;
 
 use async_std::task;
+use usher_clock::now;
+use usher_config::RestoreWait;
 use usher_members::FleetProposal;
 use usher_store::Store;
-use usher_types::{Balancer, DataCentre, Fleet, Incarnation, InstanceId};
+use usher_types::{Balancer, DataCentre, Fleet, Incarnation, InstanceId, Span, Version};
 
 use crate::control::edit_fleet;
 use crate::{BalancerSettings, event};
@@ -36,15 +38,25 @@
     }
 
     /// Writes the entry, and retries until the store has accepted it.
-    pub(crate) async fn join(self) {
+    ///
+    /// `known` is the version of the fleet that this balancer has adopted.
+    pub(crate) async fn join(self, known: Version) {
+        let mut restore_wait = RestoreWait::default();
         loop {
+            let mut delay = Span::ZERO;
             let edit = |fleet: &mut Fleet| {
+                restore_wait.observe(now(), self.store.era());
+                delay = restore_wait.before_edit(now(), fleet.version);
+                if delay > Span::ZERO {
+                    return false;
+                }
                 let earlier = fleet
                     .balancers
                     .insert(self.instance.clone(), self.entry.clone());
                 earlier.as_ref() != Some(&self.entry)
             };
-            match edit_fleet(&self.store, &self.centre, edit).await {
+            match edit_fleet(&self.store, (&self.centre, known), edit).await {
+                Ok(_) if delay > Span::ZERO => {}
                 Ok(_) => return event::JOINED.log(&[("centre", &self.centre)]),
                 Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
             }
@@ -53,7 +65,7 @@
     }
 
     /// Removes the entry of this process; a later process's entry stays.
-    pub(crate) async fn leave(self) {
+    pub(crate) async fn leave(self, known: Version) {
         for _ in 0..LEAVE_ATTEMPTS {
             let edit = |fleet: &mut Fleet| {
                 let listed = fleet.balancers.get(&self.instance);
@@ -61,7 +73,7 @@
                     listed.is_some_and(|entry| entry.incarnation == self.entry.incarnation);
                 is_own && fleet.balancers.shift_remove(&self.instance).is_some()
             };
-            match edit_fleet(&self.store, &self.centre, edit).await {
+            match edit_fleet(&self.store, (&self.centre, known), edit).await {
                 Ok(_) => return event::LEFT.log(&[("centre", &self.centre)]),
                 Err(error) => event::ROSTER_WRITE.log(&[("fault", &error)]),
             }
@@ -81,7 +93,8 @@
             }
             None => false,
         };
-        match edit_fleet(&self.store, &proposal.centre, edit).await {
+        let target = (&proposal.centre, proposal.base);
+        match edit_fleet(&self.store, target, edit).await {
             Ok(true) => {
                 for (balancer, _) in &proposal.balancers {
                     event::REMOVED.log(&[("centre", &proposal.centre), ("balancer", balancer)]);
--- a/crates/scenario/src/simulation/mod.rs
+++ b/crates/scenario/src/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod inject;
 mod measure;
 mod operator;
+mod restore;
 mod watch;
 
 use std::collections::{BTreeMap, HashMap};
@@ -182,7 +183,7 @@
             condition,
             value,
         };
-        Write { id, change }
+        Write::new(id, change, self.store.era())
     }
 
     fn add_machine(&mut self, name: MachineName, centre: DataCentre, service: Option<ServiceName>) {
--- a/crates/scenario/src/simulation/operator.rs
+++ b/crates/scenario/src/simulation/operator.rs
@@ -81,10 +81,10 @@
                 .or_default() += 1;
             return;
         };
-        let writes = changes.into_iter().map(|change| Write {
-            id: WriteId::new(self.rng.random()),
-            change,
-        });
+        let era = self.store.era();
+        let writes = changes
+            .into_iter()
+            .map(|change| Write::new(WriteId::new(self.rng.random()), change, era));
         let writes = writes.collect();
         self.push(COMMAND_TIME, ScheduledEvent::OperatorWrites(writes));
     }
