A starting balancer is ready with the newest configuration of its peers

Callers of a removed route could be served, or those of a new one refused, by a balancer that starts while the store holds a restored copy: it reads the older document, is ready, and fetches the newer one from another balancer up to 0.3 s later.

Evidence: in a play of the process test the balancer became ready with version 7 at 52.011 s and had version 8 at 52.025 s.

A starting balancer is now ready when no balancer that it hears has a newer configuration, or after 3 s, if it cannot fetch it.

--- a/crates/forwarding/src/balancer/start_up.rs
+++ b/crates/forwarding/src/balancer/start_up.rs
@@ -2,6 +2,8 @@
 
 // Agents report to a new balancer, and other data centres relay their reports, within this time.
 const COLLECT_TIME: Span = Span::from_millis(1_500);
+// A balancer that cannot fetch the newer configuration of another one takes traffic after this time.
+const FETCH_TIME: Span = Span::from_secs(3);
 
 /// Whether a balancer that has started knows all hosts.
 ///
@@ -36,6 +38,14 @@
         self.finished = true;
     }
 
+    /// Whether the balancer may take traffic at `now`.
+    ///
+    /// `outdated` tells that another balancer has a newer configuration: what a starting balancer reads
+    /// from the store can be older, if the store has been restored from a copy.
+    pub fn may_serve(&self, now: Time, outdated: bool) -> bool {
+        self.is_complete(now) && (!outdated || now - self.started >= FETCH_TIME)
+    }
+
     /// Whether all hosts are known at `now`, as far as the balancer can tell.
     pub fn is_complete(&self, now: Time) -> bool {
         self.finished || now - self.started >= COLLECT_TIME
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -318,7 +318,8 @@
             .fleet
             .is_standby(now, local, capacity, &settings.centre);
         let hosts = serving || now - self.started > HOST_WAIT;
-        let complete = self.ready || !self.is_starting(now);
+        let outdated = self.fleet.newest_peer(now, self.version()).is_some();
+        let complete = self.ready || self.start_up.may_serve(now, outdated);
         let ready = configured && !self.stopping && hosts && complete && !standby;
         if ready != self.ready {
             self.ready = ready;
--- a/crates/node/tests/restored.rs
+++ b/crates/node/tests/restored.rs
@@ -81,6 +81,26 @@
     drop(second);
 }
 
+/// Guards against a balancer that takes traffic with the older configuration of a restored store.
+#[test]
+fn a_starting_balancer_is_ready_with_the_newest_configuration() {
+    let deployment = start(35);
+    let store = &deployment.store;
+    let copy = early_copy(store);
+    store.configure_label(8, &[OTHER_ROUTE]);
+    deployment.await_no_route(2_000);
+    restore(store, copy, || {});
+    let second = deployment.second_balancer(&[2]);
+    // The balancer is asked often, to see it at the moment at which it gets ready.
+    let started = Instant::now();
+    while deployment.ready_at(SECOND_BALANCER) != 200 {
+        assert!(started.elapsed() < RELIST_TIME, "the balancer is not ready");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    refuse_flows(&deployment, &[SECOND_BALANCER], 3_000..3_010);
+    drop(second);
+}
+
 /// Guards against a change that is missed because its revision is one that was lost.
 #[test]
 fn a_revision_that_is_given_out_again_hides_no_change() {
