--- /dev/null
+++ b/crates/forwarding/tests/world/model/restarts.rs
@@ -0,0 +1,50 @@
+//! Restarts of balancers, agents and backend servers.
+
+use usher_forwarding::AgentForwarder;
+use usher_types::Sequence;
+
+use super::{FIRST_HEARD_ONE_IN, FLOW_LIFE, SERVICES, World, configuration, host_node};
+
+impl World {
+    pub(super) fn restart_balancer(&mut self, index: usize) {
+        self.balancers[index] = self.new_balancer(index);
+        for host in 0..self.hosts.len() {
+            if self.next_random().is_multiple_of(FIRST_HEARD_ONE_IN) {
+                let report = self.next_report(host);
+                let directory = &mut self.balancers[index].directory;
+                directory.on_direct_report(self.now, host_node(host), &report);
+            }
+        }
+        let balancer = &mut self.balancers[index];
+        balancer.view = balancer.directory.view(configuration(), &balancer.view);
+    }
+
+    pub(super) fn restart_agent(&mut self, agent: usize) {
+        self.epochs += 1;
+        let host = &mut self.hosts[agent];
+        host.epoch = self.epochs;
+        host.reports = 0;
+        host.agent = AgentForwarder::new(
+            host_node(agent),
+            SERVICES[host.service],
+            self.now,
+            FLOW_LIFE,
+        );
+        // Half of the agents hear a heartbeat before the next packet.
+        if self.next_random().is_multiple_of(2) {
+            self.beat(agent);
+        }
+    }
+
+    pub(super) fn restart_host(&mut self, host: usize) {
+        self.hosts[host].flows.clear();
+        self.hosts[host].processes += 1;
+        let heartbeat = &mut self.hosts[host].heartbeat;
+        heartbeat.born += 1;
+        heartbeat.draining = false;
+        heartbeat.sequence = Sequence::new(0);
+        if self.next_random().is_multiple_of(2) {
+            self.beat(host);
+        }
+    }
+}
