Node: the list of balancers is read until it is of the present era

Would be seen: a balancer that starts while the store holds a restored copy, and whose seeds name no live balancer, keeps the copy's configuration for up to 15 s. Its first list of balancers was allowed to be stale, and a list of an earlier era, or a call that the store refused, was not repeated before the next interval. Found by the review, by reading; no test brings it about, since the stand-in has no stale reads of an earlier era.

The list after the start and after a restore is now read as it is, and the call repeated with back-off until it succeeds.

--- a/crates/node/src/balancer/registry.rs
+++ b/crates/node/src/balancer/registry.rs
@@ -8,7 +8,7 @@
 
 use super::state::State;
 use super::store_signals::StoreSignals;
-use crate::control::{BalancerList, list_balancers, register, remove};
+use crate::control::{Backoff, BalancerList, list_balancers, register, remove};
 use crate::event;
 use crate::http::Client;
 
@@ -53,17 +53,27 @@
     /// Registers, and reads the list from time to time and after each restore of the store.
     pub(crate) async fn run(mut self) {
         self.register().await;
-        let mut allow_stale = true;
+        self.refresh_now().await;
         loop {
-            self.refresh(allow_stale).await;
-            allow_stale = tokio::select! {
-                () = sleep(RELIST_INTERVAL) => true,
+            tokio::select! {
+                () = sleep(RELIST_INTERVAL) => {
+                    self.refresh(true).await;
+                }
                 () = self.signals.restored.notified() => {
                     sleep(pause(self.node)).await;
                     self.register().await;
-                    false
+                    self.refresh_now().await;
                 }
-            };
+            }
+        }
+    }
+
+    // Reads the list as it is now, and repeats the call until it succeeds. A stale list could lack
+    // the balancers that have registered since a restore.
+    async fn refresh_now(&mut self) {
+        let mut backoff = Backoff::new();
+        while !self.refresh(false).await {
+            backoff.wait().await;
         }
     }
 
@@ -72,12 +82,13 @@
         self.is_usable(self.registered.era());
     }
 
-    async fn refresh(&mut self, allow_stale: bool) {
+    // Returns whether a list of the present era was read.
+    async fn refresh(&mut self, allow_stale: bool) -> bool {
         let Some(list) = list_balancers(&mut self.client, allow_stale).await else {
-            return;
+            return false;
         };
         if !self.is_usable(list.version.era()) {
-            return;
+            return false;
         }
         if list.version >= self.registered && !list.contains(self.node) {
             event::ENTRY_MISSING
@@ -96,6 +107,7 @@
                 self.is_usable(era);
             }
         }
+        true
     }
 
     // Whether an answer may be used; after a restore all readers start again.
