Lost objects are written again before edits are allowed

Would be seen: an acknowledged change of a roster is lost after a restore in a deployment of 49 processes and more, if only one process holds it. Edits waited 3 s, but a process could wait up to 5 s before it writes what the store has lost. Found by the review.

The longest delay is 2 s now, which is also the time within which entries are to be back. edits_wait_until_all_lost_objects_can_be_written fails with 5 s.

--- a/crates/config/src/restore_pace.rs
+++ b/crates/config/src/restore_pace.rs
@@ -4,7 +4,8 @@
 const SPREAD: Span = Span::from_millis(500);
 /// Processes that begin within `SPREAD`, on average.
 const WRITERS: u64 = 8;
-const MAX_DELAY: Span = Span::from_secs(5);
+// Edits wait longer than this, so that no process edits what another one is about to write.
+const MAX_DELAY: Span = Span::from_secs(2);
 
 /// Upper bounds of the random pauses of a process that writes lost objects again.
 ///
