A roster is not edited in the call that first shows a restore

Would be seen: an acknowledged change of a roster is lost. The wait after a restore used the era that the watch had shown, and was computed before the read of the edit; the read can be the first answer of the new era. Found by the review, by reading; no test brings it about.

The wait now uses the latest era of any answer, and an edit whose read shows another one is dropped: membership proposes it again.

--- a/crates/runtime/src/agent/control.rs
+++ b/crates/runtime/src/agent/control.rs
@@ -235,15 +235,19 @@
     }
 
     // The conditional write runs in a task of its own; its result returns as an event.
-    fn propose(&self, proposal: Proposal) {
+    fn propose(&mut self, proposal: Proposal) {
         let (store, events) = (self.core.store.clone(), self.core.events.clone());
         let service = self.settings.service.clone();
         let unsettled = self.unsettled.clone();
         let delay = self.core.edit_delay(proposal.base);
+        let era = store.era();
         task::spawn(async move {
             task::sleep(Duration::from_micros(delay.as_micros())).await;
-            let edit =
-                |current: &Roster| proposal.apply_with_history(current, unsettled.as_deref());
+            // The read before the edit can be the first that shows a restore.
+            let edit = |current: &Roster| {
+                let known = (store.era() == era).then_some(current)?;
+                proposal.apply_with_history(known, unsettled.as_deref())
+            };
             let written = edit_roster(&store, &service, edit).await;
             match (&written, &proposal.change) {
                 (Ok(Some(_)), Change::Remove { hosts }) => {
--- a/crates/runtime/src/control/core.rs
+++ b/crates/runtime/src/control/core.rs
@@ -75,7 +75,8 @@
     }
 
     /// How long to wait before an object is edited that this process knows in version `base`.
-    pub(crate) fn edit_delay(&self, base: Version) -> Span {
+    pub(crate) fn edit_delay(&mut self, base: Version) -> Span {
+        self.restore_wait.observe(now(), self.store.era());
         self.restore_wait.before_edit(now(), base)
     }
 
