A conditional write reads its object first

Would be seen: an acknowledged value of the project's own interface is lost after a restore. A writer that had made no call since, as the tool after a pause or a retry after an outage, sent a condition of the earlier era, which could hold by accident, since revisions are given out again. Its value carried the earlier era and a larger number and so outranked the lost value, or had the same version. Found by the review.

--- a/crates/config/src/cache.rs
+++ b/crates/config/src/cache.rs
@@ -87,7 +87,15 @@
     pub fn compare(&self, object: &Object) -> Adoption {
         match self.objects.get(&object.key()) {
             Some(cached) if cached.version < object.version => Adoption::Adopted,
-            Some(cached) if cached.version == object.version => Adoption::Ignored,
+            // A restored store can give the number of a lost write to another one of the same era.
+            Some(cached) if cached.version == object.version => {
+                let other = cached.write_id != object.write_id;
+                if other && cached.position < object.position {
+                    Adoption::Adopted
+                } else {
+                    Adoption::Ignored
+                }
+            }
             // The store held the older value after the newer one.
             Some(cached) if cached.position < object.position => Adoption::Outdated,
             Some(_) => Adoption::Ignored,
--- a/crates/config/tests/cache.rs
+++ b/crates/config/tests/cache.rs
@@ -170,3 +170,21 @@
         prop_assert_eq!(cache.revision(), since.last().copied().unwrap_or_default());
     }
 }
+
+// Guards against two values of one object under one version, of which each process keeps its own.
+#[test]
+fn another_write_under_the_same_version_is_noticed() {
+    let value = |hunt: &str| json!({ "hunt": hunt });
+    let mut cache = Cache::default();
+    cache.adopt(object("profile/fast", 11, 1, &value("6ms")));
+    let position = Version::new(11).in_era(Era::new(1));
+    let other = Object {
+        position,
+        ..object("profile/fast", 11, 2, &value("7ms"))
+    };
+    cache.apply_list(position, vec![other.clone()]);
+    assert_eq!(
+        cache.get(&key("profile/fast")).unwrap().write_id,
+        other.write_id
+    );
+}
--- a/crates/store/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -44,6 +44,16 @@
     Final(StoreError),
 }
 
+impl Failure {
+    /// The failure of a read before a write, which has then not been sent.
+    pub(crate) fn not_sent(self) -> Self {
+        match self {
+            Self::NoAnswer(cause) => Self::NotSent(cause),
+            failure => failure,
+        }
+    }
+}
+
 impl Exchange {
     pub(crate) fn new(address: SocketAddrV4, limit: Span) -> Self {
         Self {
--- a/crates/store/src/retry_client.rs
+++ b/crates/store/src/retry_client.rs
@@ -3,12 +3,13 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use usher_config::{Answer, Change, Lost, ObjectKey, Pending, Step, Write, WriteId};
+use usher_config::{Answer, Change, Condition, Lost, ObjectKey, Pending, Step, Write, WriteId};
+use usher_platform::Request;
 use usher_types::{ByteCount, Era, Span, Version};
 
 use crate::backoff::{Backoff, random_fraction};
 use crate::exchange::{CONFLICT, CREATED, Exchange, Failure, NOT_FOUND, OK};
-use crate::stored_object::{expected_position, write_request};
+use crate::stored_object::{KIND, expected_position, write_request};
 use crate::{Batch, Limits, StoreError, StoredObject, encode};
 
 const RESTORED: &str = "the store was restored from a copy";
@@ -53,8 +54,14 @@
         let mut pending = Pending::new(write);
         let mut uncertain = false;
         loop {
-            self.check_condition(pending.write(), uncertain)?;
-            let answer = match self.try_write(pending.write()).await {
+            let sent = match self.learn_era(pending.write()).await {
+                Ok(()) => {
+                    self.check_condition(pending.write(), uncertain)?;
+                    self.try_write(pending.write()).await
+                }
+                Err(failure) => Err(failure.not_sent()),
+            };
+            let answer = match sent {
                 Ok(answer) => answer,
                 Err(Failure::Final(error)) => return Err(error),
                 Err(Failure::NotSent(cause)) => {
@@ -84,6 +91,16 @@
         }
     }
 
+    // Reads the object of a conditional write: the answer shows whether the store has been restored
+    // since the condition was read.
+    async fn learn_era(&self, write: &Write) -> Result<(), Failure> {
+        let Condition::Version(_) = write.change.condition else {
+            return Ok(());
+        };
+        let request = Request::get(KIND, &StoredObject::name(&write.change.key));
+        self.exchange.send(&request, Span::ZERO).await.map(|_| ())
+    }
+
     // A restored store gives out revisions again, so a condition of an earlier era is not sent.
     fn check_condition(&self, write: &Write, uncertain: bool) -> Result<(), StoreError> {
         if !write.change.condition.is_outdated(self.era()) {
