An odd entry of another writer fails alone

Callers saw: balancers that no longer followed the configuration and agents that found no balancer for as long as one entry of another writer stood in the store: nested deeply, with a number out of range, or with bytes that are no text. Operators could make no change with the tool while an entry of another tool stood beside their objects.

Change: lists, watches, configurations and objects keep raw JSON values (serde_json) and decode each entry by itself. An entry that cannot be decoded is logged once with its name and reason (MU-E2118), counted, and still leads to the next page; the removal of an odd object is seen. An object of the project whose content alone is odd counts as held, so that it no longer hides objects that a restore has lost.

--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -43,7 +43,9 @@
         for kind in [Kind::Profile, Kind::Service] {
             let batch = self.store.list(Some(kind), Version::default()).await?;
             // Rules that span several objects can be checked only if all of them are readable.
-            if let Some(error) = batch.unreadable.into_iter().next() {
+            // Entries that other tools keep under names of their own take no part in the rules.
+            let mut unreadable = batch.unreadable.into_iter();
+            if let Some(error) = unreadable.find(|error| !error.is_foreign()) {
                 return Err(error.into());
             }
             for object in batch.objects {
--- a/crates/cli/tests/cli/commands.rs
+++ b/crates/cli/tests/cli/commands.rs
@@ -110,6 +110,25 @@
     shell.ok("profile get fast");
 }
 
+// Guards against an entry of another tool that keeps operators from every change, and against a check
+// that passes over an unreadable object of the project's own.
+#[test]
+fn entries_of_other_tools_stop_no_command() {
+    let shell = Shell::new("odd");
+    let deep = "[".repeat(300) + &"]".repeat(300);
+    let entry =
+        |name: &str| format!(r#"{{"meta":{{"name":"{name}","revision":1}},"spec":{deep}}}"#);
+    shell.add_odd(&entry("painting.odd"));
+    shell.add_odd(&entry("odd"));
+    shell.ok("profile set fast hunt=5ms");
+    shell.add_odd(&entry("profile.odd"));
+    shell.refused(
+        "profile set fast hunt=6ms",
+        ExitStatus::Failed,
+        "profile/odd",
+    );
+}
+
 // Guards against reporting a write as failed when only its answer was lost.
 #[test]
 fn lost_answer_is_no_failure() {
--- a/crates/cli/tests/cli/shell.rs
+++ b/crates/cli/tests/cli/shell.rs
@@ -63,6 +63,11 @@
         self.server.set_faults(faults);
     }
 
+    /// Adds an entry of another writer to those of the project.
+    pub fn add_odd(&self, entry: &str) {
+        self.server.add_odd("marigoldusher", entry);
+    }
+
     /// Number of writes that the store has accepted.
     pub fn writes(&self) -> u64 {
         self.server.stats().writes
--- a/crates/config/src/cache.rs
+++ b/crates/config/src/cache.rs
@@ -106,18 +106,24 @@
     /// Adopts all objects of the store, complete up to `through`.
     ///
     /// A cached object that the list lacks is lost if the list is of a later era than the object's
-    /// position.
+    /// position. `held` are objects that the store holds and that could not be decoded.
     ///
     /// ```
     /// use usher_config::Cache;
     /// use usher_types::Version;
     /// let mut cache = Cache::default();
-    /// cache.apply_list(Version::new(4), Vec::new());
+    /// cache.apply_list(Version::new(4), Vec::new(), &[]);
     /// assert_eq!(cache.complete(), Version::new(4));
     /// assert_eq!(cache.lost().count(), 0);
     /// ```
-    pub fn apply_list(&mut self, through: Version, objects: Vec<Object>) -> usize {
-        let listed: BTreeSet<ObjectKey> = objects.iter().map(Object::key).collect();
+    pub fn apply_list(
+        &mut self,
+        through: Version,
+        objects: Vec<Object>,
+        held: &[ObjectKey],
+    ) -> usize {
+        let listed = objects.iter().map(Object::key);
+        let listed: BTreeSet<ObjectKey> = listed.chain(held.iter().cloned()).collect();
         let adopted = self.apply_since(Version::default(), through, objects);
         let is_missing = |object: &&Object| {
             object.value.is_some()
--- a/crates/config/tests/cache.rs
+++ b/crates/config/tests/cache.rs
@@ -70,7 +70,7 @@
                 .map(|offer| stored(name, offer))
                 .collect();
             match &step["after"] {
-                Json::Null => cache.apply_list(through, objects),
+                Json::Null => cache.apply_list(through, objects, &[]),
                 after => cache.apply_since(version(after), through, objects),
             };
             let held = cache.get(&key(name)).unwrap();
@@ -90,7 +90,7 @@
 fn objects_written_again_are_newer_for_peers() {
     let mut cache = Cache::default();
     cache.adopt(stored("profile/fast", &json!([9, "b", 9])));
-    cache.apply_list(Version::new(5).in_era(Era::new(1)), Vec::new());
+    cache.apply_list(Version::new(5).in_era(Era::new(1)), Vec::new(), &[]);
     let peer = cache.complete();
     cache.adopt(stored("profile/fast", &json!([9, "b", "1.6"])));
     let newer: Vec<Version> = cache.since(peer).map(|object| object.version).collect();
@@ -182,7 +182,7 @@
         position,
         ..object("profile/fast", 11, 2, &value("7ms"))
     };
-    cache.apply_list(position, vec![other.clone()]);
+    cache.apply_list(position, vec![other.clone()], &[]);
     assert_eq!(
         cache.get(&key("profile/fast")).unwrap().write_id,
         other.write_id
--- a/crates/config/tests/lease.rs
+++ b/crates/config/tests/lease.rs
@@ -103,7 +103,7 @@
     let record = json!({ "holder": { "Instance": "one" }, "term": "3s" });
     let mut cache = usher_config::Cache::default();
     cache.adopt(object("lease/watcher", 9, 1, &record));
-    cache.apply_list(Version::new(5).in_era(Era::new(1)), Vec::new());
+    cache.apply_list(Version::new(5).in_era(Era::new(1)), Vec::new(), &[]);
     assert_eq!(cache.lost().count(), 0);
 }
 
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -14,7 +14,9 @@
 
 use super::traffic::Shared;
 use crate::codec::PeerMessage;
-use crate::control::{Peers, Signal, Signals, list_balancers, reload, serve_metrics};
+use crate::control::{
+    InvalidEntries, Peers, Signal, Signals, list_balancers, reload, serve_metrics,
+};
 use crate::http::{Client, serve};
 use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
@@ -258,9 +260,12 @@
     }
 
     async fn find_balancers(self: Rc<Self>) {
-        let mut client = Client::new(self.settings.store, Arc::clone(&self.shared.metrics));
+        let metrics = &self.shared.metrics;
+        let mut client = Client::new(self.settings.store, Arc::clone(metrics));
+        let mut invalid_entries = InvalidEntries::new(Arc::clone(metrics));
         loop {
-            if let Some(list) = list_balancers(&mut client, true).await {
+            let list = list_balancers(&mut client, &mut invalid_entries, true).await;
+            if let Some(list) = list {
                 let now = usher_clock::now();
                 let mut fleet = self.fleet.borrow_mut();
                 for listed in list.entries {
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -14,6 +14,7 @@
 use usher_platform::Call;
 use usher_types::{Span, Time};
 
+use super::configuration_copy::ConfigurationCopy;
 use super::feed::{self, Feed};
 use super::host_fetch::fetch_hosts;
 use super::registry::Registry;
@@ -112,7 +113,7 @@
         move |method, path, _body| {
             let after = path.strip_prefix(HOSTS_PATH).map(str::parse);
             match (method, path, after) {
-                ("GET", CONFIGURATION_PATH, _) => Answer::json(200, shared.borrow().document()),
+                ("GET", CONFIGURATION_PATH, _) => configuration_answer(&shared.borrow().document()),
                 ("GET", _, Some(Ok(after))) => Answer::json(200, shared.borrow().host_page(after)),
                 _ => Answer::empty(404),
             }
@@ -123,6 +124,16 @@
     serve_metrics(settings, move || shared.borrow().metrics_text()).await
 }
 
+fn configuration_answer(copy: &ConfigurationCopy) -> Answer {
+    match copy.to_json() {
+        Ok(body) => Answer::json(200, body),
+        Err(fault) => {
+            event::SEND_FAILED.log(&[("message", &fault)]);
+            Answer::empty(500)
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Control {
     state: Rc<RefCell<State>>,
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -3,15 +3,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde_json::Value;
 use usher_forwarding::NodeId;
 use usher_platform::{Listing, Reply, Request, WatchAnswer};
 use usher_types::{Span, Version};
 
+use super::configuration_copy::ConfigurationCopy;
 use super::state::State;
 use super::store_signals::StoreSignals;
-use crate::control::Backoff;
+use crate::control::{Backoff, InvalidEntries};
 use crate::event;
 use crate::http::Client;
 
@@ -19,6 +18,8 @@
 const WATCH_WAIT: Span = Span::from_secs(10);
 // The store answers in 4 ms; one that is 50 times slower is still usable.
 const CALL_TIMEOUT: Span = Span::from_millis(1_000);
+// Kind of the operator's configuration in log lines and metrics.
+const CONFIGURATIONS: &str = "configuration";
 const OK: u16 = 200;
 const GONE: u16 = 410;
 
@@ -28,15 +29,18 @@
     state: Rc<RefCell<State>>,
     signals: Rc<StoreSignals>,
     client: Client,
+    invalid_entries: InvalidEntries,
 }
 
 impl Feed {
     pub(crate) fn new(state: Rc<RefCell<State>>, signals: Rc<StoreSignals>) -> Self {
         let client = state.borrow().store_client();
+        let metrics = Arc::clone(&state.borrow().metrics);
         Self {
             state,
             signals,
             client,
+            invalid_entries: InvalidEntries::new(metrics),
         }
     }
 
@@ -93,6 +97,8 @@
             return Err(format!("status {}", reply.status));
         }
         let listing = Listing::parse(&reply).map_err(|fault| fault.to_string())?;
+        self.invalid_entries
+            .replace(CONFIGURATIONS, &listing.invalid);
         let mut state = self.state.borrow_mut();
         state.position.advance(listing.store_version);
         if let Some(object) = listing.configuration() {
@@ -119,6 +125,7 @@
             return Err(format!("status {}", reply.status));
         }
         let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
+        self.invalid_entries.add(CONFIGURATIONS, &answer.invalid);
         state.position.advance(answer.store_version);
         for object in answer.configurations() {
             state.adopt(object.version, object.spec, "store");
@@ -145,12 +152,6 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
-struct Fetched {
-    version: Version,
-    document: Value,
-}
-
 /// Fetches the configuration from another balancer.
 pub(crate) async fn fetch(state: Rc<RefCell<State>>, from: NodeId, port: u16) {
     let address = SocketAddrV4::new(from.address(), port);
@@ -165,7 +166,7 @@
         .await;
     let fetched = match reply {
         Ok(reply) if reply.status == OK => {
-            serde_json::from_slice::<Fetched>(&reply.body).map_err(|fault| fault.to_string())
+            ConfigurationCopy::parse(&reply.body).map_err(|fault| fault.to_string())
         }
         Ok(reply) => Err(format!("status {}", reply.status)),
         Err(fault) => Err(fault.to_string()),
--- a/crates/node/src/balancer/mod.rs
+++ b/crates/node/src/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! A balancer: a control thread and a traffic thread.
 
+mod configuration_copy;
 mod control;
 mod feed;
 mod host_fetch;
--- a/crates/node/src/balancer/registry.rs
+++ b/crates/node/src/balancer/registry.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::sleep;
@@ -8,9 +9,9 @@
 
 use super::state::State;
 use super::store_signals::StoreSignals;
-use crate::control::{Backoff, BalancerList, list_balancers, register, remove};
-use crate::event;
+use crate::control::{Backoff, BalancerList, InvalidEntries, list_balancers, register, remove};
 use crate::http::Client;
+use crate::{Settings, event};
 
 // How often the list of balancers is read again, to find those that a partition hid.
 const RELIST_INTERVAL: Duration = Duration::from_secs(15);
@@ -30,14 +31,16 @@
     /// Version at which the own entry was last seen.
     registered: Version,
     stale_entries: StaleEntries,
+    invalid_entries: InvalidEntries,
 }
 
 impl Registry {
     pub(crate) fn new(state: Rc<RefCell<State>>, signals: Rc<StoreSignals>) -> Self {
-        let (client, name, node) = {
+        let (client, name, node, metrics) = {
             let state = state.borrow();
-            let settings = &state.settings;
-            (state.store_client(), settings.name.clone(), settings.node)
+            let Settings { name, node, .. } = &state.settings;
+            let metrics = Arc::clone(&state.metrics);
+            (state.store_client(), name.clone(), *node, metrics)
         };
         Self {
             state,
@@ -47,6 +50,7 @@
             node,
             registered: Version::default(),
             stale_entries: StaleEntries::default(),
+            invalid_entries: InvalidEntries::new(metrics),
         }
     }
 
@@ -84,13 +88,14 @@
 
     // Returns whether a list of the present era was read.
     async fn refresh(&mut self, allow_stale: bool) -> bool {
-        let Some(list) = list_balancers(&mut self.client, allow_stale).await else {
+        let (client, invalid_entries) = (&mut self.client, &mut self.invalid_entries);
+        let Some(list) = list_balancers(client, invalid_entries, allow_stale).await else {
             return false;
         };
         if !self.is_usable(list.version.era()) {
             return false;
         }
-        if list.version >= self.registered && !list.contains(self.node) {
+        if list.complete && list.version >= self.registered && !list.contains(self.node) {
             event::ENTRY_MISSING
                 .log(&[("registered", &self.registered), ("version", &list.version)]);
             self.register().await;
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use serde_json::Value;
+use serde_json::value::RawValue;
 use usher_forwarding::{
     ActiveConfiguration, AnswerEra, ConfigurationVersion, ControlTargets, Digest, Fleet, Hello,
     HelloRotation, HostDirectory, HostPage, HostState, NodeId, Report, RoutingView, StartUp,
@@ -10,6 +10,7 @@
 use usher_platform::decode_configuration;
 use usher_types::{Era, Span, Time, Version};
 
+use super::configuration_copy::ConfigurationCopy;
 use crate::codec::PeerMessage;
 use crate::http::Client;
 use crate::metrics::Metrics;
@@ -35,7 +36,7 @@
     started: Time,
     directory: HostDirectory,
     active_configuration: ActiveConfiguration,
-    document: Value,
+    document: Box<RawValue>,
     view: Arc<ArcSwap<RoutingView>>,
     ready: bool,
     start_up: StartUp,
@@ -64,7 +65,7 @@
             epoch: usher_clock::epoch(),
             started,
             active_configuration: ActiveConfiguration::default(),
-            document: Value::Null,
+            document: RawValue::NULL.to_owned(),
             view,
             ready: false,
             start_up: StartUp::new(started),
@@ -80,7 +81,7 @@
     }
 
     /// Applies the operator's document as stored at a version, if it is newer.
-    pub(crate) fn adopt(&mut self, stored: Version, spec: Value, source: &str) {
+    pub(crate) fn adopt(&mut self, stored: Version, spec: Box<RawValue>, source: &str) {
         let current = self.version();
         if stored == current.stored {
             return;
@@ -137,11 +138,12 @@
         self.active_configuration.version()
     }
 
-    /// The document in force as JSON, for another balancer.
-    pub(crate) fn document(&self) -> String {
-        let document = &self.document;
-        let stored = self.version().stored;
-        serde_json::json!({ "version": stored, "document": document }).to_string()
+    /// The document in force, for another balancer.
+    pub(crate) fn document(&self) -> ConfigurationCopy {
+        ConfigurationCopy {
+            version: self.version().stored,
+            document: self.document.clone(),
+        }
     }
 
     pub(crate) fn on_report(&mut self, now: Time, node: NodeId, report: &Report) {
--- a/crates/node/src/control/balancer_list.rs
+++ b/crates/node/src/control/balancer_list.rs
@@ -9,6 +9,8 @@
     /// Version of the store as of which the list is complete.
     pub(crate) version: Version,
     pub(crate) entries: Vec<Listed>,
+    /// Whether a balancer that is not among the entries is not registered.
+    pub(crate) complete: bool,
 }
 
 impl BalancerList {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Code that the control threads of balancers and agents share.
 
 mod balancer_list;
+mod invalid_entries;
 mod metrics;
 mod peers;
 mod reload;
@@ -8,6 +9,7 @@
 mod store;
 
 pub(crate) use balancer_list::BalancerList;
+pub(crate) use invalid_entries::InvalidEntries;
 pub(crate) use metrics::serve_metrics;
 pub(crate) use peers::Peers;
 pub(crate) use reload::reload;
--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -2,10 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 use usher_forwarding::NodeId;
-use usher_platform::{Listing, Object, Request};
+use usher_platform::{InvalidEntry, Listing, Object, Request};
 use usher_types::{Era, Span, Version};
 
 use super::balancer_list::BalancerList;
+use super::invalid_entries::InvalidEntries;
 use crate::event;
 use crate::http::Client;
 
@@ -51,14 +52,15 @@
 ///
 /// Returns the version of the entry.
 pub(crate) async fn register(client: &mut Client, name: &str, node: NodeId) -> Version {
-    let entry = serde_json::json!(Entry { address: node });
+    let own = Entry { address: node };
+    let entry = serde_json::json!(own);
     let mut request = Request::create(BALANCERS, name, &entry);
     let mut backoff = Backoff::new();
     loop {
         match client.call("register", &request, CALL_TIMEOUT).await {
             Ok(reply) if matches!(reply.status, OK | CREATED | CONFLICT) => {
                 match Object::parse(&reply) {
-                    Ok(object) if object.spec == entry => {
+                    Ok(object) if object.decode().as_ref() == Ok(&own) => {
                         let version = object.version;
                         event::REGISTERED.log(&[("node", &node), ("version", &version)]);
                         return version;
@@ -112,62 +114,80 @@
 
 /// Lists the balancers in the store; `None` if the store is not available.
 ///
-/// With `allow_stale` the list may be some seconds old, and of an earlier era.
-pub(crate) async fn list_balancers(client: &mut Client, allow_stale: bool) -> Option<BalancerList> {
+/// With `allow_stale` the list may be some seconds old, and of an earlier era. Entries that cannot be
+/// decoded are left out.
+pub(crate) async fn list_balancers(
+    client: &mut Client,
+    invalid_entries: &mut InvalidEntries,
+    allow_stale: bool,
+) -> Option<BalancerList> {
     let mut list: Option<BalancerList> = None;
+    let mut invalid = Vec::new();
     let mut after: Option<String> = None;
     loop {
-        let request = Request::list(BALANCERS, after.as_deref(), allow_stale);
-        let reply = match client.call("balancers", &request, CALL_TIMEOUT).await {
-            Ok(reply) => reply,
-            Err(fault) => {
-                event::STORE_DOWN.log(&[("call", &"balancers"), ("fault", &fault)]);
-                return None;
-            }
-        };
-        if reply.status != OK {
-            event::STORE_DOWN.log(&[("call", &"balancers"), ("status", &reply.status)]);
-            return None;
-        }
-        let listing = match Listing::parse(&reply) {
-            Ok(listing) => listing,
-            Err(fault) => {
-                event::STORE_DOWN.log(&[("call", &"balancers"), ("fault", &fault)]);
-                return None;
-            }
-        };
+        let listing = list_page(client, after.as_deref(), allow_stale).await?;
         let version = listing.store_version;
         let known = list.get_or_insert_with(|| BalancerList {
             version,
             entries: Vec::new(),
+            complete: true,
         });
         if version.era() != known.version.era() {
             let fault = "store restored between two pages";
             event::STORE_DOWN.log(&[("call", &"balancers"), ("fault", &fault)]);
             return None;
         }
-        let more = listing.more;
-        after = listing.objects.last().map(|object| object.name.clone());
-        known
-            .entries
-            .extend(listing.objects.into_iter().filter_map(read_entry));
-        if !more || after.is_none() {
-            return list;
+        let next = listing.next_page(after.as_deref());
+        let next = next.map(|next| next.map(str::to_owned));
+        invalid.extend(listing.invalid);
+        for object in listing.objects {
+            match Listed::of(object) {
+                Ok(entry) => known.entries.extend(entry),
+                Err(entry) => invalid.push(entry),
+            }
         }
+        after = match next {
+            Ok(Some(after)) => Some(after),
+            Ok(None) => break,
+            Err(fault) => {
+                event::LIST_INCOMPLETE.log(&[("kind", &BALANCERS), ("fault", &fault)]);
+                known.complete = false;
+                break;
+            }
+        };
     }
+    invalid_entries.replace(BALANCERS, &invalid);
+    list
+}
+
+async fn list_page(client: &mut Client, after: Option<&str>, allow_stale: bool) -> Option<Listing> {
+    let request = Request::list(BALANCERS, after, allow_stale);
+    let fault = match client.call("balancers", &request, CALL_TIMEOUT).await {
+        Ok(reply) if reply.status == OK => match Listing::parse(&reply) {
+            Ok(listing) => return Some(listing),
+            Err(fault) => fault.to_string(),
+        },
+        Ok(reply) => format!("status {}", reply.status),
+        Err(fault) => fault.to_string(),
+    };
+    event::STORE_DOWN.log(&[("call", &"balancers"), ("fault", &fault)]);
+    None
 }
 
-fn read_entry(object: Object) -> Option<Listed> {
-    match serde_json::from_value::<Entry>(object.spec) {
-        Ok(_) if object.deleting => None,
-        Ok(entry) => Some(Listed {
-            node: entry.address,
-            name: object.name,
-            version: object.version,
-        }),
-        Err(fault) => {
-            event::MALFORMED.log(&[("balancer", &object.name), ("fault", &fault)]);
-            None
+impl Listed {
+    // `None` for an entry that is marked for removal.
+    fn of(object: Object) -> Result<Option<Self>, InvalidEntry> {
+        match object.decode::<Entry>() {
+            Ok(_) if object.deleting => Ok(None),
+            Ok(entry) => Ok(Some(Self {
+                node: entry.address,
+                name: object.name,
+                version: object.version,
+            })),
+            Err(fault) => Err(InvalidEntry {
+                name: Some(object.name),
+                fault,
+            }),
         }
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -20,6 +20,8 @@
     STORE_RESTORED = 2115, Warn, "store restored from a copy";
     ANSWER_OUTDATED = 2116, Warn, "answer of an earlier era of the store ignored";
     ENTRY_MISSING = 2117, Warn, "balancer no longer registered; registering again";
+    ENTRY_INVALID = 2118, Warn, "entry of the store ignored";
+    LIST_INCOMPLETE = 2119, Warn, "list of the store read in part";
     BALANCER_FOUND = 2121, Info, "balancer discovered";
     BALANCER_EXPIRED = 2122, Info, "silent balancer removed from the fleet";
     BALANCER_REMOVED = 2123, Info, "entry of a silent balancer removed from the store";
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -48,6 +48,7 @@
     VERSION = "usher_configuration_version", "gauge", "revision", "Revision of the configuration in force, in its era of the store";
     LABEL = "usher_configuration_label", "gauge", "number", "Operator's number of the configuration in force";
     STORE_ERA = "usher_store_era", "gauge", "restores", "How often the store had been restored by its last answer";
+    INVALID = "usher_store_invalid_entries", "gauge", "entries", "Entries of the store that cannot be decoded, by kind";
     HOSTS = "usher_hosts", "gauge", "hosts", "Hosts that the balancer knows";
     FLOWS = "usher_flows", "gauge", "flows", "Flows in the memory of the agent";
     WORKING = "usher_working", "gauge", "requests", "Requests at the backend server";
@@ -79,6 +80,7 @@
     version: Gauge,
     label: Gauge,
     store_era: Gauge,
+    invalid: Family<[(&'static str, &'static str); 1], Gauge>,
     hosts: Gauge,
     flows: Gauge,
     working: Gauge,
@@ -106,6 +108,7 @@
             version: Gauge::default(),
             label: Gauge::default(),
             store_era: Gauge::default(),
+            invalid: Family::default(),
             hosts: Gauge::default(),
             flows: Gauge::default(),
             working: Gauge::default(),
@@ -125,6 +128,7 @@
         registry.register(VERSION.name, VERSION.help, metrics.version.clone());
         registry.register(LABEL.name, LABEL.help, metrics.label.clone());
         registry.register(STORE_ERA.name, STORE_ERA.help, metrics.store_era.clone());
+        registry.register(INVALID.name, INVALID.help, metrics.invalid.clone());
         registry.register(HOSTS.name, HOSTS.help, metrics.hosts.clone());
         registry.register(FLOWS.name, FLOWS.help, metrics.flows.clone());
         registry.register(WORKING.name, WORKING.help, metrics.working.clone());
@@ -176,6 +180,14 @@
         set(&self.hosts, hosts as u64);
     }
 
+    /// Sets the number of entries of a kind that cannot be decoded.
+    pub(crate) fn set_invalid(&self, kind: &'static str, entries: usize) {
+        set(
+            &self.invalid.get_or_create(&[("kind", kind)]),
+            entries as u64,
+        );
+    }
+
     /// Sets the gauges of an agent.
     pub(crate) fn set_agent(&self, flows: usize, working: u16) {
         set(&self.flows, flows as u64);
--- /dev/null
+++ b/crates/node/tests/odd_entries.rs
@@ -0,0 +1,53 @@
+//! Entries of another writer among those of the system, as real processes meet them.
+
+use std::path::Path;
+
+use usher_platform_standin::{Deployment, SECOND_BALANCER, SERVICE, eventually};
+
+fn odd_entries() -> Vec<String> {
+    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
+    let named = |spec: &str| format!(r#"{{"meta":{{"name":"0","revision":1}},"spec":{spec}}}"#);
+    vec![
+        named(&deep),
+        named("1e999"),
+        named(r#"{"address":"127.0.0.1:70000"}"#),
+        named(r#"{"address":"300.0.0.1"}"#),
+        r#"{"meta":{"name":"1","revision":99999999999999999999},"spec":{}}"#.to_owned(),
+        r#"{"meta":{"name":7}}"#.to_owned(),
+        deep,
+    ]
+}
+
+/// Guards against odd entries that end a process, or keep it from following the configuration and
+/// from finding the balancers.
+#[test]
+fn odd_entries_stop_no_process() {
+    let program = Path::new(env!("CARGO_BIN_EXE_marigoldusher-node"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let mut deployment = Deployment::start(31, program, folder);
+    eventually("a heartbeat is acknowledged", || {
+        deployment.heartbeat("ready", 1) == 200
+    });
+    deployment.await_flow(1_000);
+    for kind in ["config", "balancers"] {
+        for odd in odd_entries() {
+            deployment.store.add_odd(kind, &odd);
+        }
+    }
+    deployment.store.configure("198.18.0.9", 443, SERVICE);
+    deployment.await_no_route(2_000);
+    deployment.store.configure("198.18.0.1", 443, SERVICE);
+    deployment.await_flow(3_000);
+    deployment.replace_agent(&[]);
+    let mut second = deployment.second_balancer(&[]);
+    eventually("the second balancer is ready", || {
+        deployment.ready_at(SECOND_BALANCER) == 200
+    });
+    eventually("a heartbeat is acknowledged", || {
+        deployment.heartbeat("ready", 2) == 200
+    });
+    deployment.await_flow(4_000);
+    deployment.await_flow_at(SECOND_BALANCER, 5_000);
+    assert!(deployment.balancer.is_running() && deployment.agent.is_running());
+    assert!(second.is_running());
+}
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -26,7 +26,8 @@
             .map(Object::key)
             .collect();
         if update.whole {
-            self.cache.apply_list(update.through, update.objects);
+            let held = &update.held;
+            self.cache.apply_list(update.through, update.objects, held);
         } else {
             self.cache
                 .apply_since(update.after, update.through, update.objects);
--- a/crates/runtime/src/control/update.rs
+++ b/crates/runtime/src/control/update.rs
@@ -1,4 +1,4 @@
-use usher_config::Object;
+use usher_config::{Object, ObjectKey};
 use usher_store::Batch;
 use usher_types::Version;
 
@@ -11,7 +11,9 @@
     pub(crate) after: Version,
     pub(crate) through: Version,
     pub(crate) objects: Vec<Object>,
-    /// An object that is not among `objects` is missing in the store.
+    /// Objects that the store holds and that could not be decoded.
+    pub(crate) held: Vec<ObjectKey>,
+    /// An object that is neither among `objects` nor in `held` is missing in the store.
     pub(crate) whole: bool,
 }
 
@@ -22,7 +24,7 @@
             after,
             through: batch.through,
             objects: batch.objects,
-            whole: false,
+            ..Self::default()
         }
     }
 
@@ -40,11 +42,12 @@
         for fault in &batch.unreadable {
             event::CONFIG_INVALID.log(&[("fault", fault)]);
         }
-        let whole = batch.is_complete();
+        let (held, whole) = (batch.held(), batch.is_complete());
         Self {
             after: batch.after,
             through: batch.through,
             objects: batch.objects,
+            held,
             whole,
         }
     }
--- a/crates/scenario/src/machine.rs
+++ b/crates/scenario/src/machine.rs
@@ -155,7 +155,7 @@
     objects: Vec<Object>,
 ) -> usize {
     if after == Version::default() && through > after {
-        return cache.apply_list(through, objects);
+        return cache.apply_list(through, objects, &[]);
     }
     cache.apply_since(after, through, objects)
 }
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -1,6 +1,6 @@
 use indexmap::IndexSet;
-use usher_config::{Cache, Object};
-use usher_platform::{Listing, Object as PlatformObject, WatchAnswer};
+use usher_config::{Cache, Object, ObjectKey};
+use usher_platform::{Change, InvalidEntry, Listing, Object as PlatformObject, WatchAnswer};
 use usher_types::Version;
 
 use crate::{StoreError, StoredObject};
@@ -42,13 +42,14 @@
     /// ```
     pub fn apply_to(self, cache: &mut Cache) -> usize {
         if self.is_complete() {
-            cache.apply_list(self.through, self.objects)
+            let held = self.held();
+            cache.apply_list(self.through, self.objects, &held)
         } else {
             cache.apply_since(self.after, self.through, self.objects)
         }
     }
 
-    /// Whether an object that the batch lacks is missing in the store.
+    /// Whether an object that is neither in the batch nor in `held` is missing in the store.
     ///
     /// ```
     /// # use usher_store::Batch;
@@ -58,7 +59,21 @@
     /// assert!(batch.is_complete());
     /// ```
     pub fn is_complete(&self) -> bool {
-        self.whole && self.unreadable.is_empty()
+        self.whole
+    }
+
+    /// Objects that the store holds under a valid key and that could not be decoded.
+    ///
+    /// ```
+    /// # use usher_store::Batch;
+    /// # let (after, through) = Default::default();
+    /// # let (objects, unreadable) = Default::default();
+    /// # let batch = Batch { after, through, objects, unreadable, whole: true };
+    /// assert!(batch.held().is_empty());
+    /// ```
+    pub fn held(&self) -> Vec<ObjectKey> {
+        let unreadable = self.unreadable.iter();
+        unreadable.filter_map(StoreError::key).collect()
     }
 
     /// Creates an empty batch for all objects of the store.
@@ -74,9 +89,11 @@
 
     /// Adds the objects of one page of a list.
     pub(crate) fn add(&mut self, page: Listing) {
-        self.report_ignored(page.ignored);
+        for entry in &page.invalid {
+            self.add_invalid(entry);
+        }
         for stored in page.objects {
-            self.add_object(stored, None);
+            self.add_object(stored);
         }
     }
 
@@ -84,34 +101,48 @@
     pub(crate) fn changes(after: Version, answer: WatchAnswer) -> Self {
         let mut batch = Self::empty(answer.store_version.max(after));
         batch.after = after;
+        for entry in &answer.invalid {
+            batch.add_invalid(entry);
+        }
         batch.whole = false;
-        batch.report_ignored(answer.ignored);
         let mut seen = IndexSet::new();
-        for (stored, removed) in answer.changes.into_iter().rev() {
-            if seen.insert(stored.name.clone()) {
-                // A removal carries only the object's last revision; it happened at `through` or before.
-                batch.add_object(stored, removed.then_some(answer.store_version));
+        for change in answer.changes.into_iter().rev() {
+            match change {
+                Change::Written(stored) if seen.insert(stored.name.clone()) => {
+                    batch.add_object(stored);
+                }
+                // It happened at this version of the store or before.
+                Change::Removed { name } if seen.insert(name.clone()) => {
+                    batch.add_removal(&name, answer.store_version);
+                }
+                Change::Written(_) | Change::Removed { .. } => {}
             }
         }
         batch.objects.sort_by_key(|object| object.position);
         batch
     }
 
-    fn add_object(&mut self, stored: PlatformObject, removed: Option<Version>) {
-        let decoded = StoredObject::try_from(stored).map(|decoded| match removed {
-            Some(version) => decoded.tombstone(version),
-            None => decoded,
-        });
-        match decoded.and_then(StoredObject::object) {
+    fn add_object(&mut self, stored: PlatformObject) {
+        match StoredObject::try_from(stored).and_then(StoredObject::object) {
             Ok(object) => self.objects.push(object),
             Err(error) => self.unreadable.push(error),
         }
     }
 
-    fn report_ignored(&mut self, count: usize) {
-        if count > 0 {
-            let text = format!("{count} entries are not objects");
-            self.unreadable.push(StoreError::Unreadable(text));
+    fn add_removal(&mut self, name: &str, position: Version) {
+        let key = StoredObject::key(name);
+        match key.and_then(|key| StoredObject::tombstone(key, position).object()) {
+            Ok(object) => self.objects.push(object),
+            Err(error) => self.unreadable.push(error),
         }
     }
+
+    fn add_invalid(&mut self, entry: &InvalidEntry) {
+        self.unreadable.push(match &entry.name {
+            Some(name) => StoredObject::invalid(name, &entry.fault),
+            None => StoreError::Unreadable(entry.fault.to_string()),
+        });
+        // An entry without a name may be any object.
+        self.whole &= entry.name.is_some();
+    }
 }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -70,6 +70,32 @@
 }
 
 impl StoreError {
+    /// Key of the object whose value cannot be read, if it is one of the project's own objects.
+    ///
+    /// ```
+    /// use usher_store::StoreError;
+    /// let (key, cause) = ("profile/fast".to_owned(), "missing field".to_owned());
+    /// assert!(StoreError::Value { key, cause }.key().is_some());
+    /// assert!(StoreError::Status(418).key().is_none());
+    /// ```
+    pub fn key(&self) -> Option<ObjectKey> {
+        match self {
+            Self::Value { key, .. } => key.parse().ok(),
+            _ => None,
+        }
+    }
+
+    /// Whether the error concerns an entry whose name is not one of the project's own.
+    ///
+    /// ```
+    /// use usher_store::StoreError;
+    /// let (key, cause) = ("painting/odd".to_owned(), "unknown kind".to_owned());
+    /// assert!(StoreError::Value { key, cause }.is_foreign());
+    /// ```
+    pub fn is_foreign(&self) -> bool {
+        matches!(self, Self::Value { .. }) && self.key().is_none()
+    }
+
     /// Returns the error number, for example `MU-3005`.
     ///
     /// ```
--- a/crates/store/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -147,10 +147,10 @@
                 let cause = "the store was restored during a list".to_owned();
                 return Err(Failure::NoAnswer(cause));
             }
-            let more = page.more;
-            after = page.objects.last().map(|object| object.name.clone());
+            let next = page.next_page(after.as_deref()).map_err(unreadable)?;
+            after = next.map(str::to_owned);
             first.add(page);
-            if !more || after.is_none() {
+            if after.is_none() {
                 break;
             }
         }
--- a/crates/store/src/stored_object.rs
+++ b/crates/store/src/stored_object.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
-use serde_json::Value as Json;
+use serde_json::value::RawValue;
 use usher_config::{Condition, Object, ObjectKey, Rank, Write};
-use usher_platform::{Object as PlatformObject, Reply, Request};
+use usher_platform::{DecodeError, Object as PlatformObject, Reply, Request};
 use usher_types::{Era, Version};
 
 use crate::{StoreError, decode, encode};
@@ -12,7 +12,7 @@
 const SEPARATOR: char = '.';
 
 /// An object as stored; its value is not decoded yet.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub(crate) struct StoredObject {
     key: ObjectKey,
     /// Era of the answer and revision of the object.
@@ -21,7 +21,7 @@
 }
 
 /// Content of an object in the store.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct Spec {
     /// Id of the write that made this version. Other tools may omit it or write anything, which then
     /// matches no id of this client.
@@ -35,7 +35,7 @@
     revision: Option<u64>,
     /// `None` marks a deleted object.
     #[serde(default)]
-    value: Option<Json>,
+    value: Option<Box<RawValue>>,
 }
 
 impl StoredObject {
@@ -52,13 +52,27 @@
             .try_into()
     }
 
-    /// Turns the object into a tombstone at the position of its deletion.
-    pub(crate) fn tombstone(mut self, position: Version) -> Self {
-        self.spec.value = None;
-        self.spec.era = position.era();
-        self.spec.revision = None;
-        self.position = position;
-        self
+    /// The tombstone of an object that another tool has removed by `position`.
+    pub(crate) fn tombstone(key: ObjectKey, position: Version) -> Self {
+        Self {
+            key,
+            position,
+            spec: Spec {
+                era: position.era(),
+                ..Spec::default()
+            },
+        }
+    }
+
+    /// Decodes the name of an object.
+    pub(crate) fn key(name: &str) -> Result<ObjectKey, StoreError> {
+        let path = path(name);
+        path.parse().map_err(|cause| value_error(&path, &cause))
+    }
+
+    /// The error of an entry of a list whose name can be read and nothing else.
+    pub(crate) fn invalid(name: &str, fault: &DecodeError) -> StoreError {
+        value_error(&path(name), fault)
     }
 
     fn version(&self) -> Version {
@@ -70,7 +84,11 @@
     pub(crate) fn object(self) -> Result<Object, StoreError> {
         let kind = self.key.kind;
         let version = self.version();
-        let value = self.spec.value.map(|json| decode(kind, json)).transpose();
+        let value = self.spec.value.map(|json| {
+            let json = serde_json::from_str(json.get())?;
+            decode(kind, json)
+        });
+        let value = value.transpose();
         let value = value.map_err(|cause| value_error(&self.key.to_string(), &cause))?;
         Ok(Object {
             kind,
@@ -87,9 +105,9 @@
     type Error = StoreError;
 
     fn try_from(stored: PlatformObject) -> Result<Self, StoreError> {
-        let path = stored.name.replacen(SEPARATOR, "/", 1);
-        let key = path.parse().map_err(|cause| value_error(&path, &cause))?;
-        let spec = Spec::deserialize(stored.spec).map_err(|cause| value_error(&path, &cause))?;
+        let key = Self::key(&stored.name)?;
+        let spec = stored.decode();
+        let spec = spec.map_err(|fault| value_error(&key.to_string(), &fault))?;
         Ok(Self {
             key,
             position: stored.version,
@@ -136,6 +154,10 @@
     }
 }
 
+fn path(name: &str) -> String {
+    name.replacen(SEPARATOR, "/", 1)
+}
+
 fn value_error(key: &str, cause: &dyn std::fmt::Display) -> StoreError {
     StoreError::Value {
         key: key.to_owned(),
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -253,6 +253,44 @@
     }
 }
 
+// Guards against one entry of another writer that stops all lists and watches, and against a list that
+// counts an object as missing whose content alone is odd.
+#[async_std::test]
+async fn odd_entries_do_not_hide_others() {
+    let fixture = Fixture::new();
+    let since = fixture.create("fast").await;
+    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
+    let named =
+        |spec: &str| format!(r#"{{"meta":{{"name":"profile.odd","revision":1}},"spec":{spec}}}"#);
+    for odd in [
+        named(&deep),
+        named("1e999"),
+        named(r#"{"value":{"hunt":1e999}}"#),
+        r#"{"meta":{"name":"profile.far","revision":99999999999999999999}}"#.to_owned(),
+    ] {
+        fixture.server.add_odd(KIND, &odd);
+    }
+    let batch = fixture.store.list(None, Version::default()).await.unwrap();
+    assert_eq!((batch.objects.len(), batch.unreadable.len()), (1, 4));
+    assert!(batch.is_complete());
+    let held = batch.held();
+    assert!(
+        held.contains(&key("odd")) && held.contains(&key("far")),
+        "{held:?}"
+    );
+    fixture.create("other").await;
+    // A watch reports the last change of each object only.
+    let batch = fixture.store.watch(None, since, Span::ZERO).await.unwrap();
+    assert_eq!((batch.objects.len(), batch.unreadable.len()), (1, 2));
+    fixture.server.add_odd(KIND, "7");
+    let batch = fixture.store.list(None, Version::default()).await.unwrap();
+    assert_eq!(batch.objects.len(), 2);
+    assert!(
+        !batch.is_complete(),
+        "an entry without a name may be any object"
+    );
+}
+
 // Guards against a value above the limit that the client sends, or the store accepts.
 #[async_std::test]
 async fn values_have_a_limit() {
