A lease that a restore has lost is not taken within its term

After a restore of the store a contender that found no lease took it at once, while a holder that had not heard of the restore passed its own check for up to a term: two holders. A contender that had seen the lost lease proposed a condition of the earlier era for good.

Cause: a missing object counted as a free lease. A deletion leaves a tombstone, so an object that is gone was lost.

Change: a contender waits for a whole term from its first read, unless it saw the release in the same era; a lease that is gone is observed anew. The examples on the public functions now show a take after the term.

--- a/crates/config/src/store_lease.rs
+++ b/crates/config/src/store_lease.rs
@@ -18,7 +18,9 @@
 #[derive(Debug, Clone)]
 struct Observation {
     position: Version,
-    term: Option<Span>,
+    condition: Condition,
+    /// Time after `since` for which a process may hold the lease.
+    term: Span,
     since: Time,
 }
 
@@ -41,7 +43,8 @@
 /// let own = Peer::Instance("riga-centrs-1".parse().unwrap());
 /// let mut lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
 /// lease.observe(Time::ZERO, None);
-/// assert!(lease.acquire(Time::ZERO, WriteId::new(1)).is_some());
+/// let now = Time::ZERO + Span::from_secs(4);
+/// assert!(lease.acquire(now, WriteId::new(1)).is_some());
 /// let held = lease.granted(Time::ZERO, Version::new(5));
 /// assert!(held.check(Time::from_micros(2_999_999)).is_ok());
 /// assert!(held.check(Time::from_micros(3_000_000)).is_err());
@@ -107,32 +110,42 @@
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// let mut lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// lease.observe(Time::ZERO, None);
-    /// assert!(lease.acquire(Time::ZERO, WriteId::new(1)).is_some());
+    /// assert!(lease.acquire(Time::ZERO, WriteId::new(1)).is_none());
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
     pub fn observe(&mut self, now: Time, object: Option<&Object>) {
         let position = object.map_or_else(Version::default, |object| object.position);
-        let term = match object.and_then(|object| object.value.as_ref()) {
-            Some(crate::Value::Lease(record)) => Some(record.term),
-            _ => None,
-        };
-        if self
-            .state
-            .observation
-            .as_ref()
-            .is_none_or(|observation| observation.position < position)
-        {
-            self.state.observation = Some(Observation {
-                position,
-                term,
-                since: now,
-            });
+        let known = self.state.observation.as_ref();
+        // A deletion leaves a tombstone, so an object that is gone was lost by a restore.
+        let is_lost =
+            object.is_none() && known.is_some_and(|known| known.position != Version::default());
+        if !is_lost && known.is_some_and(|known| known.position >= position) {
+            return;
         }
+        let (condition, term) = match object.and_then(|object| object.value.as_ref()) {
+            Some(crate::Value::Lease(record)) => (Condition::Version(position), record.term),
+            _ if !is_lost && self.has_followed(position) => (Condition::Absent, Span::ZERO),
+            _ => (Condition::Absent, self.term),
+        };
+        self.state.observation = Some(Observation {
+            position,
+            condition,
+            term,
+            since: now,
+        });
+    }
+
+    // Whether this process has seen the lease in the era of `position` before. If not, a restore may
+    // have lost a lease whose holder has not heard of it.
+    fn has_followed(&self, position: Version) -> bool {
+        let known = self.state.observation.as_ref();
+        known.is_some_and(|known| known.position.era() == position.era())
     }
 
     /// The write that takes the lease, if no process can still hold it.
     ///
-    /// A lease whose position has not changed for its term plus the drift margin has lapsed.
+    /// A lease whose position has not changed for its term plus the drift margin has lapsed. So has
+    /// one that this process has not found for that time; one that it saw released is free at once.
     ///
     /// ```
     /// # use usher_config::{StoreLease, WriteId};
@@ -140,19 +153,17 @@
     /// # let own = Peer::Instance("riga-centrs-1".parse().unwrap());
     /// let mut lease = StoreLease::new("watcher".parse()?, own, Span::from_secs(3));
     /// lease.observe(Time::ZERO, None);
-    /// assert!(lease.acquire(Time::ZERO, WriteId::new(1)).is_some());
+    /// let later = Time::ZERO + Span::from_secs(4);
+    /// assert!(lease.acquire(later, WriteId::new(1)).is_some());
     /// # Ok::<(), usher_config::ConfigError>(())
     /// ```
     pub fn acquire(&self, now: Time, id: WriteId) -> Option<Write> {
         let observation = self.state.observation.as_ref()?;
-        let condition = match observation.term {
-            None => Condition::Absent,
-            Some(term) if now - observation.since >= term.scale(DRIFT_FACTOR) => {
-                Condition::Version(observation.position)
-            }
-            Some(_) => return None,
-        };
-        Some(self.write(id, condition, observation.position.era(), true))
+        if now - observation.since < observation.term.scale(DRIFT_FACTOR) {
+            return None;
+        }
+        let era = observation.position.era();
+        Some(self.write(id, observation.condition, era, true))
     }
 
     /// The acquiring write sent at `sent` took effect; the term counts from its sending.
