Log fields with control characters are quoted

A line break in a name of another writer began a log line of its own. Fields are now quoted and escaped if they hold any control character.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -73,7 +73,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (key, value) in self.0 {
             let text = value.to_string();
-            if text.contains([' ', '"', '=']) {
+            // A line break of another writer must not begin a line of its own.
+            if text.contains(|sign: char| " \"=".contains(sign) || sign.is_control()) {
                 write!(f, " {key}={text:?}")?;
             } else {
                 f.write_char(' ')?;
