A port that is in use again opens a new flow

Where a caller used a port again within four seconds, its opening packet was taken for one of the closed flow: it reached the backend server even while that drained, and the agent forgot the new flow after four quiet seconds, so that its packets were searched for at other hosts.

Cause: the agent delivered every packet of a flow in its table, closed ones included. Change: an opening packet of a closed flow is decided on like any other; late packets of the closed flow still go to its host.

forwarding::agent::flows::a_reused_port_opens_a_new_flow failed first; all tests of the crate are green.

--- a/crates/forwarding/src/agent/forwarder.rs
+++ b/crates/forwarding/src/agent/forwarder.rs
@@ -117,7 +117,10 @@
         forward_header: &ForwardHeader,
     ) -> Inbound {
         let flow = packet_header.inbound();
-        if let Some(entry) = self.flows.get_mut(&flow) {
+        let entry = self.flows.get_mut(&flow);
+        // A caller uses the port of a closed flow again: this opens a new flow.
+        let entry = entry.filter(|entry| !packet_header.opens() || entry.phase != Phase::Closed);
+        if let Some(entry) = entry {
             entry.on_caller(now, packet_header);
             let settled = matches!(entry.phase, Phase::Open | Phase::Closed);
             let token = if settled {
--- a/crates/forwarding/tests/agent/fixture.rs
+++ b/crates/forwarding/tests/agent/fixture.rs
@@ -130,3 +130,13 @@
     agent.on_packet(at(2), &data_packet(port), &forward_header(&[3, 4], 0));
     agent.on_host_packet(at(3), &answer(&data_packet(port), false, 0));
 }
+
+// Both ends finish the flow.
+pub fn close_flow(agent: &mut AgentForwarder, port: u16) {
+    let mut caller = data_packet(port);
+    caller.flags.finishing = true;
+    agent.on_packet(at(4), &caller, &forward_header(&[3, 4], 0));
+    let mut host = answer(&caller, false, 0);
+    host.flags.finishing = true;
+    agent.on_host_packet(at(4), &host);
+}
--- a/crates/forwarding/tests/agent/flows.rs
+++ b/crates/forwarding/tests/agent/flows.rs
@@ -5,8 +5,8 @@
 };
 
 use crate::fixture::{
-    agent, answer, at, data_packet, forward_header, heartbeat, node, open_flow, opening, returned,
-    serving_agent,
+    FLOW_LIFE, agent, answer, at, close_flow, data_packet, forward_header, heartbeat, node,
+    open_flow, opening, returned, serving_agent,
 };
 
 /// Guards against a restarted agent that delivers new flows before a heartbeat.
@@ -267,6 +267,40 @@
     assert_eq!(inbound.notify, None);
 }
 
+/// Guards against a new flow from a port that was in use before and is taken for the old one: its opening
+/// packet reached a backend server that drains, and its packets were searched for elsewhere.
+#[test]
+fn a_reused_port_opens_a_new_flow() {
+    let mut agent = serving_agent();
+    open_flow(&mut agent, 1);
+    close_flow(&mut agent, 1);
+    let again = agent.on_packet(at(2_000), &opening(1), &forward_header(&[3, 4], 0));
+    assert_matches!(again.action, InboundAction::Deliver { opening: true, token } if token != 0);
+    agent.on_host_packet(at(2_001), &answer(&opening(1), true, 0));
+    agent.on_host_packet(at(2_003), &answer(&data_packet(1), false, 0));
+    assert_eq!(agent.open(), 1);
+    agent.expire(at(7_000), FLOW_LIFE);
+    let later = agent.on_packet(at(7_000), &data_packet(1), &forward_header(&[3], 0));
+    assert_matches!(later.action, InboundAction::Deliver { token: 0, .. });
+    close_flow(&mut agent, 1);
+    let draining = HostHeartbeat {
+        draining: true,
+        ..heartbeat("i-1", 100, 2)
+    };
+    agent.on_heartbeat(at(8_000), draining);
+    let refused = agent.on_packet(at(8_001), &opening(1), &forward_header(&[3, 4], 0));
+    assert_matches!(
+        refused.action,
+        InboundAction::Forward { to, reason: ForwardReason::NotServing, .. } if to == node(4)
+    );
+    let late = agent.on_packet(at(8_002), &data_packet(1), &forward_header(&[3], 0));
+    assert_matches!(
+        late.action,
+        InboundAction::Deliver { opening: false, .. },
+        "late packets of the old flow go to its host"
+    );
+}
+
 /// Guards against a flow that its agent forgets when one copy of its opening packet is returned.
 #[test]
 fn a_returned_copy_does_not_end_the_flow_that_another_copy_opened() {
