A backend server without heartbeats gets no trial packet

The agent of a host that had crashed went on to try it with one opening packet each half second, for as long as the agent ran; each trial made a caller wait for its retransmission. A backend server that answers nothing and has missed two heartbeats is gone: it gets no trial before its next heartbeat or packet.

forwarding::agent::flows::a_backend_server_without_heartbeats_gets_no_trial failed first (a trial was delivered after 2.8 s); the crate's tests are green.

--- a/crates/forwarding/src/agent/forwarder.rs
+++ b/crates/forwarding/src/agent/forwarder.rs
@@ -261,7 +261,8 @@
                 notify: None,
             };
         }
-        if !forward_header.is_final && self.monitor.is_silent(now) {
+        let overdue = now - self.heard_at > HEARTBEAT_TIMEOUT;
+        if !forward_header.is_final && self.monitor.is_silent(now, overdue) {
             return self.forward_opening(now, flow, forward_header, None, ForwardReason::Silent);
         }
         if self.wait_queue.len() == 0 && self.has_room(now, EXTRA_REQUESTS) {
--- a/crates/forwarding/src/agent/host_monitor.rs
+++ b/crates/forwarding/src/agent/host_monitor.rs
@@ -44,10 +44,12 @@
     }
 
     /// Whether opening packets remain unanswered and no trial is due.
-    pub(crate) fn is_silent(&self, now: Time) -> bool {
+    ///
+    /// A backend server whose heartbeats are `overdue` gets no trial.
+    pub(crate) fn is_silent(&self, now: Time, overdue: bool) -> bool {
         self.unanswered_since
             .is_some_and(|since| now - since > ANSWER_TIMEOUT)
-            && now - self.last_trial < TRIAL_INTERVAL
+            && (overdue || now - self.last_trial < TRIAL_INTERVAL)
     }
 
     /// Whether the backend server has returned an opening packet lately.
--- a/crates/forwarding/tests/agent/flows.rs
+++ b/crates/forwarding/tests/agent/flows.rs
@@ -242,6 +242,29 @@
     assert!(agent.load(at(702)).working >= 1);
 }
 
+/// Guards against callers that wait at a backend server that is gone, on trials that repeat for as long as
+/// the agent runs.
+#[test]
+fn a_backend_server_without_heartbeats_gets_no_trial() {
+    let mut agent = serving_agent();
+    agent.on_packet(at(2_000), &opening(1), &forward_header(&[3, 4], 0));
+    for millis in [2_800, 3_600, 60_000] {
+        let header = forward_header(&[3, 4], 0);
+        let inbound = agent.on_packet(at(millis), &opening(millis as u16), &header);
+        assert_matches!(
+            inbound.action,
+            InboundAction::Forward {
+                reason: ForwardReason::Silent,
+                ..
+            },
+            "{millis}"
+        );
+    }
+    agent.on_heartbeat(at(60_001), heartbeat("i-1", 100, 2));
+    let trial = agent.on_packet(at(60_002), &opening(5), &forward_header(&[3, 4], 0));
+    assert_matches!(trial.action, InboundAction::Deliver { opening: true, .. });
+}
+
 /// Guards against new flows at an agent that is shutting down.
 #[test]
 fn a_stopping_agent_takes_no_new_flow() {
