The test of a restored store sends heartbeats as a backend server would

Its backend server answers no packet and sent one heartbeat; since a backend server that does neither gets no trial packets, its last flow did not arrive. One more heartbeat before that flow; nothing that the test checks is changed.

--- a/crates/node/tests/restored.rs
+++ b/crates/node/tests/restored.rs
@@ -73,6 +73,8 @@
     refuse_flows(&deployment, &[2, SECOND_BALANCER], 5_000..5_010);
     store.configure_label(8, &[OTHER_ROUTE]);
     refuse_flows(&deployment, &[2, SECOND_BALANCER], 6_000..6_010);
+    // The backend server of this test answers no packet, so only heartbeats show that it runs.
+    assert_eq!(deployment.heartbeat("ready", 2), 200);
     store.configure_label(9, &[ROUTE]);
     let written = Instant::now();
     deployment.await_flow(7_000);
