Each call of the platform client has a connection of its own

A server that sent a second copy of an answer late, on a connection that was in use again, gave the next call the answer to an earlier one: nothing in HTTP/1.1 tells them apart. The store client of the nodes reused its connection; that of the project's own objects never did.

Change: a call opens a connection and closes it. A store call of a node takes one round trip more.

--- a/crates/daemon/tests/processes/deployment.rs
+++ b/crates/daemon/tests/processes/deployment.rs
@@ -265,7 +265,7 @@
             path: "/faults".to_owned(),
             body: faults.to_string(),
         };
-        let mut client = Client::new(SocketAddrV4::new(self.ip, STORE_PORT));
+        let client = Client::new(SocketAddrV4::new(self.ip, STORE_PORT));
         let limit = Span::from_micros(CALL_TIMEOUT.as_micros() as u64);
         let reply = task::block_on(async { client.call(&request, limit).await });
         assert_eq!(reply.unwrap().status, 204);
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -261,10 +261,10 @@
 
     async fn find_balancers(self: Rc<Self>) {
         let metrics = &self.shared.metrics;
-        let mut client = Client::new(self.settings.store, Arc::clone(metrics));
+        let client = Client::new(self.settings.store, Arc::clone(metrics));
         let mut invalid_entries = InvalidEntries::new(Arc::clone(metrics));
         loop {
-            let list = list_balancers(&mut client, &mut invalid_entries, true).await;
+            let list = list_balancers(&client, &mut invalid_entries, true).await;
             if let Some(list) = list {
                 let now = usher_clock::now();
                 let mut fleet = self.fleet.borrow_mut();
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -81,8 +81,7 @@
         tokio::select! {
             outcome = self.watch(since) => outcome,
             () = signals.resync.notified() => {
-                // Drops the call in flight together with its connection.
-                self.client = self.state.borrow().store_client();
+                // The call in flight has been dropped together with its connection.
                 self.state.borrow_mut().position.reset();
                 Ok(())
             }
--- a/crates/node/src/balancer/host_fetch.rs
+++ b/crates/node/src/balancer/host_fetch.rs
@@ -20,10 +20,10 @@
 pub(crate) async fn fetch_hosts(state: Rc<RefCell<State>>, from: NodeId, port: u16) {
     let address = SocketAddrV4::new(from.address(), port);
     let metrics = Arc::clone(&state.borrow().metrics);
-    let mut client = Client::new(address, metrics);
+    let client = Client::new(address, metrics);
     let mut after = NodeId::NONE;
     loop {
-        let page = match fetch_page(&mut client, after).await {
+        let page = match fetch_page(&client, after).await {
             Ok(page) => page,
             Err(fault) => {
                 event::HOSTS_NOT_FETCHED.log(&[("balancer", &from), ("fault", &fault)]);
@@ -38,7 +38,7 @@
     }
 }
 
-async fn fetch_page(client: &mut Client, after: NodeId) -> Result<HostPage, String> {
+async fn fetch_page(client: &Client, after: NodeId) -> Result<HostPage, String> {
     let request = Request {
         method: "GET",
         path: format!("{HOSTS_PATH}{after}"),
--- a/crates/node/src/balancer/registry.rs
+++ b/crates/node/src/balancer/registry.rs
@@ -82,13 +82,13 @@
     }
 
     async fn register(&mut self) {
-        self.registered = register(&mut self.client, &self.name, self.node).await;
+        self.registered = register(&self.client, &self.name, self.node).await;
         self.is_usable(self.registered.era());
     }
 
     // Returns whether a list of the present era was read.
     async fn refresh(&mut self, allow_stale: bool) -> bool {
-        let (client, invalid_entries) = (&mut self.client, &mut self.invalid_entries);
+        let (client, invalid_entries) = (&self.client, &mut self.invalid_entries);
         let Some(list) = list_balancers(client, invalid_entries, allow_stale).await else {
             return false;
         };
@@ -108,7 +108,7 @@
             if !position.covers(entry.version) {
                 continue;
             }
-            if let Some(era) = remove(&mut self.client, entry).await {
+            if let Some(era) = remove(&self.client, entry).await {
                 self.is_usable(era);
             }
         }
--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -51,7 +51,7 @@
 /// Registers a balancer in the store under its machine's name; retries until it succeeds.
 ///
 /// Returns the version of the entry.
-pub(crate) async fn register(client: &mut Client, name: &str, node: NodeId) -> Version {
+pub(crate) async fn register(client: &Client, name: &str, node: NodeId) -> Version {
     let own = Entry { address: node };
     let entry = serde_json::json!(own);
     let mut request = Request::create(BALANCERS, name, &entry);
@@ -97,7 +97,7 @@
 /// Removes a balancer's entry, unless it has changed since it was listed.
 ///
 /// Returns the era of the answer. If the answer is lost, the next list shows the outcome.
-pub(crate) async fn remove(client: &mut Client, listed: &Listed) -> Option<Era> {
+pub(crate) async fn remove(client: &Client, listed: &Listed) -> Option<Era> {
     let request = Request::delete(BALANCERS, &listed.name, listed.version);
     let reply = client.call("remove", &request, CALL_TIMEOUT).await;
     let outcome = match &reply {
@@ -117,7 +117,7 @@
 /// With `allow_stale` the list may be some seconds old, and of an earlier era. Entries that cannot be
 /// decoded are left out.
 pub(crate) async fn list_balancers(
-    client: &mut Client,
+    client: &Client,
     invalid_entries: &mut InvalidEntries,
     allow_stale: bool,
 ) -> Option<BalancerList> {
@@ -160,7 +160,7 @@
     list
 }
 
-async fn list_page(client: &mut Client, after: Option<&str>, allow_stale: bool) -> Option<Listing> {
+async fn list_page(client: &Client, after: Option<&str>, allow_stale: bool) -> Option<Listing> {
     let request = Request::list(BALANCERS, after, allow_stale);
     let fault = match client.call("balancers", &request, CALL_TIMEOUT).await {
         Ok(reply) if reply.status == OK => match Listing::parse(&reply) {
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -22,7 +22,7 @@
     }
 
     pub(crate) async fn call(
-        &mut self,
+        &self,
         what: &'static str,
         request: &Request,
         limit: Span,
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -42,7 +42,7 @@
     // Writes an object as another tool would, without the client.
     async fn write(&self, name: &str, spec: &Json) -> u16 {
         let request = Request::create(KIND, name, spec);
-        let mut client = Client::new(address(&self.server));
+        let client = Client::new(address(&self.server));
         let reply = client.call(&request, Span::from_secs(2)).await;
         reply.unwrap().status
     }
@@ -339,7 +339,7 @@
     let fixture = Fixture::new();
     let since = fixture.create("fast").await;
     let request = Request::delete(KIND, "profile.fast", since);
-    let mut client = Client::new(address(&fixture.server));
+    let client = Client::new(address(&fixture.server));
     let reply = client.call(&request, Span::from_secs(2)).await.unwrap();
     assert_eq!(reply.status, 200);
     let batch = fixture.store.watch(None, since, Span::ZERO).await.unwrap();
--- a/crates/store/tests/restores.rs
+++ b/crates/store/tests/restores.rs
@@ -278,7 +278,7 @@
     let fixture = Fixture::new();
     let spec = json!({ "write_id": "1", "value": Profile::default() });
     let request = Request::create(KIND, "profile.fast", &spec);
-    let mut client = Client::new(address(&fixture.server));
+    let client = Client::new(address(&fixture.server));
     client.call(&request, Span::from_secs(2)).await.unwrap();
     fixture.server.restore(fixture.server.copy());
     let object = fixture.store.get(&key("fast")).await.unwrap().unwrap();
@@ -337,7 +337,7 @@
 async fn an_unreadable_object_does_not_hide_lost_ones() {
     let fixture = Fixture::new();
     let request = Request::create(KIND, "profile.odd", &json!({ "value": 3 }));
-    let mut client = Client::new(address(&fixture.server));
+    let client = Client::new(address(&fixture.server));
     client.call(&request, Span::from_secs(2)).await.unwrap();
     let copy = fixture.server.copy();
     fixture.put("lost", Condition::Absent, 7).await;
