A balancer that was paused is not ready before it hears of the configuration

A balancer whose process had been stopped for some seconds answered the first readiness probe with 200 and placed flows by the configuration of before the pause, for as long as the store did not answer it. Only a suspension of the machine was noticed, not a pause of the process.

Cause: readiness, once given, did not end with a pause. Change: the gap between two checks shows a pause, beside the boot-time clock; a paused balancer is ready again once the store has told it the configuration, or another balancer has, later than messages that were queued during the pause; after 3 s it serves with what it has. An answer of the store that waited during the pause is read again.

node::processes::a_paused_balancer_is_ready_with_the_newest_configuration failed first (200 one second after the pause, with the store down and the route gone). a_suspended_balancer_catches_up asked for readiness at once, while the old configuration could be in force; it now asks for readiness within two probes and that no flow of the removed route is forwarded from then on.

--- a/crates/clock/src/suspend_watch.rs
+++ b/crates/clock/src/suspend_watch.rs
@@ -1,35 +1,47 @@
+use std::mem;
+
 use rustix::time::ClockId;
-use usher_types::Span;
+use usher_types::{Span, Time};
 
 use crate::clock::{now, read};
 
 // The clocks are read one after the other, so their offset varies by less than this.
 const MIN_SUSPENSION: Span = Span::from_millis(500);
 
-/// Detects suspension of the machine by comparing its boot-time and monotonic clocks.
+// A process checks several times a second, also on a slow machine.
+const MIN_PAUSE: Span = Span::from_secs(2);
+
+/// Detects that the machine was suspended or the process was paused.
+///
+/// A suspension shows in the difference of the boot-time and monotonic clocks, a pause in the time
+/// between two checks.
 #[derive(Debug, Clone, Copy)]
 pub struct SuspendWatch {
     // Boot-time clock minus monotonic clock.
     offset: Span,
+    checked_at: Time,
 }
 
 impl SuspendWatch {
-    /// Starts to watch for suspension.
+    /// Starts to watch.
     ///
     /// ```
     /// assert_eq!(usher_clock::SuspendWatch::new().check(), None);
     /// ```
     #[expect(clippy::new_without_default, reason = "reads the clock")]
     pub fn new() -> Self {
-        let offset = read(ClockId::Boottime) - now();
-        Self { offset }
+        let checked_at = now();
+        let offset = read(ClockId::Boottime) - checked_at;
+        Self { offset, checked_at }
     }
 
-    /// How long the machine was suspended since the last call, if it was.
+    /// How long the process did not run since the last call, if that was long.
+    ///
+    /// It has to be called several times a second.
     pub fn check(&mut self) -> Option<Span> {
-        let offset = read(ClockId::Boottime) - now();
-        let suspended = offset - self.offset;
-        self.offset = offset;
-        (suspended > MIN_SUSPENSION).then_some(suspended)
+        let before = mem::replace(self, Self::new());
+        let suspended = self.offset - before.offset;
+        let paused = self.checked_at - before.checked_at;
+        (suspended > MIN_SUSPENSION || paused > MIN_PAUSE).then(|| suspended + paused)
     }
 }
--- a/crates/forwarding/tests/start_up.rs
+++ b/crates/forwarding/tests/start_up.rs
@@ -34,3 +34,24 @@
     assert!(!start_up.may_serve(at(2_900), true));
     assert!(start_up.may_serve(at(3_000), true));
 }
+
+/// Guards against a balancer that was paused and takes traffic with a configuration that may have been
+/// replaced meanwhile, and against one that stays out of service because the store is down.
+#[test]
+fn a_balancer_that_was_paused_hears_of_the_configuration_first() {
+    let mut start_up = StartUp::new(at(0));
+    start_up.pause(at(60_000));
+    assert!(start_up.is_complete(at(60_000)), "the hosts are known");
+    assert!(!start_up.may_serve(at(60_100), false));
+    start_up.on_hello(at(60_100));
+    assert!(!start_up.may_serve(at(60_100), false), "a queued message");
+    start_up.on_hello(at(60_500));
+    assert!(start_up.may_serve(at(60_500), false));
+    assert!(!start_up.may_serve(at(60_500), true));
+    start_up.pause(at(65_000));
+    start_up.confirm();
+    assert!(start_up.may_serve(at(65_100), false));
+    start_up.pause(at(70_000));
+    assert!(!start_up.may_serve(at(72_900), false));
+    assert!(start_up.may_serve(at(73_000), false));
+}
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -9,7 +9,6 @@
 use arc_swap::ArcSwap;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
-use usher_clock::SuspendWatch;
 use usher_forwarding::{Digest, NodeId, RoutingView};
 use usher_platform::Call;
 use usher_types::{Span, Time};
@@ -59,7 +58,8 @@
     let metrics = Arc::new(Metrics::new());
     let state = State::new(settings.clone(), Arc::clone(&view), Arc::clone(&metrics));
     let state = Rc::new(RefCell::new(state));
-    listen(&settings, &state).await?;
+    let store_signals = Rc::new(StoreSignals::default());
+    listen(&settings, &state, &store_signals).await?;
     let (node, port) = (settings.node, settings.packets.port());
     thread::Builder::new()
         .name("traffic".to_owned())
@@ -73,7 +73,6 @@
             state.borrow_mut().fleet.add(usher_clock::now(), *seed);
         }
     }
-    let store_signals = Rc::new(StoreSignals::default());
     spawn_local(Feed::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
     spawn_local(Registry::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
     event::STARTED.log(&[
@@ -93,11 +92,21 @@
     Ok(())
 }
 
-async fn listen(settings: &Settings, state: &Rc<RefCell<State>>) -> Result<(), NodeError> {
+async fn listen(
+    settings: &Settings,
+    state: &Rc<RefCell<State>>,
+    store_signals: &Rc<StoreSignals>,
+) -> Result<(), NodeError> {
     let shared = Rc::clone(state);
+    let signals = Rc::clone(store_signals);
     serve(settings.ready, "readiness", move |method, path, _body| {
         let known = Call::parse(method, path) == Some(Call::Ready);
-        let status = match (known, shared.borrow_mut().is_ready()) {
+        let now = usher_clock::now();
+        let mut state = shared.borrow_mut();
+        if state.was_paused(now) {
+            signals.resync.notify_one();
+        }
+        let status = match (known, state.is_ready(now)) {
             (false, _) => 404,
             (true, true) => 200,
             (true, false) => 503,
@@ -150,7 +159,6 @@
         let mut ticks = interval(RELAY_INTERVAL);
         let mut last_hello = None;
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut suspend_watch = SuspendWatch::new();
         let mut end: Option<Instant> = None;
         loop {
             let ending = async {
@@ -166,7 +174,7 @@
                     self.relay(now);
                     if last_hello.is_none_or(|last_hello| now - last_hello >= HELLO_INTERVAL) {
                         last_hello = Some(now);
-                        self.on_tick(now, &mut suspend_watch);
+                        self.on_tick(now);
                     }
                 }
                 signal = signals.next() => match signal {
@@ -221,12 +229,11 @@
         }
     }
 
-    fn on_tick(&self, now: Time, suspend_watch: &mut SuspendWatch) {
-        if let Some(span) = suspend_watch.check() {
-            event::RESUMED.log(&[("for", &span)]);
+    fn on_tick(&self, now: Time) {
+        let mut state = self.state.borrow_mut();
+        if state.was_paused(now) {
             self.store_signals.resync.notify_one();
         }
-        let mut state = self.state.borrow_mut();
         state.expire(now);
         self.send_hellos(now, &mut state);
         let agents = state.agent_receivers(now);
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -100,6 +100,7 @@
             .replace(CONFIGURATIONS, &listing.invalid);
         let mut state = self.state.borrow_mut();
         state.position.advance(listing.store_version);
+        state.confirm();
         if let Some(object) = listing.configuration() {
             state.adopt(object.version, object.spec, "store");
         }
@@ -115,6 +116,11 @@
         if !state.position.continues(since) {
             return Ok(());
         }
+        // The answer may have waited since the beginning of a pause.
+        if state.was_paused(usher_clock::now()) || state.is_unconfirmed() {
+            state.position.reset();
+            return Ok(());
+        }
         if reply.status == GONE {
             event::HISTORY_DROPPED.log(&[("since", &since)]);
             state.position.reset();
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -2,6 +2,7 @@
 
 use arc_swap::ArcSwap;
 use serde_json::value::RawValue;
+use usher_clock::SuspendWatch;
 use usher_forwarding::{
     ActiveConfiguration, AnswerEra, ConfigurationVersion, ControlTargets, Digest, Fleet, Hello,
     HelloRotation, HostDirectory, HostPage, HostState, NodeId, Report, RoutingView, StartUp,
@@ -40,6 +41,7 @@
     view: Arc<ArcSwap<RoutingView>>,
     ready: bool,
     start_up: StartUp,
+    suspend_watch: SuspendWatch,
     targets: ControlTargets,
     /// Balancers and agents that hello messages list.
     listed_balancers: HelloRotation,
@@ -69,6 +71,7 @@
             view,
             ready: false,
             start_up: StartUp::new(started),
+            suspend_watch: SuspendWatch::new(),
             targets,
             listed_balancers: HelloRotation::new(HELLO_BALANCERS),
             listed_agents: HelloRotation::new(HELLO_AGENTS),
@@ -233,6 +236,7 @@
             }
         }
         let new = self.fleet.on_hello(now, node, hello);
+        self.start_up.on_hello(now);
         if new {
             event::BALANCER_FOUND.log(&[
                 ("balancer", &node),
@@ -305,9 +309,29 @@
         }
     }
 
+    /// Whether the process was paused since the last call; it is then not ready at first.
+    pub(crate) fn was_paused(&mut self, now: Time) -> bool {
+        let Some(span) = self.suspend_watch.check() else {
+            return false;
+        };
+        event::RESUMED.log(&[("for", &span), ("version", &self.version())]);
+        self.start_up.pause(now);
+        self.ready = false;
+        true
+    }
+
+    /// Whether nothing has shown since a pause that the configuration is the newest.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        self.start_up.is_unconfirmed()
+    }
+
+    /// Records that the store has told the configuration in force.
+    pub(crate) fn confirm(&mut self) {
+        self.start_up.confirm();
+    }
+
     /// Whether the platform may send traffic here.
-    pub(crate) fn is_ready(&mut self) -> bool {
-        let now = usher_clock::now();
+    pub(crate) fn is_ready(&mut self, now: Time) -> bool {
         let mut states = self
             .directory
             .agents()
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -1,6 +1,7 @@
 //! Balancer and agent as real processes, with stand-ins for the services of the platform.
 
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 use usher_platform::{decode_header, encode_packet};
 use usher_platform_standin::store::{Down, Faults};
@@ -8,6 +9,9 @@
     Deployment, SECOND_BALANCER, SERVICE, UNUSED_HOST, answer_header, eventually, is_reset, receive,
 };
 
+// A balancer that misses two readiness probes, which come twice a second, leaves the rotation.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+
 // The backend server's answer to the opening packet of a caller.
 fn reply(opening: &[u8]) -> Vec<u8> {
     encode_packet(
@@ -173,10 +177,40 @@
     deployment.await_flow(1_000);
     deployment.balancer.set_suspended(true);
     deployment.store.configure("198.18.0.9", 443, SERVICE);
-    std::thread::sleep(std::time::Duration::from_secs(3));
+    std::thread::sleep(Duration::from_secs(3));
     deployment.balancer.set_suspended(false);
-    deployment.await_no_route(2_000);
-    assert_eq!(deployment.ready(), 200);
+    let resumed = Instant::now();
+    eventually("the balancer is ready", || deployment.ready() == 200);
+    assert!(resumed.elapsed() < PROBE_LIMIT, "{:?}", resumed.elapsed());
+    while receive(&deployment.backend).is_some() {}
+    deployment.send(&deployment.opening(2_000));
+    assert!(is_reset(&receive(&deployment.caller).unwrap()));
+    assert_eq!(receive(&deployment.backend), None, "the route is gone");
+}
+
+/// Guards against a balancer that takes traffic after a pause as if nothing had changed meanwhile.
+#[test]
+fn a_paused_balancer_is_ready_with_the_newest_configuration() {
+    let deployment = start(25);
+    deployment.await_flow(1_000);
+    deployment.balancer.set_suspended(true);
+    std::thread::sleep(Duration::from_secs(3));
+    deployment.store.configure("198.18.0.9", 443, SERVICE);
+    // Changes do not reach the balancer before it asks for them.
+    deployment.store.set_down(true);
+    deployment.balancer.set_suspended(false);
+    std::thread::sleep(Duration::from_secs(1));
+    assert_ne!(
+        deployment.ready(),
+        200,
+        "nothing has told the configuration"
+    );
+    deployment.store.set_down(false);
+    eventually("the balancer is ready", || deployment.ready() == 200);
+    while receive(&deployment.backend).is_some() {}
+    deployment.send(&deployment.opening(2_000));
+    assert!(is_reset(&receive(&deployment.caller).unwrap()));
+    assert_eq!(receive(&deployment.backend), None);
 }
 
 /// Guards against flows that end because their agent was suspended or restarted.
@@ -189,7 +223,7 @@
     deployment.answer(&answer);
     let later = deployment.later_packet(port);
     deployment.agent.set_suspended(true);
-    std::thread::sleep(std::time::Duration::from_secs(3));
+    std::thread::sleep(Duration::from_secs(3));
     deployment.agent.set_suspended(false);
     deployment.await_packet(&later);
     deployment.replace_agent(&[]);
@@ -216,7 +250,7 @@
     });
     deployment.send_at(SECOND_BALANCER, &later);
     // The balancer decides on the packet before the agent can report to it.
-    std::thread::sleep(std::time::Duration::from_millis(300));
+    std::thread::sleep(Duration::from_millis(300));
     deployment.agent.set_suspended(false);
     eventually("the packet reaches the backend server", || {
         receive(&deployment.backend).is_some_and(|packet| packet[..4] == later[..4])
