--- a/crates/node/src/control/invalid_entries.rs
+++ b/crates/node/src/control/invalid_entries.rs
@@ -1,3 +1,4 @@
+use std::mem;
 use std::sync::Arc;
 
 use indexmap::IndexSet;
@@ -23,7 +24,7 @@
 
     /// Records the invalid entries of a whole list of a kind.
     pub(crate) fn replace(&mut self, kind: &'static str, entries: &[InvalidEntry]) {
-        let before = std::mem::take(&mut self.known);
+        let before = mem::take(&mut self.known);
         for entry in entries {
             let seen = (entry.name.clone(), entry.fault.to_string());
             if !before.contains(&seen) {
--- a/crates/node/tests/odd_entries.rs
+++ b/crates/node/tests/odd_entries.rs
@@ -1,5 +1,6 @@
 //! Entries of another writer among those of the system, as real processes meet them.
 
+use std::fs;
 use std::path::Path;
 
 use usher_platform_standin::{Deployment, SECOND_BALANCER, SERVICE, eventually};
@@ -24,7 +25,7 @@
 fn odd_entries_stop_no_process() {
     let program = Path::new(env!("CARGO_BIN_EXE_marigoldusher-node"));
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let mut deployment = Deployment::start(31, program, folder);
+    let mut deployment = Deployment::start(36, program, folder);
     eventually("a heartbeat is acknowledged", || {
         deployment.heartbeat("ready", 1) == 200
     });
@@ -50,4 +51,13 @@
     deployment.await_flow_at(SECOND_BALANCER, 5_000);
     assert!(deployment.balancer.is_running() && deployment.agent.is_running());
     assert!(second.is_running());
+    // The three that are no objects; both changes of the configuration brought them along.
+    eventually("each odd entry is logged once", || {
+        let log = fs::read_to_string(folder.join("node-36-2.log")).unwrap();
+        let (_, since_start) = log.rsplit_once("MU-E2001").unwrap();
+        let lines = since_start.matches("MU-E2118").count();
+        let of_kind = since_start.matches("kind=configuration").count();
+        assert!(of_kind <= 3 && lines <= 10, "{since_start}");
+        of_kind == 3
+    });
 }
