Names and reasons of odd entries are bounded where they are kept and logged

A reader of changes remembered each odd entry for as long as no whole list came, and log lines quoted the names of other writers at any length. At most 1,024 entries are remembered, names are cut to 100 characters in log lines and texts to 300 in errors of the store's client.

node::odd_entries and store::contract::odd_entries_do_not_hide_others play an entry with a name of 100 kB and of 1 MB.

--- a/crates/node/src/control/invalid_entries.rs
+++ b/crates/node/src/control/invalid_entries.rs
@@ -7,10 +7,16 @@
 use crate::event;
 use crate::metrics::Metrics;
 
+// Entries remembered between two whole lists. With more of them some are logged again.
+const MAX_KNOWN: usize = 1_024;
+// Bounds a log line that quotes a name of another writer.
+const NAME_CHARS: usize = 100;
+
 /// The entries of the store that a reader cannot decode; each is logged once while it lasts.
 #[derive(Debug)]
 pub(crate) struct InvalidEntries {
-    known: IndexSet<(Option<String>, String)>,
+    /// Name and reason of each entry.
+    known: IndexSet<(String, String)>,
     metrics: Arc<Metrics>,
 }
 
@@ -26,11 +32,7 @@
     pub(crate) fn replace(&mut self, kind: &'static str, entries: &[InvalidEntry]) {
         let before = mem::take(&mut self.known);
         for entry in entries {
-            let seen = (entry.name.clone(), entry.fault.to_string());
-            if !before.contains(&seen) {
-                log(kind, entry);
-            }
-            self.known.insert(seen);
+            self.record(kind, entry, &before);
         }
         self.metrics.set_invalid(kind, entries.len());
     }
@@ -38,16 +40,30 @@
     /// Records the invalid entries among the changes to a kind.
     pub(crate) fn add(&mut self, kind: &'static str, entries: &[InvalidEntry]) {
         for entry in entries {
-            let seen = (entry.name.clone(), entry.fault.to_string());
-            if self.known.insert(seen) {
-                log(kind, entry);
-            }
+            self.record(kind, entry, &IndexSet::new());
         }
         self.metrics.set_invalid(kind, self.known.len());
     }
-}
 
-fn log(kind: &'static str, entry: &InvalidEntry) {
-    let name = entry.name.as_deref().unwrap_or("unreadable");
-    event::ENTRY_INVALID.log(&[("kind", &kind), ("name", &name), ("fault", &entry.fault)]);
+    fn record(
+        &mut self,
+        kind: &'static str,
+        entry: &InvalidEntry,
+        before: &IndexSet<(String, String)>,
+    ) {
+        let name = entry.name.as_deref().unwrap_or("unreadable");
+        let name: String = name.chars().take(NAME_CHARS).collect();
+        let seen = (name, entry.fault.to_string());
+        if self.known.contains(&seen) {
+            return;
+        }
+        if !before.contains(&seen) {
+            let (name, fault) = &seen;
+            event::ENTRY_INVALID.log(&[("kind", &kind), ("name", name), ("fault", fault)]);
+        }
+        if self.known.len() >= MAX_KNOWN {
+            self.known.clear();
+        }
+        self.known.insert(seen);
+    }
 }
--- a/crates/node/tests/odd_entries.rs
+++ b/crates/node/tests/odd_entries.rs
@@ -15,6 +15,7 @@
         named(r#"{"address":"300.0.0.1"}"#),
         r#"{"meta":{"name":"1","revision":99999999999999999999},"spec":{}}"#.to_owned(),
         r#"{"meta":{"name":7}}"#.to_owned(),
+        format!(r#"{{"meta":{{"name":"{}"}}}}"#, "x".repeat(100_000)),
         deep,
     ]
 }
@@ -51,13 +52,15 @@
     deployment.await_flow_at(SECOND_BALANCER, 5_000);
     assert!(deployment.balancer.is_running() && deployment.agent.is_running());
     assert!(second.is_running());
-    // The three that are no objects; both changes of the configuration brought them along.
+    // The four that are no objects; both changes of the configuration brought them along.
     eventually("each odd entry is logged once", || {
         let log = fs::read_to_string(folder.join("node-36-2.log")).unwrap();
         let (_, since_start) = log.rsplit_once("MU-E2001").unwrap();
         let lines = since_start.matches("MU-E2118").count();
         let of_kind = since_start.matches("kind=configuration").count();
-        assert!(of_kind <= 3 && lines <= 10, "{since_start}");
-        of_kind == 3
+        assert!(of_kind <= 4 && lines <= 11, "{since_start}");
+        let longest = since_start.lines().map(str::len).max();
+        assert!(longest < Some(1_000), "a line quotes a name of any length");
+        of_kind == 4
     });
 }
--- a/crates/store/src/stored_object.rs
+++ b/crates/store/src/stored_object.rs
@@ -11,6 +11,9 @@
 // Separates kind and name in a stored name; the names of kinds have no dot.
 const SEPARATOR: char = '.';
 
+// Bounds an error that quotes names and values of another writer; keys of the project are shorter.
+const MAX_TEXT_CHARS: usize = 300;
+
 /// An object as stored; its value is not decoded yet.
 #[derive(Debug, Clone)]
 pub(crate) struct StoredObject {
@@ -159,8 +162,9 @@
 }
 
 fn value_error(key: &str, cause: &dyn std::fmt::Display) -> StoreError {
+    let shorten = |text: String| text.chars().take(MAX_TEXT_CHARS).collect();
     StoreError::Value {
-        key: key.to_owned(),
-        cause: cause.to_string(),
+        key: shorten(key.to_owned()),
+        cause: shorten(cause.to_string()),
     }
 }
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -282,6 +282,16 @@
     // A watch reports the last change of each object only.
     let batch = fixture.store.watch(None, since, Span::ZERO).await.unwrap();
     assert_eq!((batch.objects.len(), batch.unreadable.len()), (1, 2));
+    let long = "x".repeat(1 << 20);
+    let long = format!(r#"{{"meta":{{"name":"{long}","revision":1}},"spec":{{}}}}"#);
+    fixture.server.add_odd(KIND, &long);
+    let batch = fixture.store.list(None, Version::default()).await.unwrap();
+    assert!(batch.is_complete());
+    let longest = batch.unreadable.iter().map(|error| error.to_string().len());
+    assert!(
+        longest.max() < Some(1_000),
+        "an error quotes a name of any length"
+    );
     fixture.server.add_odd(KIND, "7");
     let batch = fixture.store.list(None, Version::default()).await.unwrap();
     assert_eq!(batch.objects.len(), 2);
