review: show that flows on reused ports are reset by a stale agent entry

Flows that their clients gave up stay open in the agent's table for 60 s. New flows from the same ports are reset when a planned restart of a balancer moves them.

--- a/review/standin/lab.rs
+++ b/review/standin/lab.rs
@@ -69,6 +69,10 @@
         let command = format!("kill -{name} {}", self.child.id());
         let _sent = Command::new("sh").args(["-c", &command]).status();
     }
+
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
 }
 
 impl Drop for Node {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod dead_hosts;
+mod given_up_flow;
 mod host;
 mod http;
 mod json;
@@ -52,6 +53,7 @@
         "silent-store" => silent_store::run(&lab, trouble),
         "odd-heartbeat" => odd_heartbeat::run(&lab, trouble),
         "reused-port" => reused_port::run(&lab, trouble),
+        "given-up-flow" => given_up_flow::run(&lab, trouble),
         "dead-hosts" => dead_hosts::run(&lab, trouble),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
--- a/review/standin/setup.rs
+++ b/review/standin/setup.rs
@@ -13,10 +13,14 @@
 pub const ZONE: &str = "kolkata";
 const FIRST_BALANCER: u8 = 2;
 const FIRST_HOST: u8 = 10;
+// How long the platform waits before it starts a process that has ended.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+const END_LIMIT: Duration = Duration::from_secs(6);
 const READY_LIMIT: Duration = Duration::from_secs(15);
 
 pub struct Setup {
     pub store: Store,
+    pub router: Router,
     pub client: Client,
     pub balancers: Vec<Node>,
     _agents: Vec<Node>,
@@ -60,6 +64,19 @@
         }
         // All hosts have sent their second heartbeat by then.
         std::thread::sleep(Duration::from_secs(3));
-        Ok(Self { store, client, balancers: nodes, _agents: agents, hosts, arrivals })
+        Ok(Self { store, router, client, balancers: nodes, _agents: agents, hosts, arrivals })
+    }
+
+    /// Stops a balancer as planned, waits for its end and starts it again.
+    pub fn restart_balancer(&mut self, lab: &Lab, index: usize) -> Result<(), String> {
+        let node = &mut self.balancers[index];
+        node.signal("TERM");
+        if !wait_until(END_LIMIT, || node.has_ended()) {
+            return Err("the balancer did not end".to_owned());
+        }
+        std::thread::sleep(RESTART_DELAY);
+        let machine = node.address.octets()[3];
+        *node = lab.start(machine, ZONE, None).map_err(|fault| fault.to_string())?;
+        Ok(())
     }
 }
