--- a/review/standin/odd_heartbeat.rs
+++ b/review/standin/odd_heartbeat.rs
@@ -41,15 +41,16 @@
     thread::sleep(TROUBLE_AFTER);
     if trouble {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-        for host in setup.hosts.iter().filter(|host| host.machine < 12) {
-            // Names no `address`, `zone`, `version` and `warmupLeftMs`.
-            let body = Json::object([
-                ("service", Json::text(DESK)),
-                ("capacity", Json::Number(4)),
-                ("state", Json::text("ready")),
-                ("sequence", Json::Number(1)),
-                ("born", Json::Number(born as i64)),
-            ]);
+        for (host, odd) in setup.hosts.iter().zip(odd_fields()) {
+            let mut fields = vec![
+                ("service".to_owned(), Json::text(DESK)),
+                ("capacity".to_owned(), Json::Number(4)),
+                ("state".to_owned(), Json::text("ready")),
+                ("sequence".to_owned(), Json::Number(1)),
+                ("born".to_owned(), Json::Number(born as i64)),
+            ];
+            fields.extend(odd);
+            let body = Json::Object(fields);
             let to = lab.address(host.machine, lab.ports.control);
             let status = http::call(to, "PUT", "/instances/other-writer", &body.to_string());
             lab.record.line(format!("another writer sends {body} to {to}: {status:?}"));
@@ -72,3 +73,14 @@
         _ => Outcome::Broken,
     }
 }
+
+// The odd part of the heartbeats for the two hosts of the service: fields missing, or of another type.
+fn odd_fields() -> [Vec<(String, Json)>; 2] {
+    let wrong = [
+        ("address", Json::Number(17)),
+        ("zone", Json::Null),
+        ("version", Json::Bool(false)),
+        ("warmupLeftMs", Json::Number(0)),
+    ];
+    [Vec::new(), wrong.map(|(name, value)| (name.to_owned(), value)).into()]
+}
