--- a/review/standin/given_up_flow.rs
+++ b/review/standin/given_up_flow.rs
@@ -8,7 +8,7 @@
 use crate::lab::{Lab, wait_until};
 use crate::setup::{DESK, SHEETS, Setup, route};
 
-const FLOWS: u16 = 16;
+const FLOWS: u16 = 24;
 const FIRST_PORT: u16 = 3_000;
 // The hosts work longer on the first requests than their clients wait.
 const WORK_MS: u32 = 3_000;
@@ -22,7 +22,7 @@
 
 pub fn run(lab: &Lab, trouble: bool) -> Outcome {
     let routes = [(route(1), DESK), (route(9), SHEETS)];
-    let mut setup = match Setup::start(lab, 3, 4, 1, &routes) {
+    let mut setup = match Setup::start(lab, 3, 6, 1, &routes) {
         Ok(setup) => setup,
         Err(reason) => return Outcome::NotRun(reason),
     };
