platform, balancer: log how far an answer came that was given up

A balancer logged only the first of a series of failed reads, and 'no answer in time' for a silent store and for a large answer that was still arriving.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -176,7 +176,8 @@
     pub(crate) fn exit_status(&self) -> ExitStatus {
         match self {
             Self::NoStore => ExitStatus::Usage,
-            Self::NotInForce { .. } | Self::Call(CallError::TimedOut | CallError::Broken(_)) => {
+            Self::NotInForce { .. }
+            | Self::Call(CallError::TimedOut | CallError::Stalled { .. } | CallError::Broken(_)) => {
                 ExitStatus::TimedOut
             }
             Self::ConcurrentChange(_) | Self::VersionMismatch { .. } => ExitStatus::Conflict,
--- a/crates/cli/src/evacuations.rs
+++ b/crates/cli/src/evacuations.rs
@@ -56,7 +56,9 @@
         let status = match self.store.call(&request, CALL_TIMEOUT).await {
             Ok(reply) => reply.status,
             // The request may have been written although its answer was lost.
-            Err(fault @ (CallError::TimedOut | CallError::Broken(_))) => {
+            Err(
+                fault @ (CallError::TimedOut | CallError::Stalled { .. } | CallError::Broken(_)),
+            ) => {
                 let found = self.read(centre).await?;
                 return found.map(|_| true).ok_or_else(|| fault.into());
             }
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -72,6 +72,7 @@
                 }
                 Err(fault) => fault,
             };
+            event::CONFIG_NOT_READ.log(&[("fault", &fault)]);
             if available {
                 available = false;
                 event::STORE_DOWN.log(&[
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -13,6 +13,7 @@
     CONFIG_INVALID = 2102, Error, "configuration not valid; the earlier one stays in force";
     CONFIG_FETCH_FAILED = 2103, Warn, "configuration not fetched from a balancer";
     CONFIG_OUTDATED = 2104, Warn, "older configuration not applied";
+    CONFIG_NOT_READ = 2105, Info, "configuration not read from the store";
     STORE_DOWN = 2111, Warn, "store unavailable";
     STORE_UP = 2112, Info, "store available again";
     HISTORY_DROPPED = 2113, Info, "store has dropped its history; reading again";
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -32,6 +32,7 @@
             Ok(reply) if reply.status < BAD_REQUEST => "served",
             Ok(_) => "refused",
             Err(CallError::TimedOut) => "timed-out",
+            Err(CallError::Stalled { .. }) => "stalled",
             Err(CallError::Connect(_)) => "not-connected",
             Err(CallError::Broken(_)) => "broken",
             Err(CallError::Header(_)) => "unreadable",
