--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -306,6 +306,46 @@
         (newest.1.version > version).then_some((*newest.0, newest.1.version))
     }
 
+    /// The balancer from which the one at `local` fetches a configuration newer than `version`.
+    ///
+    /// Of those that are ahead, the ones of its own data centre are preferred, in proportion to their
+    /// capacity; each balancer prefers another one. `avoided` is chosen only if there is no other.
+    ///
+    /// ```
+    /// use usher_forwarding::{ConfigurationVersion, Fleet, NodeId};
+    /// use usher_types::Time;
+    /// let fleet = Fleet::default();
+    /// let version = ConfigurationVersion::default();
+    /// let centre = "kolkata".parse().unwrap();
+    /// assert_eq!(fleet.source(Time::ZERO, version, NodeId::NONE, &centre, None), None);
+    /// ```
+    pub fn source(
+        &self,
+        now: Time,
+        version: ConfigurationVersion,
+        local: NodeId,
+        centre: &DataCentre,
+        avoided: Option<NodeId>,
+    ) -> Option<NodeId> {
+        let (_, newest) = self.newest_peer(now, version)?;
+        let present = self.present(now);
+        let ahead = self
+            .members
+            .iter()
+            .filter(|(node, member)| member.version == newest && present.contains(node));
+        let rank = |node: NodeId, member: &Member| {
+            let same_centre = member.is_in(centre);
+            score(local, node, member.capacity, same_centre)
+        };
+        let ranked = ahead.map(|(node, member)| {
+            let allowed = Some(*node) != avoided;
+            (allowed, rank(*node, member), *node)
+        });
+        ranked
+            .max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_, _, node)| node)
+    }
+
     /// Removes balancers that have been silent for long, unless no balancer is heard.
     ///
     /// Returns the removed ones that were heard before.
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -74,6 +74,36 @@
     );
 }
 
+/// Guards against balancers that all fetch the configuration from the same one, and against one that
+/// keeps asking a balancer which does not answer.
+#[test]
+fn sources_of_a_configuration_are_spread_and_replaced() {
+    let mut fleet = Fleet::default();
+    for last in 1..=8 {
+        fleet.on_hello(at(0), node(last), &hello(1, if last == 8 { 5 } else { 9 }));
+    }
+    let centre = "kolkata".parse().unwrap();
+    let source = |fleet: &Fleet, local, avoided| {
+        fleet.source(at(10), version("5@5"), node(local), &centre, avoided)
+    };
+    let chosen: Vec<NodeId> = (100..200)
+        .filter_map(|local| source(&fleet, local, None))
+        .collect();
+    assert_eq!(chosen.len(), 100);
+    for last in 1..=7 {
+        let share = chosen.iter().filter(|from| **from == node(last)).count();
+        assert!(share < 40, "{share} of 100 fetch from one of 7");
+    }
+    for (local, first) in (100..200).zip(chosen) {
+        let next = source(&fleet, local, Some(first)).unwrap();
+        assert_ne!(next, first);
+        assert_ne!(next, node(8), "it is not ahead");
+    }
+    let mut single = Fleet::default();
+    single.on_hello(at(0), node(1), &hello(1, 9));
+    assert_eq!(source(&single, 100, Some(node(1))), Some(node(1)));
+}
+
 /// Guards against ignoring a process whose clock stepped back before it started.
 ///
 /// Also against applying late hellos of its predecessor.
--- a/crates/node/src/balancer/control.rs
+++ b/crates/node/src/balancer/control.rs
@@ -13,6 +13,7 @@
 use usher_platform::Call;
 use usher_types::{Span, Time};
 
+use super::answer_progress::AnswerProgress;
 use super::configuration_copy::ConfigurationCopy;
 use super::evacuation_feed::EvacuationFeed;
 use super::feed::{self, Feed};
@@ -79,7 +80,9 @@
             state.borrow_mut().fleet.add(usher_clock::now(), *seed);
         }
     }
-    spawn_local(Feed::new(Rc::clone(&state), Rc::clone(&store_signals)).run());
+    let feed = Feed::new(Rc::clone(&state), Rc::clone(&store_signals));
+    let progress = feed.progress();
+    spawn_local(feed.run());
     if let Some(bound) = settings.evacuation {
         let feed = EvacuationFeed::new(Rc::clone(&state), Rc::clone(&store_signals), bound);
         spawn_local(feed.run());
@@ -94,7 +97,9 @@
         state,
         peers,
         store_signals,
+        progress,
         fetching: Rc::new(Cell::new(false)),
+        unreachable: Rc::default(),
         fetching_hosts: Rc::new(Cell::new(false)),
     };
     control.event_loop(&mut signals, file).await;
@@ -161,8 +166,12 @@
     state: Rc<RefCell<State>>,
     peers: Peers,
     store_signals: Rc<StoreSignals>,
+    /// Progress of the store's answer that brings the configuration.
+    progress: Rc<AnswerProgress>,
     /// A fetch of the configuration is in progress.
     fetching: Rc<Cell<bool>>,
+    /// The balancer from which the last fetch of the configuration failed.
+    unreachable: Rc<Cell<Option<NodeId>>>,
     /// A fetch of hosts is in progress.
     fetching_hosts: Rc<Cell<bool>>,
 }
@@ -261,17 +270,34 @@
         self.send_hellos(now, &mut state);
         let agents = state.agent_receivers(now);
         self.peers.send(&agents, &state.agent_hello(now));
-        let version = state.version();
-        let port = state.settings.peer_port;
-        if let Some((from, _)) = state.fleet.newest_peer(now, version)
-            && !self.fetching.replace(true)
-        {
-            let (state, fetching) = (Rc::clone(&self.state), Rc::clone(&self.fetching));
-            spawn_local(async move {
-                feed::fetch(state, from, port).await;
-                fetching.set(false);
-            });
+        self.fetch_configuration(now, &state);
+    }
+
+    // Fetches the configuration from a balancer that is ahead.
+    //
+    // An answer of the store that is arriving brings it as well, so that a second copy would only take
+    // half of the link from it.
+    fn fetch_configuration(&self, now: Time, state: &State) {
+        if self.fetching.get() || self.progress.is_arriving(now) {
+            return;
         }
+        let settings = &state.settings;
+        let (version, avoided) = (state.version(), self.unreachable.get());
+        let source = state
+            .fleet
+            .source(now, version, settings.node, &settings.centre, avoided);
+        let Some(from) = source else {
+            return;
+        };
+        self.fetching.set(true);
+        let port = settings.peer_port;
+        let (state, fetching) = (Rc::clone(&self.state), Rc::clone(&self.fetching));
+        let unreachable = Rc::clone(&self.unreachable);
+        spawn_local(async move {
+            let fetched = feed::fetch(state, from, port).await;
+            unreachable.set((!fetched).then_some(from));
+            fetching.set(false);
+        });
     }
 
     fn send_hellos(&self, now: Time, state: &mut State) {
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -8,6 +8,7 @@
 use usher_platform::{Listing, Request, WatchAnswer};
 use usher_types::{Span, Version};
 
+use super::answer_progress::AnswerProgress;
 use super::configuration_copy::ConfigurationCopy;
 use super::state::State;
 use super::store_reader::StoreReader;
@@ -54,6 +55,11 @@
         }
     }
 
+    /// Progress of the answer that brings the configuration.
+    pub(super) fn progress(&self) -> Rc<AnswerProgress> {
+        self.reader.progress()
+    }
+
     /// Reads the configuration and waits for changes, as long as the balancer runs.
     pub(crate) async fn run(mut self) {
         let mut backoff = Backoff::new();
@@ -176,8 +182,8 @@
     }
 }
 
-/// Fetches the configuration from another balancer.
-pub(crate) async fn fetch(state: Rc<RefCell<State>>, from: NodeId, port: u16) {
+/// Fetches the configuration from another balancer; returns whether it gave one.
+pub(crate) async fn fetch(state: Rc<RefCell<State>>, from: NodeId, port: u16) -> bool {
     let address = SocketAddrV4::new(from.address(), port);
     let request = Request {
         method: "GET",
@@ -200,7 +206,11 @@
             state
                 .borrow_mut()
                 .adopt(fetched.version, fetched.document, "balancer");
+            true
+        }
+        Err(fault) => {
+            event::CONFIG_FETCH_FAILED.log(&[("balancer", &from), ("fault", &fault)]);
+            false
         }
-        Err(fault) => event::CONFIG_FETCH_FAILED.log(&[("balancer", &from), ("fault", &fault)]),
     }
 }
--- a/crates/node/src/balancer/mod.rs
+++ b/crates/node/src/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! A balancer: a control thread and a traffic thread.
 
+mod answer_progress;
 mod configuration_copy;
 mod control;
 mod evacuated;
--- a/crates/node/src/balancer/store_reader.rs
+++ b/crates/node/src/balancer/store_reader.rs
@@ -5,6 +5,7 @@
 use usher_platform::{Reply, Request};
 use usher_types::Span;
 
+use super::answer_progress::AnswerProgress;
 use super::state::State;
 use super::store_signals::StoreSignals;
 use crate::http::Client;
@@ -17,6 +18,7 @@
     client: Client,
     /// Wakes the task that follows the other kind, which has to read again after a restore.
     other: fn(&StoreSignals) -> &Notify,
+    progress: Rc<AnswerProgress>,
 }
 
 impl StoreReader {
@@ -31,9 +33,15 @@
             signals,
             client,
             other,
+            progress: Rc::default(),
         }
     }
 
+    /// Progress of the answer to the call that is under way.
+    pub(super) fn progress(&self) -> Rc<AnswerProgress> {
+        Rc::clone(&self.progress)
+    }
+
     /// Calls the store; refuses an answer of an earlier era.
     pub(super) async fn call(
         &mut self,
@@ -41,7 +49,13 @@
         request: &Request,
         limit: Span,
     ) -> Result<Reply, String> {
-        let reply = self.client.call(what, request, limit).await;
+        self.progress.end();
+        let on_part = || self.progress.on_part(usher_clock::now());
+        let reply = self
+            .client
+            .call_observed(what, request, limit, on_part)
+            .await;
+        self.progress.end();
         let reply = reply.map_err(|fault| fault.to_string())?;
         let restored = self.state.borrow_mut().on_era(reply.era);
         match restored {
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -27,7 +27,18 @@
         request: &Request,
         limit: Span,
     ) -> Result<Reply, CallError> {
-        let reply = self.inner.call(request, limit).await;
+        self.call_observed(what, request, limit, || {}).await
+    }
+
+    /// As [`Self::call`]; `on_part` is called at each part of the answer that arrives.
+    pub(crate) async fn call_observed(
+        &self,
+        what: &'static str,
+        request: &Request,
+        limit: Span,
+        on_part: impl FnMut(),
+    ) -> Result<Reply, CallError> {
+        let reply = self.inner.call_observed(request, limit, on_part).await;
         let outcome = match &reply {
             Ok(reply) if reply.status < BAD_REQUEST => "served",
             Ok(_) => "refused",
