--- a/crates/forwarding/src/agent/forwarder.rs
+++ b/crates/forwarding/src/agent/forwarder.rs
@@ -312,7 +312,8 @@
         forward_header: &ForwardHeader,
     ) -> Inbound {
         let candidates = forward_header.candidates.as_slice();
-        let searched = forward_header.service == ServiceKey::NONE && candidates.len() > 1;
+        let searched = forward_header.service == ServiceKey::NONE
+            && (candidates.len() > 1 || forward_header.is_final);
         let known = candidates.first() == Some(&self.node) && !searched;
         let notify =
             (!known && forward_header.origin != NodeId::NONE).then_some(forward_header.origin);
--- a/crates/forwarding/src/balancer/directory.rs
+++ b/crates/forwarding/src/balancer/directory.rs
@@ -279,11 +279,14 @@
         let mut services: IndexMap<ServiceKey, ServiceView> = IndexMap::new();
         let mut nodes: Vec<_> = self.hosts.iter().collect();
         nodes.sort_by_key(|(node, _)| **node);
+        let mut centres = IndexSet::new();
         for (node, host) in nodes {
+            let (centre, _) = centres.insert_full(&host.centre);
             let view = services.entry(host.service).or_default();
             view.hosts.push(HostView {
                 node: *node,
                 same_centre: host.centre == self.centre,
+                centre: u16::try_from(centre).unwrap_or(u16::MAX),
                 region: self.expected.region(&host.centre).cloned(),
                 evacuated: self.evacuated.contains(&host.centre),
                 state: host.state,
--- a/crates/forwarding/src/balancer/flow_search.rs
+++ b/crates/forwarding/src/balancer/flow_search.rs
@@ -26,8 +26,16 @@
     visited: IndexSet<NodeId>,
     /// Agents that copies of one packet are on their way to in parallel.
     in_flight: IndexSet<NodeId>,
-    /// Sequence and acknowledgement of that packet.
-    parallel: (u32, u32),
+    /// Sequence, acknowledgement and length of that packet.
+    parallel: (u32, u32, u16),
+    /// When the last of those copies were sent.
+    parallel_at: Time,
+    /// Those agents are the first that the search visits.
+    first_round: bool,
+    /// Chains of those agents that no copy was sent along yet.
+    unsent: Vec<Candidates>,
+    /// Agents that have not returned a copy in time: each of them, or one before it, has lost the copy.
+    unanswered: IndexSet<NodeId>,
     exhausted_at: Option<Time>,
     /// An earlier search has visited all agents that were known then.
     repeated: bool,
@@ -66,15 +74,14 @@
         } else if now - self.attempted_at >= ANSWER_TIME {
             self.attempts += 1;
             self.attempted_at = now;
-            self.in_flight.clear();
         }
-        if self.sent_at.is_some_and(|sent| now - sent >= COPY_TIME) {
-            self.in_flight.clear();
+        if now - self.parallel_at >= ANSWER_TIME {
+            self.give_up_in_flight();
         }
         let over = |exhausted_at| now - exhausted_at >= REPEAT_AFTER;
         if !once && self.exhausted_at.is_some_and(over) {
             self.visited.clear();
-            self.in_flight.clear();
+            self.give_up_in_flight();
             self.exhausted_at = None;
             self.repeated = true;
         }
@@ -116,10 +123,17 @@
             || is_later(packet_header.acknowledged, acknowledged)
     }
 
+    // Takes the copies that are on their way for lost.
+    fn give_up_in_flight(&mut self) {
+        self.unanswered.extend(self.in_flight.drain(..));
+        self.unsent.clear();
+    }
+
     /// Records agents that returned a packet of the flow.
     pub(crate) fn add(&mut self, visited: &Candidates) {
         for node in visited.as_slice() {
             self.in_flight.swap_remove(node);
+            self.unanswered.swap_remove(node);
             self.visited.insert(*node);
         }
     }
@@ -129,10 +143,32 @@
         self.sent_at = Some(now);
     }
 
-    /// Records that agents are visited with a packet in parallel with others.
-    pub(crate) fn sent_parallel(&mut self, packet_header: &PacketHeader, candidates: &Candidates) {
-        self.parallel = position(packet_header);
-        self.in_flight.extend(candidates.as_slice());
+    /// Records that copies of a packet go along chains in parallel; [`Self::next_unsent`] returns them.
+    pub(crate) fn send_parallel(
+        &mut self,
+        now: Time,
+        packet_header: &PacketHeader,
+        chains: Vec<Candidates>,
+    ) {
+        if self.in_flight.is_empty() {
+            self.first_round = self.visited.is_empty();
+        }
+        self.parallel = fingerprint(packet_header);
+        self.parallel_at = now;
+        for chain in &chains {
+            self.in_flight.extend(chain.as_slice());
+        }
+        self.unsent.extend(chains.into_iter().rev());
+        self.sent(now);
+    }
+
+    /// The next chain that a copy of this packet is to be sent along.
+    pub(crate) fn next_unsent(&mut self, packet_header: &PacketHeader) -> Option<Candidates> {
+        if self.parallel == fingerprint(packet_header) {
+            self.unsent.pop()
+        } else {
+            None
+        }
     }
 
     /// Whether agents are being visited in parallel.
@@ -140,14 +176,34 @@
         !self.in_flight.is_empty()
     }
 
-    /// Whether agents may be visited with this packet in parallel: no other packet of the flow does.
-    pub(crate) fn may_be_parallel(&self, packet_header: &PacketHeader) -> bool {
-        self.in_flight.is_empty() || self.parallel == position(packet_header)
+    /// Whether copies of this packet are visiting agents in parallel.
+    pub(crate) fn is_parallel_with(&self, packet_header: &PacketHeader) -> bool {
+        self.is_parallel() && self.parallel == fingerprint(packet_header)
     }
 
-    /// Whether one more packet may be sent in parallel.
-    pub(crate) fn has_room(&self) -> bool {
-        self.in_flight.len() + Candidates::MAX <= MAX_IN_FLIGHT
+    /// How many further agents may be visited in parallel.
+    ///
+    /// One round of the agents that most likely hold the flow goes first. If all agents know the flows of
+    /// their hosts (`complete`), many more are then visited at once; otherwise one round after the other,
+    /// since agents pass packets on to hosts that do not hold their flow.
+    pub(crate) fn room(&self, complete: bool) -> usize {
+        let first = self.visited.is_empty();
+        match (self.in_flight.len(), complete) {
+            (0, true) if !first => MAX_IN_FLIGHT,
+            (0, _) => Candidates::MAX,
+            (in_flight, true) if !self.first_round => MAX_IN_FLIGHT.saturating_sub(in_flight),
+            _ => 0,
+        }
+    }
+
+    /// Whether an agent, or one before it in its chain, has lost an earlier copy.
+    pub(crate) fn is_unanswered(&self, node: NodeId) -> bool {
+        self.unanswered.contains(&node)
+    }
+
+    /// Number of agents that have not returned a copy in time.
+    pub(crate) fn unanswered(&self) -> usize {
+        self.unanswered.len()
     }
 
     pub(crate) fn is_in_flight(&self, node: NodeId) -> bool {
@@ -200,6 +256,11 @@
     }
 }
 
+fn fingerprint(packet_header: &PacketHeader) -> (u32, u32, u16) {
+    let (sequence, acknowledged) = position(packet_header);
+    (sequence, acknowledged, packet_header.data)
+}
+
 fn position(packet_header: &PacketHeader) -> (u32, u32) {
     (packet_header.sequence, packet_header.acknowledged)
 }
--- a/crates/forwarding/src/balancer/forwarder.rs
+++ b/crates/forwarding/src/balancer/forwarder.rs
@@ -121,7 +121,7 @@
 /// The forwarding decisions of one balancer. Performs no I/O.
 #[derive(Debug, Clone)]
 pub struct BalancerForwarder {
-    node: NodeId,
+    pub(super) node: NodeId,
     pub(super) cache: FlowCache,
     pub(super) hedge: Hedge,
     pub(super) exhausted: ExhaustedFlows,
--- a/crates/forwarding/src/balancer/search.rs
+++ b/crates/forwarding/src/balancer/search.rs
@@ -1,9 +1,12 @@
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::flow_search::FlowSearch;
 use super::view::{HostView, RoutingView};
 use crate::{Candidates, FlowKey, HostState, NodeId, ServiceKey};
 
+// Agents that one packet visits alone, with a copy each. Further ones are visited in chains.
+const MAX_ALONE: usize = 8;
+
 /// The first `length` hosts of a service for a flow, by rendezvous hashing.
 ///
 /// Balancers whose views differ by a few hosts still get nearly the same list.
@@ -20,21 +23,80 @@
     list
 }
 
-/// The agents that the next packet of a searched flow visits; empty when all were visited.
+/// The agents that a packet of a searched flow visits one after the other; empty when all were visited.
+///
+/// Those of the route's services come first, then all others, and silent agents last.
+pub(crate) fn next_agents(view: &RoutingView, flow: &FlowKey, search: &FlowSearch) -> Candidates {
+    let hosts = unvisited(view, flow, search, Candidates::MAX, |_| false);
+    chain(hosts.iter().map(|host| host.node))
+}
+
+/// The chains of agents that copies of a packet visit at the same time, up to `room` agents in all.
+///
+/// A chain ends at the first agent that loses its copy, so it stays within one data centre: a link between
+/// two others then hides no agent. Agents that are about to stop, and those that have not returned an
+/// earlier copy, are each visited alone. `local` is the balancer, since the order in a chain differs
+/// between balancers: an agent that loses packets hides others from each of them.
 ///
-/// Those of the route's services come first, then all others. Silent agents come last, in a packet of
-/// their own: a dead agent loses the packet, and with it what the others have answered. After a packet was lost the order is another one, so that no agent or
-/// backend server that answers nothing hides the others. Agents that parallel packets are on their way to
-/// are left out if `unsent`.
-pub(crate) fn next_agents(
+/// After a start of all machines (`together`) most flows are gone and very many are searched for, so that
+/// chains are as long as possible; only agents that lost a copy are then visited otherwise.
+pub(crate) fn next_chains(
     view: &RoutingView,
     flow: &FlowKey,
     search: &FlowSearch,
-    unsent: bool,
-) -> Candidates {
-    let mut candidates = Candidates::default();
+    room: usize,
+    local: NodeId,
+    together: bool,
+) -> Vec<Candidates> {
+    if room == 0 {
+        return Vec::new();
+    }
+    let wanted = room.saturating_add(search.unanswered());
+    let is_in_flight = |node| search.is_in_flight(node);
+    let hosts = unvisited(view, flow, search, wanted, is_in_flight);
+    let (mut asked, mut fresh): (Vec<_>, Vec<_>) = hosts
+        .into_iter()
+        .partition(|host| search.is_unanswered(host.node));
+    // Others come first with each copy, if there are too many.
+    let attempts = u64::from(search.attempts()) << u32::BITS;
+    asked.sort_by_cached_key(|host| flow.hash(address_bits(host.node) | attempts));
+    let again = asked.split_off(asked.len().min(MAX_ALONE));
+    fresh.extend(again);
+    fresh.truncate(room.saturating_sub(asked.len()));
+    let (leaving, mut fresh): (Vec<_>, Vec<_>) = fresh
+        .into_iter()
+        .partition(|host| host.state == HostState::Draining);
+    let seed = address_bits(local) << u32::BITS;
+    fresh.sort_by_cached_key(|host| flow.hash(address_bits(host.node) | seed));
+    let mut alone: Vec<&HostView> = asked.into_iter().chain(leaving).collect();
+    fresh.extend(alone.split_off(alone.len().min(MAX_ALONE)));
+    let mut groups: IndexMap<(bool, u16), Vec<NodeId>> = IndexMap::new();
+    for host in fresh {
+        let key = (!host.same_centre, host.centre);
+        let group = groups.entry(if together { (false, 0) } else { key });
+        group.or_default().push(host.node);
+    }
+    groups.sort_unstable_keys();
+    let grouped = groups
+        .values()
+        .flat_map(|group| group.chunks(Candidates::MAX))
+        .map(|nodes| chain(nodes.iter().copied()));
+    let alone = alone.iter().map(|host| chain([host.node]));
+    grouped.chain(alone).collect()
+}
+
+// The first agents that have not returned a packet of the flow, without those that are `excluded`.
+//
+// Silent agents come last: most of them are dead, and lose a packet.
+fn unvisited<'a>(
+    view: &'a RoutingView,
+    flow: &FlowKey,
+    search: &FlowSearch,
+    wanted: usize,
+    excluded: impl Fn(NodeId) -> bool,
+) -> Vec<&'a HostView> {
     if search.is_full() {
-        return candidates;
+        return Vec::new();
     }
     let services: IndexSet<ServiceKey> = view.holders(&flow.address).collect();
     let latest = view.latest_report();
@@ -48,36 +110,40 @@
         }
         let skipped = |host: &HostView| {
             search.has_visited(host.node)
-                || (unsent && search.is_in_flight(host.node))
+                || excluded(host.node)
                 || view.is_known_absent(latest, host)
         };
         for host in list.into_iter().filter(|host| !skipped(host)) {
             if host.is_suspected(latest) {
-                silent.push(host.node);
+                silent.push(host);
             } else {
-                live.push(host.node);
+                live.push(host);
             }
         }
-        if search.attempts() == 0 && live.len() >= Candidates::MAX {
+        if live.len() >= wanted {
             break;
         }
     }
-    let mut next = if live.is_empty() { silent } else { live };
-    match search.attempts() {
-        0 => {}
-        1 => next.reverse(),
-        attempts => next.sort_by_cached_key(|node| {
-            let node = u64::from(u32::from(node.address()));
-            flow.hash(node | u64::from(attempts) << u32::BITS)
-        }),
+    if live.iter().all(|host| search.is_unanswered(host.node)) {
+        live.extend(silent);
     }
-    for node in next {
+    live.truncate(wanted);
+    live
+}
+
+fn chain(nodes: impl IntoIterator<Item = NodeId>) -> Candidates {
+    let mut candidates = Candidates::default();
+    for node in nodes {
         candidates.push(node);
     }
     candidates
 }
 
+fn address_bits(node: NodeId) -> u64 {
+    u64::from(u32::from(node.address()))
+}
+
 // Hosts with a lower score come first.
 fn score(flow: &FlowKey, node: NodeId) -> u64 {
-    flow.hash(u64::from(u32::from(node.address())))
+    flow.hash(address_bits(node))
 }
--- a/crates/forwarding/src/balancer/searching.rs
+++ b/crates/forwarding/src/balancer/searching.rs
@@ -8,7 +8,7 @@
 use super::search;
 use super::view::RoutingView;
 use super::wake_up::WakeUp;
-use crate::{Candidates, FlowKey, PacketHeader, ServiceKey};
+use crate::{Candidates, FlowKey, NodeId, PacketHeader, ServiceKey};
 
 // Searching for the hosts of flows that this balancer has not placed.
 impl BalancerForwarder {
@@ -45,31 +45,18 @@
         self.search(now, packet_header, search, view)
     }
 
-    /// Sends a packet that searches for its flow to further agents at the same time, if all agents know
-    /// the flows of their hosts; `None` when enough are being visited.
-    pub fn further(
-        &mut self,
-        now: Time,
-        packet_header: &PacketHeader,
-        view: &RoutingView,
-    ) -> Option<Verdict> {
+    /// Sends a further copy of a packet that searches for its flow; `None` when all are sent.
+    ///
+    /// To be called after each [`Verdict::Send`] of [`Self::on_packet`] and [`Self::on_returned`], until it
+    /// returns `None`.
+    pub fn further(&mut self, packet_header: &PacketHeader, view: &RoutingView) -> Option<Verdict> {
         let flow = packet_header.inbound();
         let Some(FlowLocation::Searching(search)) = self.cache.get(&flow) else {
             return None;
         };
-        let parallel = search.is_parallel() && search.may_be_parallel(packet_header);
-        if !parallel || !search.has_room() {
-            return None;
-        }
-        let candidates = search::next_agents(view, &flow, search, true);
-        let node = *candidates.as_slice().first()?;
-        search.sent(now);
-        search.sent_parallel(packet_header, &candidates);
-        let how = HostSource::Searched {
-            visited: search.visited(),
-            known: view.agent_count(),
-        };
-        Some(self.send(node, candidates, ServiceKey::NONE, how))
+        let chain = search.next_unsent(packet_header)?;
+        let visited = search.visited();
+        Some(self.send_searching(chain, visited, view))
     }
 
     /// Judges flows whose search has found nothing, at most [`WakeUp::MAX_JUDGED`] of them.
@@ -105,7 +92,7 @@
             return None;
         };
         search.listed = false;
-        if !search::next_agents(view, &flow, search, false)
+        if !search::next_agents(view, &flow, search)
             .as_slice()
             .is_empty()
         {
@@ -132,10 +119,10 @@
         }
     }
 
-    // Sends a packet to the agents that have not returned one of its flow yet.
+    // Sends a packet to agents that have not returned one of its flow yet.
     //
-    // After the first round all others are visited in parallel, if all agents know the flows of their
-    // hosts. One packet of the flow does so at a time; others visit the agents one after the other.
+    // Copies of it visit several chains of agents in parallel. One packet of the flow does so at a time;
+    // others visit the agents one after the other.
     //
     // A flow is taken for lost only after a second search: another balancer may have placed it on a
     // host that this one has not heard of yet. After a start of all machines one search is enough, if
@@ -148,20 +135,22 @@
         view: &RoutingView,
     ) -> Verdict {
         let flow = packet_header.inbound();
-        let first_round = search.visited() == 0;
-        let unsent = view.is_complete() && !first_round && search.may_be_parallel(packet_header);
-        let candidates = search::next_agents(view, &flow, &search, unsent);
-        let verdict = if let Some(node) = candidates.as_slice().first() {
-            search.sent(now);
-            if unsent {
-                search.sent_parallel(packet_header, &candidates);
+        let first = if !search.is_parallel() || search.is_parallel_with(packet_header) {
+            let room = search.room(view.is_complete());
+            let together = view.started_together(now);
+            let chains = search::next_chains(view, &flow, &search, room, self.node, together);
+            if !chains.is_empty() {
+                search.send_parallel(now, packet_header, chains);
             }
-            let how = HostSource::Searched {
-                visited: search.visited(),
-                known: view.agent_count(),
-            };
-            self.send(*node, candidates, ServiceKey::NONE, how)
-        } else if unsent && search.is_parallel() {
+            search.next_unsent(packet_header)
+        } else {
+            let agents = search::next_agents(view, &flow, &search);
+            Some(agents).filter(|agents| !agents.as_slice().is_empty())
+        };
+        let verdict = if let Some(chain) = first {
+            search.sent(now);
+            self.send_searching(chain, search.visited(), view)
+        } else if search.is_parallel() {
             Verdict::Drop(RejectReason::Searching)
         } else {
             search.mark_exhausted(now);
@@ -185,6 +174,22 @@
         verdict
     }
 
+    // Sends a packet along a chain of agents. The only agent of a chain is told that the packet searches,
+    // so that it notifies this balancer if it holds the flow.
+    fn send_searching(&self, chain: Candidates, visited: usize, view: &RoutingView) -> Verdict {
+        let alone = chain.as_slice().len() == 1;
+        let to = chain.as_slice().first().copied().unwrap_or(NodeId::NONE);
+        let how = HostSource::Searched {
+            visited,
+            known: view.agent_count(),
+        };
+        let mut verdict = self.send(to, chain, ServiceKey::NONE, how);
+        if let Verdict::Send { forward_header, .. } = &mut verdict {
+            forward_header.is_final = alone;
+        }
+        verdict
+    }
+
     // Keeps a search as it is.
     pub(super) fn defer(&mut self, now: Time, flow: FlowKey, search: FlowSearch) -> Verdict {
         let search = FlowLocation::Searching(Box::new(search));
--- a/crates/forwarding/src/balancer/view.rs
+++ b/crates/forwarding/src/balancer/view.rs
@@ -70,6 +70,8 @@
     pub(crate) node: NodeId,
     /// Whether it is in the balancer's data centre.
     pub(crate) same_centre: bool,
+    /// Index of its data centre in this view.
+    pub(crate) centre: u16,
     /// Region of its data centre, if it is known.
     pub(crate) region: Option<Region>,
     /// Whether its data centre takes no new flows.
--- a/crates/forwarding/src/forward_header.rs
+++ b/crates/forwarding/src/forward_header.rs
@@ -23,7 +23,8 @@
     pub rank: u8,
     /// Rate of cold hosts of the service; opening packets only.
     pub cold_rate: ColdRate,
-    /// The packet must not be forwarded again: accept, queue or refuse it.
+    /// The packet must not be forwarded again. An opening packet is accepted, queued or refused; one of an
+    /// established flow searches for its host, and visits one agent only.
     pub is_final: bool,
     /// The packet is an extra opening packet: accept it at once or drop it.
     pub is_extra: bool,
--- a/crates/forwarding/tests/agent/flows.rs
+++ b/crates/forwarding/tests/agent/flows.rs
@@ -328,6 +328,10 @@
     cached.service = ServiceKey::from_bits(0);
     let inbound = agent.on_packet(at(10), &data_packet(1), &cached);
     assert_eq!(inbound.notify, None);
+    let mut alone = cached;
+    alone.is_final = true;
+    let inbound = agent.on_packet(at(10), &data_packet(1), &alone);
+    assert_eq!(inbound.notify, Some(node(9)), "the only agent of a search");
 }
 
 /// Guards against a new flow from a port that was in use before and is taken for the old one: its opening
--- a/crates/forwarding/tests/balancer/lost_packets.rs
+++ b/crates/forwarding/tests/balancer/lost_packets.rs
@@ -125,6 +125,9 @@
         let mut reached = Vec::new();
         let mut verdicts = vec![self.forwarder.on_packet(now, &packet(), &self.view)];
         while let Some(verdict) = verdicts.pop() {
+            while let Some(copy) = self.forwarder.further(&packet(), &self.view) {
+                verdicts.push(copy);
+            }
             let Verdict::Send {
                 to, forward_header, ..
             } = verdict
--- a/crates/forwarding/tests/balancer/main.rs
+++ b/crates/forwarding/tests/balancer/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of a balancer about packets, one situation per test.
 
+mod chains;
 mod copies;
 mod evacuation;
 mod extra_openings;
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -72,7 +72,7 @@
                 self.metrics.packet(Direction::Inbound, bytes.len());
                 let verdict = self.forwarder.on_packet(now, &packet_header, view);
                 self.execute(bytes, &packet_header, verdict, view);
-                self.search_further(now, bytes, &packet_header, verdict, view);
+                self.search_further(bytes, &packet_header, verdict, view);
             }
             Err(fault) => match read_returned(bytes) {
                 Some((packet, visited)) => self.on_returned(now, packet, &visited, view),
@@ -124,16 +124,15 @@
                 let forwarder = &mut self.forwarder;
                 let verdict = forwarder.on_returned(now, &packet_header, visited, view);
                 self.execute(packet, &packet_header, verdict, view);
-                self.search_further(now, packet, &packet_header, verdict, view);
+                self.search_further(packet, &packet_header, verdict, view);
             }
             Err(fault) => event::MALFORMED.log(&[("fault", &fault)]),
         }
     }
 
-    // Sends a packet that searches for its flow in parallel to as many agents as are allowed.
+    // Sends the further copies of a packet that searches for its flow.
     fn search_further(
         &mut self,
-        now: Time,
         packet: &[u8],
         packet_header: &PacketHeader,
         sent: Verdict,
@@ -150,7 +149,7 @@
         };
         let mut sent = Some(sent).filter(searched);
         while sent.is_some() {
-            sent = self.forwarder.further(now, packet_header, view);
+            sent = self.forwarder.further(packet_header, view);
             if let Some(verdict) = sent {
                 self.execute(packet, packet_header, verdict, view);
             }
