--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -79,16 +79,24 @@
 
     fn check_settings(&self) -> Result<Output, CliError> {
         let text = read_text(&self.file)?;
-        let file_kind = if text.contains(PLACEHOLDER_START) {
-            usher_node::Settings::check_template(&self.file)?;
-            "template"
-        } else {
-            Settings::load(&self.file)?;
-            "settings"
-        };
+        let file = self.file.display();
+        if text.contains(PLACEHOLDER_START) {
+            let unfilled = usher_node::Settings::check_template(&self.file)?;
+            let defaults = if unfilled.is_empty() {
+                String::new()
+            } else {
+                let keys = unfilled.join(", ");
+                format!("defaults hold on a platform of the first release: {keys}\n")
+            };
+            return Ok(Output {
+                text: format!("{file}: template, no fault\n{defaults}"),
+                json: json!({ "template": self.file, "faults": [], "defaults": unfilled }),
+            });
+        }
+        Settings::load(&self.file)?;
         Ok(Output {
-            text: format!("{}: {file_kind}, no fault\n", self.file.display()),
-            json: json!({ file_kind: self.file, "faults": [] }),
+            text: format!("{file}: settings, no fault\n"),
+            json: json!({ "settings": self.file, "faults": [] }),
         })
     }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -9,6 +9,7 @@
     LINES_DROPPED = 2006, Warn, "log lines dropped";
     READY = 2007, Info, "readiness changed";
     RESUMED = 2008, Warn, "process was suspended";
+    SETTING_UNFILLED = 2009, Warn, "setting not filled in; its default is in force";
     CONFIGURED = 2101, Info, "configuration in force";
     CONFIG_INVALID = 2102, Error, "configuration not valid; the earlier one stays in force";
     CONFIG_FETCH_FAILED = 2103, Warn, "configuration not fetched from a balancer";
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,6 +53,7 @@
         let signals = Signals::new()?;
         let settings = Settings::read(&file)?;
         let logs = logs::start(&settings)?;
+        settings.log_unfilled();
         let result = match settings.role {
             Role::Balancer => balancer::run(settings, &file, signals).await,
             Role::Agent => agent::run(settings, &file, signals).await,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -7,10 +7,10 @@
 use serde::Deserialize;
 use usher_forwarding::{CpuCapacity, NodeId};
 use usher_hedge::ExtraShare;
-use usher_platform::render_example;
+use usher_platform::{is_unfilled, render_example, render_first_release};
 use usher_types::{Centres, DataCentre, Span};
 
-use crate::NodeError;
+use crate::{NodeError, event};
 
 /// What a node runs as.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,6 +74,8 @@
     pub outliers: bool,
     /// The backend server, for an agent.
     pub agent: Option<AgentSettings>,
+    /// Optional keys whose placeholders the platform has not filled in, so that their defaults hold.
+    pub unfilled: Vec<&'static str>,
 }
 
 /// Settings of the backend server that an agent serves.
@@ -114,7 +116,7 @@
     evacuation_ms: String,
     #[serde(default)]
     centres: String,
-    #[serde(default = "default_level")]
+    #[serde(default)]
     log: String,
     #[serde(default)]
     metrics: String,
@@ -132,14 +134,13 @@
     control: String,
 }
 
-fn default_level() -> String {
-    "info".to_owned()
-}
-
 const ADDRESS: &str = "an address and port, for example 10.1.0.10:8172";
 const MILLIS: &str = "a number of milliseconds above 0, or empty for none";
 const CENTRES: &str = "up to 64 data centres, for example kolkata:bengal,patna:bihar";
 const SECONDS: &str = "a number of seconds";
+const LEVELS: &str = "off, error, warn, info or debug";
+const OPENINGS: &str = "empty, or a share from 0 to 0.5";
+const DEFAULT_LEVEL: &str = "info";
 
 impl Settings {
     /// Reads and checks a settings file.
@@ -163,6 +164,9 @@
 
     /// Checks a settings template, rendered for a balancer and for an agent.
     ///
+    /// Returns the optional keys whose defaults hold where the platform is of its first release, which
+    /// does not fill in all fields.
+    ///
     /// # Errors
     /// `MU-9101`, `MU-9103` or `MU-9104` as for a file, or an error in the template itself.
     ///
@@ -170,17 +174,26 @@
     /// let fault = usher_node::Settings::check_template("/missing").unwrap_err();
     /// assert!(fault.to_string().starts_with("MU-9101"));
     /// ```
-    pub fn check_template(file: impl AsRef<Path>) -> Result<(), NodeError> {
+    pub fn check_template(file: impl AsRef<Path>) -> Result<Vec<&'static str>, NodeError> {
         let file = file.as_ref();
         let template = fs::read_to_string(file).map_err(|fault| NodeError::Unreadable {
             file: file.to_owned(),
             reason: fault.to_string(),
         })?;
+        let mut unfilled = Vec::new();
         for with_agent in [false, true] {
             let text = render_example(&template, with_agent).map_err(NodeError::Template)?;
             Self::parse(&text, file)?;
+            let text = render_first_release(&template, with_agent);
+            unfilled = Self::parse(&text, file)?.unfilled;
+        }
+        Ok(unfilled)
+    }
+
+    pub(crate) fn log_unfilled(&self) {
+        for key in &self.unfilled {
+            event::SETTING_UNFILLED.log(&[("key", key)]);
         }
-        Ok(())
     }
 
     fn parse(text: &str, file: &Path) -> Result<Self, NodeError> {
@@ -199,25 +212,31 @@
         if role == Role::Agent && agent.is_none() {
             return Err(NodeError::NoAgent);
         }
-        let seeds = process.seeds.split(',').map(str::trim);
+        let mut optional = OptionalKeys::default();
+        let seeds = optional.value("seeds", &process.seeds);
+        let seeds = seeds.split(',').map(str::trim);
         let seeds = seeds.filter(|seed| !seed.is_empty());
         let seeds: Result<Vec<SocketAddrV4>, _> = seeds
             .map(|seed| parse(section, "seeds", seed, ADDRESS))
             .collect();
-        let metrics = match process.metrics.as_str() {
+        let evacuation = optional.value("evacuation_ms", &process.evacuation_ms);
+        let centres = optional.value("centres", &process.centres);
+        let level = match optional.value("log", &process.log) {
+            "" => DEFAULT_LEVEL,
+            level => level,
+        };
+        let metrics = match optional.value("metrics", &process.metrics) {
             "" => 0,
             port => parse(section, "metrics", port, "a port")?,
         };
+        let openings = optional.value("extra_openings", &process.extra_openings);
+        let outliers = optional.value("outliers", &process.outliers);
         let address: Ipv4Addr = parse(section, "address", &process.address, "an IPv4 address")?;
+        let centre = &process.centre;
         Ok(Self {
             role,
-            name: process.name,
-            centre: parse(
-                section,
-                "centre",
-                &process.centre,
-                "a name of a data centre",
-            )?,
+            name: text(section, "name", process.name)?,
+            centre: parse(section, "centre", centre, "a name of a data centre")?,
             node: NodeId::new(address),
             packets: parse(section, "packets", &process.packets, ADDRESS)?,
             ready: parse(section, "ready", &process.ready, ADDRESS)?,
@@ -227,32 +246,42 @@
             capacity: parse(section, "cores", &process.cores, "a number of cores")?,
             flow_life: seconds(section, "flow_life_s", &process.flow_life_s)?,
             grace: seconds(section, "grace_s", &process.grace_s)?,
-            evacuation: millis(section, "evacuation_ms", &process.evacuation_ms)?,
-            centres: parse(section, "centres", &process.centres, CENTRES)?,
-            level: parse(
-                section,
-                "log",
-                &process.log,
-                "off, error, warn, info or debug",
-            )?,
+            evacuation: millis(section, "evacuation_ms", evacuation)?,
+            centres: parse(section, "centres", centres, CENTRES)?,
+            level: parse(section, "log", level, LEVELS)?,
             metrics,
-            extra_openings: parse(
-                section,
-                "extra_openings",
-                &process.extra_openings,
-                "empty, or a share from 0 to 0.5",
-            )?,
-            outliers: is_on(section, "outliers", &process.outliers)?,
+            extra_openings: parse(section, "extra_openings", openings, OPENINGS)?,
+            outliers: is_on(section, "outliers", outliers)?,
             agent,
+            unfilled: optional.unfilled,
         })
     }
 }
 
+/// Optional keys as the platform has filled them in.
+#[derive(Debug, Default)]
+struct OptionalKeys {
+    unfilled: Vec<&'static str>,
+}
+
+impl OptionalKeys {
+    // The value of a key; empty, which stands for its default, if its placeholder was not filled in.
+    // A platform older than the template does not know the field, and must not keep a node from starting.
+    fn value<'a>(&mut self, key: &'static str, value: &'a str) -> &'a str {
+        if is_unfilled(value) {
+            self.unfilled.push(key);
+            ""
+        } else {
+            value
+        }
+    }
+}
+
 impl AgentSettings {
     fn check(agent: Agent) -> Result<Self, NodeError> {
         let section = "agent";
         Ok(Self {
-            service: agent.service,
+            service: text(section, "service", agent.service)?,
             backend: parse(section, "backend", &agent.backend, ADDRESS)?,
             outbound: parse(section, "outbound", &agent.outbound, ADDRESS)?,
             control: parse(section, "control", &agent.control, ADDRESS)?,
@@ -274,6 +303,19 @@
     })
 }
 
+// Any text but a placeholder that was not filled in.
+fn text(section: &'static str, key: &'static str, value: String) -> Result<String, NodeError> {
+    if is_unfilled(&value) {
+        return Err(NodeError::Value {
+            section,
+            key,
+            value,
+            allowed: "a name that the platform fills in",
+        });
+    }
+    Ok(value)
+}
+
 fn is_on(section: &'static str, key: &'static str, value: &str) -> Result<bool, NodeError> {
     match value.trim() {
         "" => Ok(false),
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -9,7 +9,8 @@
 use rustix::fs::FileType;
 use rustix::process::{Pid, Signal, kill_process};
 use usher_node::{Role, Settings};
-use usher_types::Span;
+use usher_platform::render_first_release;
+use usher_types::{Centres, Span};
 
 const VALID: &str = "[process]\nrole = agent\nname = side-1\ncentre = kolkata\naddress = 10.1.0.13\n\
     packets = 10.1.0.13:8172\nready = 10.1.0.13:8167\npeer_port = 7720\n\
@@ -159,6 +160,58 @@
     }
 }
 
+/// Guards against a node that does not start because the platform is older than its template, and leaves
+/// the placeholders of optional settings as they are.
+#[test]
+fn optional_settings_that_are_not_filled_in_have_their_defaults() {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let template = fs::read_to_string(root.join("deploy/node.ini")).unwrap();
+    for (with_agent, role) in [(false, Role::Balancer), (true, Role::Agent)] {
+        let text = render_first_release(&template, with_agent);
+        let settings = read("first-release", &text).unwrap();
+        assert_eq!(settings.role, role);
+        assert_eq!(settings.unfilled, ["evacuation_ms", "centres"]);
+        assert_eq!(settings.evacuation, None);
+        assert_eq!(settings.centres, Centres::default());
+    }
+    for (line, key) in [
+        ("seeds = 10.1.0.10:8166,10.2.0.40:8166", "seeds"),
+        ("log = info", "log"),
+        ("metrics = 9464", "metrics"),
+        ("extra_openings = 0.05", "extra_openings"),
+        ("outliers = on", "outliers"),
+    ] {
+        let text = VALID.replacen(line, &format!("{key} = {{{{new.field}}}}"), 1);
+        assert_ne!(text, VALID);
+        assert_eq!(read("unfilled", &text).unwrap().unfilled, [key]);
+    }
+}
+
+/// Guards against a required setting that is taken from a placeholder, for example as the node's name.
+#[test]
+fn required_settings_that_are_not_filled_in_are_refused() {
+    let required = VALID.lines().filter_map(|line| line.split_once(" = "));
+    let optional = [
+        "seeds",
+        "evacuation_ms",
+        "centres",
+        "log",
+        "metrics",
+        "extra_openings",
+        "outliers",
+    ];
+    for (key, value) in required.filter(|(key, _)| !optional.contains(key)) {
+        let text = VALID.replacen(
+            &format!("{key} = {value}"),
+            &format!("{key} = {{{{new.field}}}}"),
+            1,
+        );
+        let fault = read("required", &text).unwrap_err();
+        assert!(fault.starts_with("MU-9103"), "{key}: {fault}");
+        assert!(fault.contains(key), "{key}: {fault}");
+    }
+}
+
 /// Guards against a template that lacks a key or has an unused one.
 #[test]
 fn the_template_has_the_keys_that_are_read() {
