agent: withhold resets of a backend server that is just starting

Callers lost a flow some milliseconds after it had opened: it was reset from a machine that did not hold it.

Cause: a balancer that does not know a flow visits young agents too, which deliver its packets to their backend servers. One that is starting answers data with a reset, and the agent sent it to the caller.

Change: until the first heartbeat, a reset of a flow that the agent does not know is not sent.

--- a/crates/forwarding/src/agent/decision.rs
+++ b/crates/forwarding/src/agent/decision.rs
@@ -158,4 +158,6 @@
     },
     /// A returned packet of the caller, which is decided on again.
     Returned(Inbound),
+    /// A reset that is not sent: a backend server that has just started does not hold the flow.
+    Withheld,
 }
--- a/crates/forwarding/src/agent/forwarder.rs
+++ b/crates/forwarding/src/agent/forwarder.rs
@@ -183,6 +183,11 @@
             (broken, late, entry.on_host(now, packet_header))
         });
         let Some((broken, late, answered)) = observed else {
+            // Until its first heartbeat a backend server gets packets of flows that others may hold, and
+            // answers data with a reset while it starts.
+            if packet_header.flags.resetting && self.heartbeat().is_none() {
+                return Outbound::Withheld;
+            }
             if !packet_header.flags.resetting {
                 let phase = if packet_header.flags.opening {
                     Phase::Answered
--- a/crates/forwarding/tests/balancer/lost_packets.rs
+++ b/crates/forwarding/tests/balancer/lost_packets.rs
@@ -155,7 +155,9 @@
                     }
                     action = match agent.on_host_packet(now, &returned(token)) {
                         Outbound::Returned(inbound) => inbound.action,
-                        Outbound::ToCaller { .. } => panic!("the packet was returned"),
+                        Outbound::ToCaller { .. } | Outbound::Withheld => {
+                            panic!("the packet was returned")
+                        }
                     };
                 }
                 match action {
--- a/crates/forwarding/tests/lossy/traffic.rs
+++ b/crates/forwarding/tests/lossy/traffic.rs
@@ -213,6 +213,7 @@
                     self.send(2, Event::ToCaller(packet));
                 }
             }
+            Outbound::Withheld => {}
             Outbound::Returned(inbound) => {
                 let mut packet = packet;
                 packet.flags.returned = false;
--- a/crates/forwarding/tests/surge/service.rs
+++ b/crates/forwarding/tests/surge/service.rs
@@ -123,6 +123,7 @@
                 let agent = &mut self.hosts[host].agent;
                 match agent.on_host_packet(self.now, &packet) {
                     Outbound::ToCaller { .. } => self.after(TO_CALLER, Job::ToCaller(packet)),
+                    Outbound::Withheld => {}
                     Outbound::Returned(inbound) => {
                         let mut packet = packet;
                         packet.flags.returned = false;
--- a/crates/forwarding/tests/world/model/traffic.rs
+++ b/crates/forwarding/tests/world/model/traffic.rs
@@ -63,6 +63,7 @@
                     Outbound::ToCaller { .. } => {
                         self.queue.push_back(Message::ToCaller(packet_header));
                     }
+                    Outbound::Withheld => {}
                     Outbound::Returned(inbound) => {
                         let mut packet_header = packet_header;
                         packet_header.flags.returned = false;
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -76,6 +76,14 @@
             let decision = self
                 .forwarder()
                 .on_host_packet(usher_clock::now(), &packet_header);
+            if packet_header.flags.resetting {
+                let withheld = decision == Outbound::Withheld;
+                event::BACKEND_RESET.log(&[
+                    ("flow", &packet_header.outbound()),
+                    ("sequence", &packet_header.sequence),
+                    ("withheld", &withheld),
+                ]);
+            }
             match decision {
                 Outbound::ToCaller { work } => {
                     if let Some(work) = work {
@@ -84,6 +92,7 @@
                     let caller = SocketAddrV4::new(*packet_header.target.ip(), self.port);
                     send(&self.network_socket, packet, caller);
                 }
+                Outbound::Withheld => {}
                 Outbound::Returned(decision) => {
                     clear_returned(packet);
                     self.execute(packet, &packet_header, 0, &decision);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -55,6 +55,7 @@
     FLOW_FORWARDED = 2212, Info, "packet forwarded to another agent";
     FLOW_MISSING = 2213, Info, "flow not found at any agent";
     FLOW_HELD = 2214, Info, "flow waits for a slot";
+    BACKEND_RESET = 2215, Info, "backend server reset a flow";
     REQUEST_HELD = 2221, Info, "packet of an open flow waits for a slot";
     REQUEST_REFUSED = 2222, Info, "flow refused for lack of room";
     OPENING_REPEATED = 2231, Info, "opening packet sent to a second host";
