--- a/crates/forwarding/src/balancer/flow_search.rs
+++ b/crates/forwarding/src/balancer/flow_search.rs
@@ -34,7 +34,7 @@
     first_round: bool,
     /// Chains of those agents that no copy was sent along yet.
     unsent: Vec<Candidates>,
-    /// Agents that have not returned a copy in time: each of them, or one before it, has lost the copy.
+    /// Agents of chains whose copies have not returned in time; any of them may have lost its copy.
     unanswered: IndexSet<NodeId>,
     exhausted_at: Option<Time>,
     /// An earlier search has visited all agents that were known then.
@@ -123,7 +123,7 @@
             || is_later(packet_header.acknowledged, acknowledged)
     }
 
-    // Takes the copies that are on their way for lost.
+    // Counts the copies that have not returned yet as lost.
     fn give_up_in_flight(&mut self) {
         self.unanswered.extend(self.in_flight.drain(..));
         self.unsent.clear();
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Whether an agent, or one before it in its chain, has lost an earlier copy.
+    /// Whether an agent was in a chain whose copy has not returned in time.
     pub(crate) fn is_unanswered(&self, node: NodeId) -> bool {
         self.unanswered.contains(&node)
     }
--- a/crates/forwarding/src/balancer/search.rs
+++ b/crates/forwarding/src/balancer/search.rs
@@ -38,8 +38,8 @@
 /// earlier copy, are each visited alone. `local` is the balancer, since the order in a chain differs
 /// between balancers: an agent that loses packets hides others from each of them.
 ///
-/// After a start of all machines (`together`) most flows are gone and very many are searched for, so that
-/// chains are as long as possible; only agents that lost a copy are then visited otherwise.
+/// After a start of all machines (`together`) most flows are gone and very many are searched for, so chains
+/// are as long as possible and pass between data centres; agents visited alone are the same.
 pub(crate) fn next_chains(
     view: &RoutingView,
     flow: &FlowKey,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod http;
 mod logs;
 mod metrics;
+mod optional_keys;
 mod settings;
 mod socket;
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,7 @@
 use usher_platform::{is_unfilled, render_example, render_first_release};
 use usher_types::{Centres, DataCentre, Span};
 
+use crate::optional_keys::OptionalKeys;
 use crate::{NodeError, event};
 
 /// What a node runs as.
@@ -253,30 +254,11 @@
             extra_openings: parse(section, "extra_openings", openings, OPENINGS)?,
             outliers: is_on(section, "outliers", outliers)?,
             agent,
-            unfilled: optional.unfilled,
+            unfilled: optional.into_unfilled(),
         })
     }
 }
 
-/// Optional keys as the platform has filled them in.
-#[derive(Debug, Default)]
-struct OptionalKeys {
-    unfilled: Vec<&'static str>,
-}
-
-impl OptionalKeys {
-    // The value of a key; empty, which stands for its default, if its placeholder was not filled in.
-    // A platform older than the template does not know the field, and must not keep a node from starting.
-    fn value<'a>(&mut self, key: &'static str, value: &'a str) -> &'a str {
-        if is_unfilled(value) {
-            self.unfilled.push(key);
-            ""
-        } else {
-            value
-        }
-    }
-}
-
 impl AgentSettings {
     fn check(agent: Agent) -> Result<Self, NodeError> {
         let section = "agent";
