--- a/crates/forwarding/src/balancer/search.rs
+++ b/crates/forwarding/src/balancer/search.rs
@@ -5,7 +5,7 @@
 use crate::{Candidates, FlowKey, HostState, NodeId, ServiceKey};
 
 // Agents that one packet visits alone, with a copy each. Further ones are visited in chains.
-const MAX_ALONE: usize = 8;
+const MAX_ALONE: usize = Candidates::MAX;
 
 /// The first `length` hosts of a service for a flow, by rendezvous hashing.
 ///
@@ -38,8 +38,8 @@
 /// earlier copy, are each visited alone. `local` is the balancer, since the order in a chain differs
 /// between balancers: an agent that loses packets hides others from each of them.
 ///
-/// After a start of all machines (`together`) most flows are gone and very many are searched for, so chains
-/// are as long as possible and pass between data centres; agents visited alone are the same.
+/// After a start of all machines (`together`) most flows are gone and very many are searched for, so the
+/// first chains are as long as possible, and later ones pass between data centres.
 pub(crate) fn next_chains(
     view: &RoutingView,
     flow: &FlowKey,
@@ -51,7 +51,12 @@
     if room == 0 {
         return Vec::new();
     }
-    let wanted = room.saturating_add(search.unanswered());
+    let longest = together && search.visited() == 0;
+    let wanted = if longest {
+        usize::MAX
+    } else {
+        room.saturating_add(search.unanswered())
+    };
     let is_in_flight = |node| search.is_in_flight(node);
     let hosts = unvisited(view, flow, search, wanted, is_in_flight);
     let (mut asked, mut fresh): (Vec<_>, Vec<_>) = hosts
@@ -62,7 +67,10 @@
     asked.sort_by_cached_key(|host| flow.hash(address_bits(host.node) | attempts));
     let again = asked.split_off(asked.len().min(MAX_ALONE));
     fresh.extend(again);
-    fresh.truncate(room.saturating_sub(asked.len()));
+    if !longest {
+        // Agents that never answer must not keep others from being visited.
+        fresh.truncate(room.saturating_sub(asked.len()).max(room / 2));
+    }
     let (leaving, mut fresh): (Vec<_>, Vec<_>) = fresh
         .into_iter()
         .partition(|host| host.state == HostState::Draining);
@@ -73,10 +81,16 @@
     let mut groups: IndexMap<(bool, u16), Vec<NodeId>> = IndexMap::new();
     for host in fresh {
         let key = (!host.same_centre, host.centre);
-        let group = groups.entry(if together { (false, 0) } else { key });
+        let mixed = together && !longest;
+        let group = groups.entry(if mixed { (false, 0) } else { key });
         group.or_default().push(host.node);
     }
     groups.sort_unstable_keys();
+    if longest {
+        for group in groups.values_mut() {
+            group.truncate(Candidates::MAX);
+        }
+    }
     let grouped = groups
         .values()
         .flat_map(|group| group.chunks(Candidates::MAX))
