tests: exact counts for copies of searches, a file for starting hosts

The change to chains had replaced the number of packets of a copy by a test that the first agents are visited again, which bounds nothing: a copy that searches all 65 agents would have passed. The test now gives packets and different agents of each copy exactly, and that none is visited twice.

--- a/crates/forwarding/tests/agent/main.rs
+++ b/crates/forwarding/tests/agent/main.rs
@@ -11,3 +11,4 @@
 mod outcomes;
 mod queue;
 mod requests;
+mod starting_host;
--- a/crates/forwarding/tests/balancer/parallel.rs
+++ b/crates/forwarding/tests/balancer/parallel.rs
@@ -79,6 +79,17 @@
     lists.flat_map(|list| list.as_slice().to_vec()).collect()
 }
 
+// Number of packets, and of the different agents that they visit.
+fn counts(sent: &[ForwardHeader]) -> (usize, usize) {
+    let visited: BTreeSet<_> = agents(sent).into_iter().collect();
+    assert_eq!(
+        visited.len(),
+        agents(sent).len(),
+        "an agent is visited twice"
+    );
+    (sent.len(), visited.len())
+}
+
 /// Guards against a search that takes one round for each 16 agents, against agents that get the packet twice
 /// or not at all, and against parallel packets to backend servers that may hold flows which their agents do
 /// not know.
@@ -170,17 +181,21 @@
 /// searched for at once, and against the loss of a packet that is no copy.
 #[test]
 fn a_copy_of_a_packet_under_way_is_not_searched_for_after_a_joint_start() {
-    for together in [true, false] {
+    // Packets and agents of the copy at 300 ms, and of the next packet at 350 ms. Each of the 16 agents of
+    // the lost chain is visited alone, and further ones in one chain.
+    for (together, copy, next) in [(true, (0, 0), (17, 32)), (false, (17, 24), (1, 16))] {
         let mut search = Search::new(65, true, together);
         let first = agents(&search.on_packet(100, 1));
-        assert_eq!(search.on_packet(300, 1).is_empty(), together);
-        let other = agents(&search.on_packet(350, 2));
-        assert!(first.iter().all(|node| other.contains(node)));
+        assert_eq!(counts(&search.on_packet(300, 1)), copy);
+        let sent = search.on_packet(350, 2);
+        assert_eq!(counts(&sent), next);
+        assert!(first.iter().all(|node| agents(&sent).contains(node)));
     }
     let mut search = Search::new(65, true, true);
     let first = agents(&search.on_packet(100, 1));
-    let copy = agents(&search.on_packet(700, 1));
-    assert!(first.iter().all(|node| copy.contains(node)));
+    let copy = search.on_packet(700, 1);
+    assert_eq!(counts(&copy), (17, 32));
+    assert!(first.iter().all(|node| agents(&copy).contains(node)));
 }
 
 /// Guards against agents that count as visited by a flow because they have returned a late packet of an
@@ -196,6 +211,6 @@
         .on_returned(at(210), &packet(1), &list, &search.view);
     assert_eq!(verdict, Verdict::Drop(RejectReason::Searching));
     let next = search.on_packet(800, 1_000_000_000);
-    let visited: BTreeSet<_> = agents(&next).into_iter().collect();
-    assert_eq!(visited.len(), 10);
+    // The copies of the packet at 200 ms were lost.
+    assert_eq!(counts(&next), (10, 10));
 }
