--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -312,6 +312,10 @@
     for port in 5_000..5_040 {
         cluster.send(BALANCERS[0], port, None);
     }
+    // A balancer that has heard of the evacuation sends nothing to the host.
+    eventually("the balancer has placed the flows", || {
+        log_lines(71, BALANCERS[0], &["MU-E2201", ":5039>"]) > 0
+    });
     cluster.store.evacuate("kolkata");
     std::thread::sleep(Duration::from_secs(4));
     while receive(&cluster.caller).is_some() {}
