--- a/crates/forwarding/tests/balancer/chains.rs
+++ b/crates/forwarding/tests/balancer/chains.rs
@@ -44,7 +44,22 @@
 impl Balancer {
     // The agents of `stopping` have reported that they stop.
     fn new(index: u8, stopping: &[NodeId]) -> Self {
-        let mut directory = HostDirectory::new(CENTRES[0].parse().unwrap(), Time::ZERO);
+        let directory = HostDirectory::new(CENTRES[0].parse().unwrap(), Time::ZERO);
+        Self::with(directory, index, stopping, false)
+    }
+
+    // All machines have started together.
+    fn started_together(index: u8) -> Self {
+        let directory = HostDirectory::new(CENTRES[0].parse().unwrap(), Time::ZERO);
+        let regions = CENTRES.map(|centre| format!("{centre}:bengal")).join(",");
+        let directory = directory.expecting(regions.parse().unwrap());
+        let balancer = Self::with(directory, index, &[], true);
+        assert!(balancer.view.started_together(at(COPIES[0])));
+        balancer
+    }
+
+    // With `complete`, the agents know the flows of their hosts.
+    fn with(mut directory: HostDirectory, index: u8, stopping: &[NodeId], complete: bool) -> Self {
         for node in agents() {
             let state = if stopping.contains(&node) {
                 HostState::Draining
@@ -54,6 +69,7 @@
             let report = Report {
                 centre: CENTRES[usize::from(centre_of(node))].parse().unwrap(),
                 state,
+                complete,
                 ..report(1, SERVICE)
             };
             directory.on_direct_report(at(0), node, &report);
@@ -131,6 +147,19 @@
     }
 }
 
+/// Guards against the same in the half minute after a start of all machines, when chains are longer.
+#[test]
+fn a_link_between_two_data_centres_hides_no_agent_after_a_joint_start() {
+    let loses = |from: NodeId, to: NodeId| (centre_of(from), centre_of(to)) == (0, 1);
+    for port in 1..20 {
+        for holder in agents().filter(|node| centre_of(*node) != 1) {
+            let mut balancer = Balancer::started_together(1);
+            balancer.packet = packet(port);
+            assert!(balancer.reaches(COPIES[0], holder, loses), "{holder}");
+        }
+    }
+}
+
 /// Guards against open flows that are not found while other agents are stopped in turn.
 #[test]
 fn agents_that_have_reported_their_stop_hide_no_other() {
