--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -111,7 +111,17 @@
     pub resets: u32,
 }
 
+/// What has become of an opening packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Waits,
+    Opened,
+    Refused,
+    Unanswered,
+}
+
 pub struct Clients {
+    outcomes: HashMap<Flow, Outcome>,
     sockets: Vec<(Ipv4Addr, UdpSocket)>,
     router: Router,
     truth: Arc<Mutex<Truth>>,
@@ -130,6 +140,7 @@
             (*address.ip(), socket)
         };
         Self {
+            outcomes: HashMap::new(),
             sockets: addresses.iter().map(open).collect(),
             router,
             truth,
@@ -155,6 +166,11 @@
         flow
     }
 
+    /// What has become of the opening packet of a flow.
+    pub fn outcome(&self, flow: &Flow) -> Outcome {
+        self.outcomes.get(flow).copied().unwrap_or(Outcome::Waits)
+    }
+
     pub fn open_flows(&self, label: &str) -> usize {
         let open = self.flows.values().filter(|entry| entry.plan.label == label);
         open.filter(|entry| matches!(entry.phase, Phase::Open { .. })).count()
@@ -206,6 +222,7 @@
         match &mut entry.phase {
             Phase::Opening { .. } => {
                 if packet.has(RST) {
+                    self.outcomes.insert(flow, Outcome::Refused);
                     self.record.line(&format!("{flow} is refused"));
                     self.counts.refused += 1;
                     self.flows.remove(&flow);
@@ -214,6 +231,7 @@
                     let stream = Stream::new(packet.ack, packet.seq.wrapping_add(1));
                     entry.phase = Phase::Open { stream, input: Vec::new(), waits: None, next_at: now, answered: 0 };
                     self.counts.opened += 1;
+                    self.outcomes.insert(flow, Outcome::Opened);
                     self.record.line(&format!("{flow} is open"));
                 }
             }
@@ -327,7 +345,10 @@
         }
         for (flow, what) in gone {
             match what {
-                "does not open" => self.counts.unopened += 1,
+                "does not open" => {
+                    self.counts.unopened += 1;
+                    self.outcomes.insert(flow, Outcome::Unanswered);
+                }
                 "gives up its request" => self.counts.late += 1,
                 _ => {}
             }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod lab;
 mod late_copy;
 mod packet;
+mod silent_store;
 mod store;
 mod stream;
 
@@ -16,6 +17,7 @@
     record.say(&format!("case {case}, trouble: {trouble}"));
     let status = match case.as_str() {
         "late_copy" => late_copy::run(&record, trouble),
+        "silent_store" => silent_store::run(&record, trouble),
         _ => 2,
     };
     record.say(&format!("status {status}"));
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Default, Clone)]
 pub struct Store {
     shared: Arc<(Mutex<Table>, Condvar)>,
+    // Requests that come before this time are never answered.
+    silent_until: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Store {
@@ -61,10 +63,32 @@
         revision
     }
 
+    /// Writes an object as the operator; the store then falls silent for a time.
+    ///
+    /// Watches that wait for the change are still answered.
+    pub fn put_and_fall_silent(&self, kind: &str, name: &str, spec: &str, span: Duration) -> u64 {
+        let (table, changed) = &*self.shared;
+        let mut table = table.lock().unwrap();
+        *self.silent_until.lock().unwrap() = Some(Instant::now() + span);
+        let revision = table.write(kind, name, spec);
+        changed.notify_all();
+        revision
+    }
+
+    fn is_silent(&self) -> bool {
+        let until = *self.silent_until.lock().unwrap();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut stream = stream;
         while let Some((method, target, body)) = read_request(&mut reader) {
+            if self.is_silent() {
+                // Ends when the caller closes the connection.
+                let _rest = reader.read_line(&mut String::new());
+                return;
+            }
             let (status, answer) = self.answer(&method, &target, &body);
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
