--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -26,6 +26,8 @@
     pub ended: HashMap<Flow, String>,
     /// How often each request has run.
     pub runs: HashMap<String, u32>,
+    /// How many requests each server has run.
+    pub served: HashMap<String, u32>,
     /// Packets that did not arrive as they were sent.
     pub changed: u32,
 }
@@ -277,7 +279,10 @@
     for item in work.iter_mut().take(settings.slots) {
         if item.until.is_none() {
             item.until = Some(now + settings.work);
-            *truth.lock().unwrap().runs.entry(item.id.clone()).or_default() += 1;
+            let mut truth = truth.lock().unwrap();
+            *truth.runs.entry(item.id.clone()).or_default() += 1;
+            *truth.served.entry(settings.name.clone()).or_default() += 1;
+            drop(truth);
             record.line(&format!("{} ({}) runs {} of {}", settings.name, settings.service, item.id, item.flow));
         }
     }
--- a/review/standin-3/lab.rs
+++ b/review/standin-3/lab.rs
@@ -73,10 +73,6 @@
         let _status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
     }
 
-    pub fn has_exited(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
-    }
-
     pub fn at(&self, port: u16) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip, port)
     }
--- a/review/standin-3/late_copy.rs
+++ b/review/standin-3/late_copy.rs
@@ -13,9 +13,8 @@
 const SERVICE: &str = "booking-desk";
 const BALANCERS: [u8; 2] = [11, 12];
 const SERVERS: [u8; 2] = [21, 22];
-const FROZEN: usize = 1;
 const FREEZE: Duration = Duration::from_secs(4);
-const LONG_FLOWS: usize = 24;
+const LONG_FLOWS: usize = 36;
 
 /// Returns 0 if no open flow was reset, 1 if one was, 2 if the case could not run.
 pub fn run(record: &Record, trouble: bool) -> i32 {
@@ -41,7 +40,7 @@
                 outbound: lab.at(*host, OUTBOUND),
                 control: lab.at(*host, CONTROL),
                 slots: 3,
-                work: Duration::from_millis(10),
+                work: Duration::from_millis(4),
             };
             Host::start(&settings, Arc::clone(&truth), record.clone())
         })
@@ -80,23 +79,26 @@
         }
     };
     background(&mut clients, Duration::from_secs(3));
+    // The balancers prefer the server that they take for the faster one; its machine freezes.
+    let served = |host: &u8| truth.lock().unwrap().served.get(&format!("server-{host}")).copied();
+    let frozen = usize::from(served(&SERVERS[1]) > served(&SERVERS[0]));
     record.say("clients that keep their flows begin");
     if trouble {
-        record.say(&format!("machine {} freezes", agents[FROZEN].name));
-        servers[FROZEN].frozen.store(true, Ordering::Relaxed);
-        agents[FROZEN].signal("STOP");
+        record.say(&format!("machine {} freezes", agents[frozen].name));
+        servers[frozen].frozen.store(true, Ordering::Relaxed);
+        agents[frozen].signal("STOP");
     }
     let frozen_at = Instant::now();
     for _flow in 0..LONG_FLOWS {
         clients.open(&long);
-        clients.run(Duration::from_millis(8));
+        clients.run(Duration::from_millis(6));
     }
     background(&mut clients, FREEZE.saturating_sub(frozen_at.elapsed()));
     record.say(&format!("open flows that are kept: {}", clients.open_flows("long")));
     if trouble {
-        agents[FROZEN].signal("CONT");
-        servers[FROZEN].frozen.store(false, Ordering::Relaxed);
-        record.say(&format!("machine {} runs again", agents[FROZEN].name));
+        agents[frozen].signal("CONT");
+        servers[frozen].frozen.store(false, Ordering::Relaxed);
+        record.say(&format!("machine {} runs again", agents[frozen].name));
     }
     background(&mut clients, Duration::from_secs(6));
     record.say(&format!("open flows that are kept: {}", clients.open_flows("long")));
