--- a/crates/forwarding/src/agent/entry.rs
+++ b/crates/forwarding/src/agent/entry.rs
@@ -137,14 +137,25 @@
     pub(crate) fn is_of(&self, now: Time, packet_header: &PacketHeader) -> bool {
         let sequence = packet_header.sequence;
         if packet_header.opens() {
-            return self.phase != Phase::Closed
-                && now - self.first_seen < COPY_TIME
-                && self.opening.is_none_or(|known| known == sequence);
+            return self.phase != Phase::Closed && self.is_copy(now, sequence);
+        }
+        self.sequence.is_none_or(|known| is_near(known, sequence))
+    }
+
+    // Whether an opening packet is a copy of the one that opened this flow.
+    //
+    // A copy may have waited at another node for any time. On a flow that both ends may have given up,
+    // only an early one counts as such.
+    fn is_copy(&self, now: Time, sequence: u32) -> bool {
+        let early = now - self.first_seen < COPY_TIME;
+        let active = !self.is_idle(now);
+        match self.opening {
+            Some(known) => (early || active) && known == sequence,
+            // The flow opened before this agent started.
+            None => {
+                early || (active && self.sequence.is_some_and(|known| is_near(known, sequence)))
+            }
         }
-        self.sequence.is_none_or(|known| {
-            known.wrapping_sub(sequence) <= MAX_SEQUENCE_DISTANCE
-                || sequence.wrapping_sub(known) <= MAX_SEQUENCE_DISTANCE
-        })
     }
 
     /// Whether a packet of the caller shows that the flow has opened at another host.
@@ -155,10 +166,7 @@
     pub(crate) fn is_elsewhere(&self, packet_header: &PacketHeader) -> bool {
         let opened_here = self.received.is_some() || self.opening.is_none();
         let position = packet_header.acknowledged;
-        let answers = |answer: u32| {
-            position.wrapping_sub(answer) <= MAX_SEQUENCE_DISTANCE
-                || answer.wrapping_sub(position) <= MAX_SEQUENCE_DISTANCE
-        };
+        let answers = |answer: u32| is_near(answer, position);
         packet_header.flags.acknowledging
             && matches!(self.phase, Phase::Opening | Phase::Answered)
             && !opened_here
@@ -339,3 +347,8 @@
         }
     }
 }
+
+// Whether two positions of one sender may be of one flow.
+fn is_near(a: u32, b: u32) -> bool {
+    a.wrapping_sub(b) <= MAX_SEQUENCE_DISTANCE || b.wrapping_sub(a) <= MAX_SEQUENCE_DISTANCE
+}
--- a/crates/forwarding/tests/agent/main.rs
+++ b/crates/forwarding/tests/agent/main.rs
@@ -7,6 +7,7 @@
 mod extra_openings;
 mod fixture;
 mod flows;
+mod late_copies;
 mod order;
 mod outcomes;
 mod queue;
