--- a/crates/clock/src/clock.rs
+++ b/crates/clock/src/clock.rs
@@ -21,6 +21,17 @@
     read(ClockId::Monotonic)
 }
 
+/// Time since the machine started, suspensions included.
+///
+/// It must not be compared with readings of [`now`].
+///
+/// ```
+/// assert!(usher_clock::since_boot() <= usher_clock::since_boot());
+/// ```
+pub fn since_boot() -> Time {
+    read(ClockId::Boottime)
+}
+
 /// Wall-clock time in microseconds; read at start, it identifies the process.
 ///
 /// ```
--- a/crates/forwarding/src/agent/openings.rs
+++ b/crates/forwarding/src/agent/openings.rs
@@ -10,6 +10,7 @@
 use super::pending_deliveries::Delivery;
 use super::wait_queue::WaitQueue;
 use crate::forward_header::ShortestQueue;
+use crate::packet_header::ATTEMPT_TIME;
 use crate::{FlowKey, ForwardHeader, HostState, PacketHeader};
 
 // Requests beyond the slots that a backend server gets while other hosts may be free. The next
@@ -75,7 +76,7 @@
         if !self.wait_queue.has_rank(rank) && self.has_room(now, rank, EXTRA_REQUESTS_BUSY) {
             return self.admit_at_once(now, flow, sequence, forward_header);
         }
-        self.queue_opening(now, flow, sequence, forward_header)
+        self.queue_opening(now, packet_header, forward_header)
     }
 
     // Expected time until a new flow of this rank gets a slot.
@@ -135,7 +136,7 @@
     }
 
     pub(super) fn max_wait(&self, now: Time, forward_header: &ForwardHeader) -> Span {
-        WaitQueue::max_wait(forward_header, self.load(now).work())
+        WaitQueue::max_wait(forward_header, self.load(now).work(), ATTEMPT_TIME)
     }
 
     pub(super) fn slots(&self) -> Slots {
--- a/crates/forwarding/src/agent/requests.rs
+++ b/crates/forwarding/src/agent/requests.rs
@@ -10,7 +10,7 @@
 use super::held_data::HeldData;
 use super::openings::{EXTRA_REQUESTS, EXTRA_REQUESTS_BUSY};
 use super::rank_counts::RankCounts;
-use super::wait_queue::{Queued, Work};
+use super::wait_queue::{Queued, WaitQueue, Work};
 use crate::{FlowKey, ForwardHeader, HostState, PacketHeader};
 
 /// Whether the slots are shared among callers.
@@ -48,10 +48,14 @@
 impl AgentForwarder {
     /// Removes flows from the queue that get a slot or have waited too long.
     ///
-    /// Opening packets that have waited too long are refused. Packets of open flows are delivered,
+    /// Opening packets that have waited too long are refused, or dropped once the caller has given them
+    /// up: its flow may be open at another host. Packets of open flows are delivered,
     /// behind the waiting requests of better ranks: the backend server serves what it has in the
     /// order of arrival, so these would otherwise wait longer than the late one.
     pub fn release(&mut self, now: Time) -> Vec<Release> {
+        for flow in self.wait_queue.given_up(now) {
+            self.drop_given_up(flow);
+        }
         let serving = self.state() == HostState::Serving;
         if !serving {
             for flow in self.wait_queue.flows(true) {
@@ -141,14 +145,16 @@
     pub(super) fn queue_opening(
         &mut self,
         now: Time,
-        flow: FlowKey,
-        sequence: u32,
+        packet_header: &PacketHeader,
         forward_header: &ForwardHeader,
     ) -> Inbound {
+        let (flow, sequence) = (packet_header.inbound(), packet_header.sequence);
         let caller = self.caller(&flow, forward_header);
-        let max_wait = self.max_wait(now, forward_header);
+        let life = packet_header.opening_life();
+        let max_wait = WaitQueue::max_wait(forward_header, self.load(now).work(), life);
+        let waits = (max_wait, life);
         self.wait_queue
-            .push_opening(now, (flow, sequence), caller, forward_header, max_wait);
+            .push_opening(now, (flow, sequence), caller, forward_header, waits);
         self.shed(now, &flow);
         let own = self.released.pop_if(|release| release.flow == flow);
         if let Some(own) = own {
@@ -322,6 +328,12 @@
         self.released.push(Release { flow, inbound });
     }
 
+    fn drop_given_up(&mut self, flow: FlowKey) {
+        if self.wait_queue.withdraw(&flow).is_some() {
+            self.drop_held(flow);
+        }
+    }
+
     fn drop_held(&mut self, flow: FlowKey) {
         let inbound = Inbound::of(InboundAction::Drop);
         self.released.push(Release { flow, inbound });
--- a/crates/forwarding/src/agent/wait_queue.rs
+++ b/crates/forwarding/src/agent/wait_queue.rs
@@ -8,8 +8,8 @@
 const CAPACITY: usize = 512;
 // Held packets of open flows per agent; later ones are delivered. A packet has 1,200 bytes of data.
 const MAX_PACKETS: usize = 256;
-// A caller times out 1.4 s after its first opening packet.
-const MAX_WAIT: Span = Span::from_millis(1_200);
+// Part of the time for which a caller waits that is left to the handshake.
+const HANDSHAKE_RESERVE: Span = Span::from_millis(200);
 // Multiple of the mean processing time to reserve after the wait; nine of ten requests take less.
 const WORK_RESERVE_FACTOR: u64 = 3;
 // Share of the budget that a flow may wait even where processing takes most of the budget.
@@ -24,6 +24,8 @@
     pub(crate) header: ForwardHeader,
     pub(crate) work: Work,
     deadline: Time,
+    /// When the caller gives the flow up; `None` for one that is open.
+    given_up_at: Option<Time>,
 }
 
 /// What waits.
@@ -84,11 +86,13 @@
     }
 
     /// Longest wait that leaves enough of the header's budget for processing.
-    pub(crate) fn max_wait(header: &ForwardHeader, work: Span) -> Span {
+    ///
+    /// `life` is the time for which the caller waits.
+    pub(crate) fn max_wait(header: &ForwardHeader, work: Span, life: Span) -> Span {
         let least = header.budget.scale(MIN_WAIT_SHARE);
         (header.budget - work * WORK_RESERVE_FACTOR)
             .max(least)
-            .min(MAX_WAIT)
+            .min(life - HANDSHAKE_RESERVE)
     }
 
     /// Whether the queue takes no more requests.
@@ -118,12 +122,13 @@
         (flow, sequence): (FlowKey, u32),
         caller: Caller,
         header: &ForwardHeader,
-        max_wait: Span,
+        (max_wait, life): (Span, Span),
     ) {
         let queued = Queued {
             header: *header,
             work: Work::Opening { sequence },
             deadline: now + max_wait,
+            given_up_at: Some(now + life),
         };
         let rank = Rank::new(header.rank);
         self.next_deadline = Some(earliest(self.next_deadline, queued.deadline));
@@ -143,6 +148,7 @@
             header: *header,
             work: Work::Request(data),
             deadline: now + target.scale(MAX_HOLD_SHARE),
+            given_up_at: None,
         };
         self.next_deadline = Some(earliest(self.next_deadline, queued.deadline));
         if self.queue.push(now, flow, rank, caller, queued) {
@@ -246,6 +252,19 @@
         self.queue.excess(last, Queued::is_opening, in_progress)
     }
 
+    /// Flows whose callers have given them up; there are some only if the process did not run.
+    pub(crate) fn given_up(&self, now: Time) -> Vec<FlowKey> {
+        if self.next_deadline.is_none_or(|deadline| now < deadline) {
+            return Vec::new();
+        }
+        let waiting = self.queue.iter().map(|(_, waiting)| waiting);
+        let given_up = |queued: &Queued| queued.given_up_at.is_some_and(|end| end <= now);
+        waiting
+            .filter(|waiting| given_up(&waiting.work))
+            .map(|waiting| waiting.key)
+            .collect()
+    }
+
     /// Flows of the requests that have waited too long, in the order of service.
     pub(crate) fn expired(&mut self, now: Time) -> Vec<(FlowKey, Rank)> {
         if self.next_deadline.is_none_or(|deadline| now < deadline) {
--- a/crates/forwarding/src/packet_header.rs
+++ b/crates/forwarding/src/packet_header.rs
@@ -1,7 +1,15 @@
 use std::net::SocketAddrV4;
 
+use usher_types::Span;
+
 use crate::FlowKey;
 
+// A caller gives up an attempt this long after the first opening packet.
+pub(crate) const ATTEMPT_TIME: Span = Span::from_millis(1_400);
+// When it sends the opening packets, from the first one on.
+const LAST_COPY_DELAY: Span = Span::from_millis(600);
+const COPY_DELAYS: [Span; 3] = [Span::ZERO, Span::from_millis(200), LAST_COPY_DELAY];
+
 /// The fields of a packet's header that decisions use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PacketHeader {
@@ -61,6 +69,39 @@
         self.flags.opening && !self.flags.acknowledging
     }
 
+    /// Whether the caller has given up a packet that opens a flow, if it was sent `age` ago or earlier.
+    ///
+    /// ```
+    /// use usher_forwarding::{Flags, PacketHeader};
+    /// use usher_types::Span;
+    /// let flags = Flags {
+    ///     opening: true,
+    ///     ..Flags::default()
+    /// };
+    /// let opening = PacketHeader {
+    ///     source: "100.64.0.7:40001".parse()?,
+    ///     target: "198.18.0.1:443".parse()?,
+    ///     flags,
+    ///     sequence: 1,
+    ///     acknowledged: 0,
+    ///     data: 0,
+    ///     token: 0,
+    /// };
+    /// assert!(!opening.is_given_up(Span::from_millis(1_000)));
+    /// assert!(opening.is_given_up(Span::from_millis(1_400)));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn is_given_up(&self, age: Span) -> bool {
+        self.opens() && age >= self.opening_life()
+    }
+
+    /// How long the caller waits after it has sent this opening packet.
+    pub(crate) fn opening_life(&self) -> Span {
+        let copy = usize::try_from(self.acknowledged).unwrap_or(usize::MAX);
+        let delay = COPY_DELAYS.get(copy).copied().unwrap_or(LAST_COPY_DELAY);
+        ATTEMPT_TIME - delay
+    }
+
     /// Position behind the packet's data.
     pub(crate) fn end(&self) -> u32 {
         self.sequence.wrapping_add(u32::from(self.data))
--- a/crates/forwarding/tests/agent/late_copies.rs
+++ b/crates/forwarding/tests/agent/late_copies.rs
@@ -1,7 +1,8 @@
 //! Copies of opening packets that waited at a paused node while their flow opened.
 
 use assert_matches::assert_matches;
-use usher_forwarding::{AgentForwarder, InboundAction, PacketHeader};
+use usher_forwarding::{AgentForwarder, ForwardHeader, InboundAction, PacketHeader};
+use usher_types::Span;
 
 use crate::fixture::{
     agent, answer, at, data_packet, forward_header, heartbeat, open_flow, opening, serving_agent,
@@ -59,3 +60,40 @@
     let inbound = agent.on_packet(at(5_000), &next, &forward_header(&[3, 4], 0));
     assert_matches!(inbound.action, InboundAction::Deliver { opening: true, .. });
 }
+
+/// Guards against a queued opening packet that is delivered or refused after a pause of the agent: its
+/// flow may be open at another host by then.
+#[test]
+fn a_queued_flow_is_dropped_once_its_caller_has_given_it_up() {
+    for (copy, given_up) in [(0, 1_400), (1, 1_200), (2, 800)] {
+        let queue = || {
+            let mut agent = serving_agent();
+            for port in 1..=3 {
+                agent.on_packet(at(1), &opening(port), &final_header());
+                agent.on_host_packet(at(1), &answer(&opening(port), true, 0));
+                agent.on_packet(at(2), &data_packet(port), &final_header());
+            }
+            let packet = PacketHeader {
+                acknowledged: copy,
+                ..opening(4)
+            };
+            let held = agent.on_packet(at(2), &packet, &final_header());
+            assert_eq!(held.action, InboundAction::Hold);
+            agent
+        };
+        let dropped = queue().release(at(2 + given_up));
+        let actions: Vec<_> = dropped.iter().map(|out| out.inbound.action).collect();
+        assert_eq!(actions, [InboundAction::Drop]);
+        let refused = queue().release(at(1 + given_up));
+        let actions: Vec<_> = refused.iter().map(|out| out.inbound.action).collect();
+        assert_matches!(actions[..], [InboundAction::Refuse { .. }]);
+    }
+}
+
+fn final_header() -> ForwardHeader {
+    ForwardHeader {
+        is_final: true,
+        budget: Span::from_secs(10),
+        ..forward_header(&[3], 0)
+    }
+}
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -13,7 +13,7 @@
 };
 use crate::event;
 use crate::metrics::{Direction, Metrics};
-use crate::socket::{receive_all, send};
+use crate::socket::{is_given_up, receive_all, send};
 
 /// State that the traffic threads and the control thread of an agent share.
 #[derive(Debug, Clone)]
@@ -42,7 +42,7 @@
     /// Handles packets of callers until the process exits.
     pub(crate) fn run_inbound(&self) {
         let mut buffer = [0; DATAGRAM_BYTES];
-        receive_all(&self.network_socket, &mut buffer, |bytes| {
+        receive_all(&self.network_socket, &mut buffer, |bytes, backlog| {
             let Some((forward_header, packet)) = read_forward_header(bytes) else {
                 event::MALFORMED.log(&[("datagram", &"not from a node")]);
                 return;
@@ -50,6 +50,10 @@
             match decode_header(packet) {
                 Ok(packet_header) => {
                     self.metrics.packet(Direction::Inbound, packet.len());
+                    if is_given_up(&packet_header, backlog) {
+                        self.metrics.opening_given_up();
+                        return;
+                    }
                     let (decision, due) = self.decide(packet, &packet_header, &forward_header);
                     self.execute(packet, &packet_header, forward_header.hop, &decision);
                     if due {
@@ -64,7 +68,7 @@
     /// Handles packets of the backend server until the process exits.
     pub(crate) fn run_outbound(&self) {
         let mut buffer = [0; DATAGRAM_BYTES];
-        receive_all(&self.backend_socket, &mut buffer, |packet| {
+        receive_all(&self.backend_socket, &mut buffer, |packet, backlog| {
             let packet_header = match decode_header(packet) {
                 Ok(packet_header) => packet_header,
                 Err(fault) => {
@@ -93,6 +97,9 @@
                     send(&self.network_socket, packet, caller);
                 }
                 Outbound::Withheld => {}
+                Outbound::Returned(_) if is_given_up(&packet_header, backlog) => {
+                    self.metrics.opening_given_up();
+                }
                 Outbound::Returned(decision) => {
                     clear_returned(packet);
                     self.execute(packet, &packet_header, 0, &decision);
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -1,6 +1,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 
 use arc_swap::ArcSwap;
+use usher_clock::SocketBacklog;
 use usher_forwarding::{
     BalancerForwarder, Candidates, FlowKey, ForwardHeader, HostSource, NodeId, PacketHeader,
     RejectReason, RoutingView, Verdict, WakeUp,
@@ -15,7 +16,7 @@
 };
 use crate::event;
 use crate::metrics::{Direction, Metrics};
-use crate::socket::{receive_all, send};
+use crate::socket::{is_given_up, receive_all, send};
 
 /// Forwards packets until the process exits.
 pub(crate) fn run(
@@ -35,9 +36,9 @@
         out: [0; DATAGRAM_BYTES],
     };
     let mut buffer = [0; DATAGRAM_BYTES];
-    receive_all(socket, &mut buffer, |bytes| {
+    receive_all(socket, &mut buffer, |bytes, backlog| {
         let view = view.load();
-        traffic.on_datagram(usher_clock::now(), bytes, &view);
+        traffic.on_datagram(usher_clock::now(), bytes, backlog, &view);
     });
 }
 
@@ -52,7 +53,13 @@
 }
 
 impl Traffic<'_> {
-    fn on_datagram(&mut self, now: Time, bytes: &[u8], view: &RoutingView) {
+    fn on_datagram(
+        &mut self,
+        now: Time,
+        bytes: &[u8],
+        backlog: &SocketBacklog,
+        view: &RoutingView,
+    ) {
         if bytes.len() == HINT_BYTES {
             match read_hint(bytes) {
                 Some(hint) => self.forwarder.on_hint(now, &hint),
@@ -70,6 +77,10 @@
         match decode_header(bytes) {
             Ok(packet_header) => {
                 self.metrics.packet(Direction::Inbound, bytes.len());
+                if is_given_up(&packet_header, backlog) {
+                    self.metrics.opening_given_up();
+                    return;
+                }
                 let verdict = self.forwarder.on_packet(now, &packet_header, view);
                 self.execute(bytes, &packet_header, verdict, view);
                 self.search_further(bytes, &packet_header, verdict, view);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -51,6 +51,7 @@
     FLOW_REFUSED = 2203, Info, "flow refused";
     FLOW_RESET = 2204, Info, "flow reset, its host is gone";
     PACKET_DROPPED = 2205, Info, "packet dropped";
+    OPENING_GIVEN_UP = 2206, Info, "opening packet waited for too long and was dropped";
     FLOW_ACCEPTED = 2211, Info, "flow accepted";
     FLOW_FORWARDED = 2212, Info, "packet forwarded to another agent";
     FLOW_MISSING = 2213, Info, "flow not found at any agent";
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -65,6 +65,7 @@
     HOPS = "usher_hops", "histogram", "agents", "Agents that passed an opening packet on before one took it";
     EXTRA_OPENINGS = "usher_extra_openings", "counter", "packets", "Opening packets sent to a second host, by cause";
     EXTRA_WITHHELD = "usher_extra_openings_withheld", "counter", "packets", "Opening packets not sent to a second host for lack of room or budget";
+    GIVEN_UP = "usher_openings_given_up", "counter", "packets", "Opening packets dropped because they had waited in a socket for longer than their callers do";
     COLD_LIMITED = "usher_cold_limited", "counter", "packets", "Opening packets passed on because a cold backend server had got as many as it takes in a second";
 }
 
@@ -103,6 +104,7 @@
     extra_openings: Family<[(&'static str, &'static str); 1], Counter>,
     extra_withheld: Family<[(&'static str, &'static str); 1], Counter>,
     cold_limited: Counter,
+    given_up: Counter,
     fleet_start: Gauge,
     complete: Gauge,
     searches: Counter,
@@ -142,6 +144,7 @@
             extra_openings: Family::default(),
             extra_withheld: Family::default(),
             cold_limited: Counter::default(),
+            given_up: Counter::default(),
             fleet_start: Gauge::default(),
             complete: Gauge::default(),
             searches: Counter::default(),
@@ -195,6 +198,7 @@
             COLD_LIMITED.help,
             metrics.cold_limited.clone(),
         );
+        registry.register(GIVEN_UP.name, GIVEN_UP.help, metrics.given_up.clone());
         Self {
             registry,
             ..metrics
@@ -249,6 +253,11 @@
         self.cold_limited.inc();
     }
 
+    /// Counts an opening packet that was dropped since it had waited for too long.
+    pub(crate) fn opening_given_up(&self) {
+        self.given_up.inc();
+    }
+
     /// Counts a packet that searches for the host of a flow.
     pub(crate) fn search_packet(&self) {
         self.searches.inc();
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -3,7 +3,11 @@
 use std::thread;
 use std::time::Duration;
 
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use socket2::SockRef;
+use usher_clock::{SocketBacklog, since_boot};
+use usher_forwarding::PacketHeader;
 
 use crate::{NodeError, event};
 
@@ -28,15 +32,33 @@
 }
 
 /// Receives datagrams until the process exits and passes each to `handle`.
+///
+/// `handle` also gets the state of the socket, which tells how long the datagram may have waited.
 pub(crate) fn receive_all(
     socket: &UdpSocket,
     buffer: &mut [u8],
-    mut handle: impl FnMut(&mut [u8]),
+    mut handle: impl FnMut(&mut [u8], &SocketBacklog),
 ) {
+    let timeout = Duration::from_micros(SocketBacklog::READ_TIMEOUT.as_micros());
+    // Without a time-out, an idle thread looks as if it had not run.
+    if let Err(fault) = socket.set_read_timeout(Some(timeout)) {
+        event::RECEIVE_FAILED.log(&[("timeout", &SocketBacklog::READ_TIMEOUT), ("fault", &fault)]);
+    }
+    let mut backlog = SocketBacklog::new(since_boot());
     loop {
-        match socket.recv(buffer) {
-            Ok(length) => handle(&mut buffer[..length]),
-            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
+        backlog.before_read(since_boot());
+        let flags = if backlog.may_wait() {
+            RecvFlags::DONTWAIT
+        } else {
+            RecvFlags::empty()
+        };
+        match recv(socket, &mut *buffer, flags) {
+            Ok((_, length)) => {
+                let length = length.min(buffer.len());
+                handle(&mut buffer[..length], &backlog);
+            }
+            Err(Errno::AGAIN) => backlog.on_empty(),
+            Err(Errno::INTR) => {}
             Err(fault) => {
                 event::RECEIVE_FAILED.log(&[("fault", &fault)]);
                 thread::sleep(RETRY_PAUSE);
@@ -45,6 +67,25 @@
     }
 }
 
+/// Whether a packet is an opening packet that its caller may have given up while it waited.
+///
+/// Its flow may be open at another host, or the caller has gone on to a later attempt.
+pub(crate) fn is_given_up(packet_header: &PacketHeader, backlog: &SocketBacklog) -> bool {
+    if !packet_header.opens() {
+        return false;
+    }
+    let waited = backlog.longest_wait(since_boot());
+    let given_up = packet_header.is_given_up(waited);
+    if given_up {
+        event::OPENING_GIVEN_UP.log(&[
+            ("flow", &packet_header.inbound()),
+            ("copy", &packet_header.acknowledged),
+            ("waited", &waited),
+        ]);
+    }
+    given_up
+}
+
 /// Sends a datagram; a failure is only logged, since lost datagrams are repeated.
 pub(crate) fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddrV4) {
     if let Err(fault) = socket.send_to(bytes, to) {
