--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -240,6 +240,20 @@
             .collect()
     }
 
+    /// Number of heard balancers that come before this one by address.
+    ///
+    /// ```
+    /// use usher_forwarding::Fleet;
+    /// use usher_types::Time;
+    /// assert_eq!(Fleet::default().rank(Time::ZERO, "10.1.0.10".parse()?), 0);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn rank(&self, now: Time, own: NodeId) -> usize {
+        let heard = self.members.iter();
+        let heard = heard.filter(|(_, member)| member.is_present(now) && !member.leaving);
+        heard.filter(|(node, _)| **node < own).count()
+    }
+
     /// Balancers that an agent reports to.
     ///
     /// In a small fleet, all; in a large one, a few chosen by weighted rendezvous hashing, which
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -31,6 +31,7 @@
 mod service_key;
 mod stale_entries;
 mod store_position;
+mod watch_schedule;
 
 pub use active_configuration::ActiveConfiguration;
 pub use agent::{
@@ -64,3 +65,4 @@
 pub use service_key::ServiceKey;
 pub use stale_entries::StaleEntries;
 pub use store_position::StorePosition;
+pub use watch_schedule::WatchSchedule;
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -261,3 +261,22 @@
     fleet.on_hello(at(2_000), node(1), &hello_from(1, "0.5", "howrah"));
     assert_eq!(fleet.watchers(at(2_000), &kolkata), [node(1)]);
 }
+
+/// Guards against several balancers that all count as the first one, or none that does because one that
+/// has gone comes before it.
+#[test]
+fn ranks_count_the_balancers_that_are_heard() {
+    let mut fleet = Fleet::default();
+    let now = Time::ZERO + Span::from_secs(1);
+    for (last, leaving) in [(1, false), (2, true), (4, false)] {
+        let hello = Hello {
+            leaving,
+            ..hello(1, 5)
+        };
+        fleet.on_hello(now, node(last), &hello);
+    }
+    fleet.add(now, node(3));
+    assert_eq!(fleet.rank(now, node(5)), 2);
+    assert_eq!(fleet.rank(now, node(2)), 1);
+    assert_eq!(fleet.rank(now + Span::from_secs(60), node(5)), 0);
+}
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use usher_forwarding::NodeId;
+use usher_forwarding::{NodeId, WatchSchedule};
 use usher_platform::{Listing, Request, WatchAnswer};
 use usher_types::{Span, Version};
 
@@ -33,6 +33,7 @@
     signals: Rc<StoreSignals>,
     reader: StoreReader,
     invalid_entries: InvalidEntries,
+    schedule: WatchSchedule,
     /// The last call failed, so the store may still be silent.
     failed: bool,
     /// The last watch ended without a change.
@@ -50,6 +51,7 @@
             signals,
             reader,
             invalid_entries: InvalidEntries::new(metrics),
+            schedule: WatchSchedule::default(),
             failed: false,
             idle: false,
         }
@@ -120,6 +122,7 @@
         self.invalid_entries
             .replace(CONFIGURATIONS, &listing.invalid);
         let mut state = self.state.borrow_mut();
+        self.schedule.restart();
         state.position.advance(listing.store_version);
         state.confirm();
         if let Some(object) = listing.configuration() {
@@ -147,8 +150,9 @@
         if mem::take(&mut self.idle) {
             self.probe().await?;
         }
-        let request = Request::watch_configuration(since, WATCH_WAIT);
-        let limit = WATCH_WAIT + CALL_TIMEOUT;
+        let wait = self.next_wait();
+        let request = Request::watch_configuration(since, wait);
+        let limit = wait + CALL_TIMEOUT;
         let reply = self.reader.call("watch", &request, limit).await?;
         let mut state = self.state.borrow_mut();
         if !state.position.continues(since) {
@@ -174,12 +178,23 @@
         let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
         self.invalid_entries.add(CONFIGURATIONS, &answer.invalid);
         self.idle = answer.changes.is_empty();
+        if !self.idle {
+            self.schedule.restart();
+        }
         state.position.advance(answer.store_version);
         for object in answer.configurations() {
             state.adopt(object.version, object.spec, "store");
         }
         Ok(())
     }
+
+    fn next_wait(&mut self) -> Span {
+        let state = self.state.borrow();
+        let (now, node) = (usher_clock::now(), state.settings.node);
+        let balancers = state.fleet.present(now).len() + 1;
+        let period = WatchSchedule::period(WATCH_WAIT, balancers);
+        self.schedule.next_wait(period, state.fleet.rank(now, node))
+    }
 }
 
 /// Fetches the configuration from another balancer; returns whether it gave one.
