balancer: renew a few watches for evacuations early after a change

New flows could go on reaching an evacuated data centre, or leave a returned one unused, for as long as a watch for evacuations lasts: 13 to 17 s in a fleet of seven balancers, 30 s in a large one.

A change of the evacuations ends these watches of all balancers, which send the next ones at the same moment. If the store answers none of them, no balancer sees the next change.

Change: the schedule of the configuration's watches (`WatchSchedule`) holds for these too: three balancers end the first watch after 1, 2 and 3 s.

Measured: `evacuation::lost_watches_hide_no_evacuation` (six balancers, their watches after a request lost) failed before: the end of the evacuation was not in force 5 s after its acknowledgement. It passes now.

--- a/crates/node/src/balancer/evacuation_feed.rs
+++ b/crates/node/src/balancer/evacuation_feed.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use usher_evacuation::{Evacuations, watch_wait};
-use usher_forwarding::NodeId;
+use usher_forwarding::{NodeId, WatchSchedule};
 use usher_platform::{
     Change, InvalidEntry, Listing, Object, Request, WatchAnswer, decode_evacuation,
 };
@@ -37,6 +37,7 @@
     stored: Option<Evacuations>,
     /// Number of the watch, by which its length differs.
     watches: u64,
+    schedule: WatchSchedule,
     invalid_entries: InvalidEntries,
 }
 
@@ -55,6 +56,7 @@
             bound,
             stored: None,
             watches: 0,
+            schedule: WatchSchedule::default(),
             invalid_entries: InvalidEntries::new(metrics),
         }
     }
@@ -143,6 +145,7 @@
         if let Some(mut set) = set {
             self.keep_invalid(&mut set, &invalid);
             self.invalid_entries.replace(EVACUATIONS, &invalid);
+            self.schedule.restart();
             self.adopt(set);
         }
         Ok(())
@@ -178,6 +181,9 @@
             return Err(format!("status {}", reply.status));
         }
         let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
+        if !answer.changes.is_empty() {
+            self.schedule.restart();
+        }
         let mut invalid = answer.invalid;
         for change in answer.changes {
             match change {
@@ -193,9 +199,12 @@
 
     fn next_wait(&mut self) -> Span {
         self.watches += 1;
-        let balancers = self.state.borrow().fleet.present(usher_clock::now()).len();
+        let (state, now) = (self.state.borrow(), usher_clock::now());
+        let balancers = state.fleet.present(now).len() + 1;
         let seed = u64::from(u32::from(self.node.address())) + self.watches;
-        watch_wait(self.bound, balancers + 1, seed)
+        let period = watch_wait(self.bound, balancers, seed);
+        self.schedule
+            .next_wait(period, state.fleet.rank(now, self.node))
     }
 
     fn adopt(&mut self, set: Evacuations) {
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -519,3 +519,38 @@
     cluster.store.evacuate("kolkata");
     cluster.assert_hosts(Instant::now(), &[3, 6]);
 }
+
+/// Guards against watches that a silent store never answers and that hide the next change of the
+/// evacuations from all balancers, for as long as watches of a large fleet last.
+#[test]
+fn lost_watches_hide_no_evacuation() {
+    const OTHERS: [u8; 4] = [7, 8, 9, 10];
+    // The platform's bound for an evacuation, from its acknowledgement on.
+    const LIMIT: Duration = Duration::from_secs(5);
+    let cluster = Cluster::start(78);
+    for host in OTHERS {
+        drop(fs::remove_file(log_file(78, host)));
+    }
+    let _others = OTHERS.map(|host| start_balancer(&cluster.nodes, host));
+    let all = || BALANCERS.into_iter().chain(OTHERS);
+    eventually("all balancers know each other", || {
+        all().all(|host| log_lines(78, host, &["MU-E2121"]) > OTHERS.len())
+    });
+    cluster.store.set_faults(Faults {
+        lose_watches: u32::try_from(all().count()).unwrap(),
+        ..Faults::default()
+    });
+    cluster.store.evacuate("kolkata");
+    let told = |event| {
+        let count = |host| log_lines(78, host, &[event, "centre=kolkata"]);
+        all().all(|host| count(host) > 0)
+    };
+    eventually("the evacuation is in force", || told("MU-E2151"));
+    std::thread::sleep(Duration::from_secs(1));
+    cluster.store.end_evacuation("kolkata");
+    let acknowledged = Instant::now();
+    while !told("MU-E2152") {
+        assert!(acknowledged.elapsed() < LIMIT, "the evacuation goes on");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
