balancer: keep a host's new process when an older page of hosts names the last one

A balancer that had just started ignored a host for up to 30 s: it had heard the agent's new process before it merged a page of hosts that named the earlier one. The page replaced the record, and the reports of the new process then counted as late ones of the process before.

Change: a page's report of another process of the agent replaces a record only if it was heard later than the record.

Measured: `host_pages::an_older_page_hides_no_new_process` failed before (Serving instead of Draining) and passes.

--- a/crates/forwarding/src/balancer/directory.rs
+++ b/crates/forwarding/src/balancer/directory.rs
@@ -180,6 +180,8 @@
             let (uptime, running) = (report.uptime + *age, now - self.started);
             match self.hosts.get_mut(agent) {
                 Some(host) if host.supersedes(report) => {}
+                // The report of another process of the agent, an earlier one.
+                Some(host) if host.epoch != report.epoch && host.last_heard >= heard => {}
                 Some(host) => {
                     host.update(heard, report, report_rate);
                     host.note_uptime(uptime, running);
--- a/crates/forwarding/tests/host_pages.rs
+++ b/crates/forwarding/tests/host_pages.rs
@@ -198,3 +198,25 @@
     directory.on_direct_report(at(62_000), node(1), &report(2, 300));
     assert_eq!(directory.fleet_start(), FleetStart::Unknown);
 }
+
+/// Guards against an agent that is ignored after its restart: a page of the hosts that is older than its
+/// first report names its earlier process.
+#[test]
+fn an_older_page_hides_no_new_process() {
+    let mut from = running();
+    let mut to = HostDirectory::new(centre(), at(900));
+    let started = |sequence, state| Report {
+        epoch: 2,
+        ..report(sequence, state)
+    };
+    to.on_direct_report(at(1_000), node(1), &started(1, HostState::Serving));
+    take_all(&mut from, &mut to, |_| {});
+    to.on_direct_report(at(1_100), node(1), &started(2, HostState::Draining));
+    let state = |directory: &HostDirectory| directory.state(at(1_100), node(1)).unwrap().0;
+    assert_eq!(state(&to), HostState::Draining);
+    // A page that is newer than the own record names the later process.
+    let mut third = HostDirectory::new(centre(), at(900));
+    third.on_direct_report(at(950), node(1), &report(5, HostState::Serving));
+    take_all(&mut to, &mut third, |_| {});
+    assert_eq!(state(&third), HostState::Draining);
+}
