balancer: register where the store does not tell the existing entry

A balancer that started again was not listed in the store, so that agents and balancers could not find it there, if the store answered the creation of its entry with 409 alone. The code took the entry from that answer, which the store promises only for a version that does not match; it logged the answer as a store that is down and created the entry again, without end.

Change: after a refused creation without an entry the balancer reads the entry, then replaces it at its version if it is another one.

Measured: `restarts::a_balancer_registers_again_where_its_entry_exists` failed before ("timed out waiting until the balancer is registered again") and passes.

--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -70,6 +70,11 @@
                         request = Request::replace(BALANCERS, name, object.version, &entry);
                         continue;
                     }
+                    // The answer to a refused creation need not contain the entry.
+                    Err(_) if reply.status == CONFLICT => {
+                        request = Request::get(BALANCERS, name);
+                        continue;
+                    }
                     Err(fault) => {
                         event::STORE_DOWN.log(&[("call", &"register"), ("fault", &fault)]);
                     }
