balancer: take the early watches from several data centres

Change: they are ranked by the scattered address (`Fleet::rank`, `NodeId::scattered`), which the registry's pauses use too.

Measured: `fleet::heard_balancers_are_ranked` requires several data centres among the first three.

--- a/crates/forwarding/src/fleet.rs
+++ b/crates/forwarding/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::member::{Member, SILENCE_TIMEOUT};
 use crate::{ConfigurationVersion, CpuCapacity, Hello, NodeId};
 
+mod rank;
 mod standby;
 
 // A balancer that has not been heard for this long is removed.
@@ -240,20 +241,6 @@
             .collect()
     }
 
-    /// Number of heard balancers that come before this one by address.
-    ///
-    /// ```
-    /// use usher_forwarding::Fleet;
-    /// use usher_types::Time;
-    /// assert_eq!(Fleet::default().rank(Time::ZERO, "10.1.0.10".parse()?), 0);
-    /// # Ok::<(), std::net::AddrParseError>(())
-    /// ```
-    pub fn rank(&self, now: Time, own: NodeId) -> usize {
-        let heard = self.members.iter();
-        let heard = heard.filter(|(_, member)| member.is_present(now) && !member.leaving);
-        heard.filter(|(node, _)| **node < own).count()
-    }
-
     /// Balancers that an agent reports to.
     ///
     /// In a small fleet, all; in a large one, a few chosen by weighted rendezvous hashing, which
--- a/crates/forwarding/src/node_id.rs
+++ b/crates/forwarding/src/node_id.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+// 2^32 over the golden ratio; as an odd number it maps no two addresses to one.
+const SCATTER_FACTOR: u32 = 0x9e37_79b1;
+
 /// A balancer or agent, identified by the address of its machine.
 ///
 /// ```
@@ -29,6 +32,18 @@
     pub const fn address(self) -> Ipv4Addr {
         self.0
     }
+
+    /// A number for the address that is far from those of its neighbours.
+    ///
+    /// ```
+    /// use usher_forwarding::NodeId;
+    /// let (a, b): (NodeId, NodeId) = ("10.1.0.10".parse()?, "10.1.0.11".parse()?);
+    /// assert!(a.scattered().abs_diff(b.scattered()) > u32::MAX / 4);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn scattered(self) -> u32 {
+        u32::from(self.0).wrapping_mul(SCATTER_FACTOR)
+    }
 }
 
 impl fmt::Display for NodeId {
--- a/crates/forwarding/tests/fleet.rs
+++ b/crates/forwarding/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! The balancers that a process knows and sends to, and the active configuration.
 
+use indexmap::IndexSet;
 use usher_forwarding::{
     ActiveConfiguration, Configuration, ConfigurationVersion, Fleet, Hello, NodeId, StaleEntries,
 };
@@ -264,19 +265,41 @@
 
 /// Guards against several balancers that all count as the first one, or none that does because one that
 /// has gone comes before it.
+///
+/// Also against first ones that are all of one data centre, and lost with it.
 #[test]
-fn ranks_count_the_balancers_that_are_heard() {
-    let mut fleet = Fleet::default();
+fn heard_balancers_are_ranked() {
     let now = Time::ZERO + Span::from_secs(1);
-    for (last, leaving) in [(1, false), (2, true), (4, false)] {
-        let hello = Hello {
-            leaving,
-            ..hello(1, 5)
-        };
-        fleet.on_hello(now, node(last), &hello);
-    }
-    fleet.add(now, node(3));
-    assert_eq!(fleet.rank(now, node(5)), 2);
-    assert_eq!(fleet.rank(now, node(2)), 1);
-    assert_eq!(fleet.rank(now + Span::from_secs(60), node(5)), 0);
+    let all: Vec<NodeId> = [1, 2, 3]
+        .into_iter()
+        .flat_map(|centre| (4..8).map(move |last| NodeId::new([10, centre, 0, last].into())))
+        .collect();
+    let rank = |own: NodeId, at: Time| {
+        let mut fleet = Fleet::default();
+        for other in all.iter().filter(|other| **other != own) {
+            let leaving = *other == all[0];
+            fleet.on_hello(
+                now,
+                *other,
+                &Hello {
+                    leaving,
+                    ..hello(1, 5)
+                },
+            );
+        }
+        fleet.add(now, node(99));
+        fleet.rank(at, own)
+    };
+    let mut ranked: Vec<(usize, NodeId)> =
+        all[1..].iter().map(|own| (rank(*own, now), *own)).collect();
+    ranked.sort_unstable();
+    let ranks: Vec<usize> = ranked.iter().map(|(rank, _)| *rank).collect();
+    assert_eq!(ranks, (0..all.len() - 1).collect::<Vec<_>>());
+    let centres: IndexSet<u8> = ranked[..3]
+        .iter()
+        .map(|(_, first)| first.address().octets()[1])
+        .collect();
+    assert!(centres.len() > 1, "{centres:?}");
+    let silent = now + Span::from_secs(60);
+    assert!(all.iter().all(|own| rank(*own, silent) == 0));
 }
--- a/crates/node/src/balancer/registry.rs
+++ b/crates/node/src/balancer/registry.rs
@@ -17,8 +17,6 @@
 const RELIST_INTERVAL: Duration = Duration::from_secs(15);
 // Bits of a pause of up to 511 ms, over which balancers spread their calls after a restore.
 const PAUSE_BITS: u32 = 9;
-// 2^32 over the golden ratio: neighbouring addresses get distant pauses.
-const HASH_FACTOR: u32 = 0x9e37_79b1;
 
 /// Keeps this balancer registered in the store and finds the others there.
 #[derive(Debug)]
@@ -143,6 +141,5 @@
 
 // Pause of a balancer before it registers again, so that not all write at once.
 fn pause(node: NodeId) -> Duration {
-    let hash = u32::from(node.address()).wrapping_mul(HASH_FACTOR);
-    Duration::from_millis(u64::from(hash >> (u32::BITS - PAUSE_BITS)))
+    Duration::from_millis(u64::from(node.scattered() >> (u32::BITS - PAUSE_BITS)))
 }
