balancer: check the store before the watch that follows an idle one, for evacuations too

The watches of both balancers ended idle within the silence, and the next ones were sent into it unchecked.

Change: the check that the feed of the configuration makes is part of `StoreReader`, and both feeds use it.

--- a/crates/node/src/balancer/evacuation_feed.rs
+++ b/crates/node/src/balancer/evacuation_feed.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::mem;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -38,6 +39,8 @@
     /// Number of the watch, by which its length differs.
     watches: u64,
     schedule: WatchSchedule,
+    /// The last watch ended without a change.
+    idle: bool,
     invalid_entries: InvalidEntries,
 }
 
@@ -57,6 +60,7 @@
             stored: None,
             watches: 0,
             schedule: WatchSchedule::default(),
+            idle: false,
             invalid_entries: InvalidEntries::new(metrics),
         }
     }
@@ -153,6 +157,9 @@
 
     // Waits for changes to the set that was read.
     async fn watch(&mut self, mut stored: Evacuations) -> Result<(), String> {
+        if mem::take(&mut self.idle) {
+            self.reader.probe().await?;
+        }
         let since = stored.as_of();
         let wait = self.next_wait();
         let request = Request::watch_evacuations(since, wait);
@@ -181,7 +188,8 @@
             return Err(format!("status {}", reply.status));
         }
         let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
-        if !answer.changes.is_empty() {
+        self.idle = answer.changes.is_empty();
+        if !self.idle {
             self.schedule.restart();
         }
         let mut invalid = answer.invalid;
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -13,7 +13,7 @@
 use super::state::State;
 use super::store_reader::StoreReader;
 use super::store_signals::StoreSignals;
-use crate::control::{BALANCERS, Backoff, InvalidEntries};
+use crate::control::{Backoff, InvalidEntries};
 use crate::event;
 use crate::http::Client;
 
@@ -131,24 +131,10 @@
         Ok(())
     }
 
-    // Checks that the store still answers.
-    //
-    // All balancers renew their watches at about the same time, so a silence that begins just before
-    // would hide the next change from all of them for as long as a watch lasts.
-    async fn probe(&mut self) -> Result<(), String> {
-        let request = Request::probe(BALANCERS);
-        let reply = self.reader.call("probe", &request, CALL_TIMEOUT).await?;
-        if reply.status == OK {
-            Ok(())
-        } else {
-            Err(format!("status {}", reply.status))
-        }
-    }
-
     // Waits for changes since the position, and moves it on or gives it up.
     async fn watch(&mut self, since: Version) -> Result<(), String> {
         if mem::take(&mut self.idle) {
-            self.probe().await?;
+            self.reader.probe().await?;
         }
         let wait = self.next_wait();
         let request = Request::watch_configuration(since, wait);
--- a/crates/node/src/balancer/store_reader.rs
+++ b/crates/node/src/balancer/store_reader.rs
@@ -8,8 +8,13 @@
 use super::answer_progress::AnswerProgress;
 use super::state::State;
 use super::store_signals::StoreSignals;
+use crate::control::BALANCERS;
 use crate::http::Client;
 
+// The store answers in 4 ms; one that is 50 times slower is still usable.
+const PROBE_TIMEOUT: Span = Span::from_millis(1_000);
+const OK: u16 = 200;
+
 /// Connection to the store of a task that follows one kind of objects.
 #[derive(Debug)]
 pub(super) struct StoreReader {
@@ -68,4 +73,18 @@
         }
         Ok(reply)
     }
+
+    /// Checks that the store still answers.
+    ///
+    /// A watch that follows an idle one is sent after it. The store may have fallen silent meanwhile, and
+    /// would not answer the watch.
+    pub(super) async fn probe(&mut self) -> Result<(), String> {
+        let request = Request::probe(BALANCERS);
+        let reply = self.call("probe", &request, PROBE_TIMEOUT).await?;
+        if reply.status == OK {
+            Ok(())
+        } else {
+            Err(format!("status {}", reply.status))
+        }
+    }
 }
