--- a/crates/clock/src/suspend_watch.rs
+++ b/crates/clock/src/suspend_watch.rs
@@ -44,4 +44,17 @@
         let paused = self.checked_at - before.checked_at;
         (suspended > MIN_SUSPENSION || paused > MIN_PAUSE).then(|| suspended + paused)
     }
+
+    /// How long the machine was suspended since the last call, if that was long.
+    ///
+    /// Waits that are measured by [`now`] do not count this time.
+    ///
+    /// ```
+    /// assert_eq!(usher_clock::SuspendWatch::new().check_suspension(), None);
+    /// ```
+    pub fn check_suspension(&mut self) -> Option<Span> {
+        let before = mem::replace(self, Self::new());
+        let suspended = self.offset - before.offset;
+        (suspended > MIN_SUSPENSION).then_some(suspended)
+    }
 }
--- a/crates/forwarding/src/agent/requests.rs
+++ b/crates/forwarding/src/agent/requests.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for a slot: opening packets, and requests on open flows.
 
 use usher_queueing::{Caller, Rank};
-use usher_types::Time;
+use usher_types::{Span, Time};
 
 use super::decision::{ForwardReason, Inbound, InboundAction, Refusal, Release};
 use super::entry::{Delivery, Phase, Terms};
@@ -90,6 +90,12 @@
         std::mem::take(&mut self.released)
     }
 
+    /// Counts a suspension of the machine, which the times of other calls leave out, as a wait of the queued
+    /// opening packets.
+    pub fn on_suspension(&mut self, span: Span) {
+        self.wait_queue.age_openings(span);
+    }
+
     /// Whether a flow has left the queue, so that [`Self::release`] is due at once.
     pub fn has_released(&self) -> bool {
         !self.released.is_empty()
--- a/crates/forwarding/src/agent/wait_queue.rs
+++ b/crates/forwarding/src/agent/wait_queue.rs
@@ -252,6 +252,17 @@
         self.queue.excess(last, Queued::is_opening, in_progress)
     }
 
+    /// Adds a time to the waits of all opening packets.
+    pub(crate) fn age_openings(&mut self, span: Span) {
+        for flow in self.flows(true) {
+            if let Some(queued) = self.queue.get_mut(&flow) {
+                queued.deadline = queued.deadline - span;
+                queued.given_up_at = queued.given_up_at.map(|end| end - span);
+                self.next_deadline = Some(earliest(self.next_deadline, queued.deadline));
+            }
+        }
+    }
+
     /// Flows whose callers have given them up; there are some only if the process did not run.
     pub(crate) fn given_up(&self, now: Time) -> Vec<FlowKey> {
         if self.next_deadline.is_none_or(|deadline| now < deadline) {
--- a/crates/forwarding/tests/agent/late_copies.rs
+++ b/crates/forwarding/tests/agent/late_copies.rs
@@ -66,30 +66,46 @@
 #[test]
 fn a_queued_flow_is_dropped_once_its_caller_has_given_it_up() {
     for (copy, given_up) in [(0, 1_400), (1, 1_200), (2, 800)] {
-        let queue = || {
-            let mut agent = serving_agent();
-            for port in 1..=3 {
-                agent.on_packet(at(1), &opening(port), &final_header());
-                agent.on_host_packet(at(1), &answer(&opening(port), true, 0));
-                agent.on_packet(at(2), &data_packet(port), &final_header());
-            }
-            let packet = PacketHeader {
-                acknowledged: copy,
-                ..opening(4)
-            };
-            let held = agent.on_packet(at(2), &packet, &final_header());
-            assert_eq!(held.action, InboundAction::Hold);
-            agent
-        };
-        let dropped = queue().release(at(2 + given_up));
-        let actions: Vec<_> = dropped.iter().map(|out| out.inbound.action).collect();
-        assert_eq!(actions, [InboundAction::Drop]);
-        let refused = queue().release(at(1 + given_up));
-        let actions: Vec<_> = refused.iter().map(|out| out.inbound.action).collect();
-        assert_matches!(actions[..], [InboundAction::Refuse { .. }]);
+        let dropped = released(&mut agent_with_queue(copy), 2 + given_up);
+        assert_eq!(dropped, [InboundAction::Drop]);
+        let refused = released(&mut agent_with_queue(copy), 1 + given_up);
+        assert_matches!(refused[..], [InboundAction::Refuse { .. }]);
     }
 }
 
+/// Guards against the same after a suspension of the machine, which the agent's clock does not count.
+#[test]
+fn a_suspension_counts_as_a_wait() {
+    let mut agent = agent_with_queue(0);
+    agent.on_suspension(Span::from_secs(4));
+    assert_eq!(released(&mut agent, 3), [InboundAction::Drop]);
+    let mut agent = agent_with_queue(0);
+    agent.on_suspension(Span::from_millis(600));
+    assert!(released(&mut agent, 3).is_empty(), "the caller still waits");
+}
+
+// An agent without a free slot that has queued a copy of an opening packet at 2 ms.
+fn agent_with_queue(copy: u32) -> AgentForwarder {
+    let mut agent = serving_agent();
+    for port in 1..=3 {
+        agent.on_packet(at(1), &opening(port), &final_header());
+        agent.on_host_packet(at(1), &answer(&opening(port), true, 0));
+        agent.on_packet(at(2), &data_packet(port), &final_header());
+    }
+    let packet = PacketHeader {
+        acknowledged: copy,
+        ..opening(4)
+    };
+    let held = agent.on_packet(at(2), &packet, &final_header());
+    assert_eq!(held.action, InboundAction::Hold);
+    agent
+}
+
+fn released(agent: &mut AgentForwarder, millis: u64) -> Vec<InboundAction> {
+    let releases = agent.release(at(millis));
+    releases.iter().map(|out| out.inbound.action).collect()
+}
+
 fn final_header() -> ForwardHeader {
     ForwardHeader {
         is_final: true,
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -65,6 +65,7 @@
     let shared = Shared {
         forwarder: Arc::new(Mutex::new(forwarder)),
         held: Arc::default(),
+        suspend_watch: Arc::new(Mutex::new(SuspendWatch::new())),
         network_socket: Arc::new(open_udp(settings.packets, "packets")?),
         backend_socket: Arc::new(open_udp(
             agent_settings.outbound,
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -1,6 +1,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use usher_clock::SuspendWatch;
 use usher_forwarding::{
     AgentForwarder, Candidates, FlowKey, ForwardHeader, ForwardReason, Hint, Inbound,
     InboundAction, NodeId, Outbound, PacketHeader, Refusal,
@@ -23,6 +24,8 @@
     pub(crate) held: Arc<Mutex<HeldPackets>>,
     /// Packets from nodes, and to callers and other nodes.
     pub(crate) network_socket: Arc<UdpSocket>,
+    /// Locked after `forwarder`.
+    pub(crate) suspend_watch: Arc<Mutex<SuspendWatch>>,
     /// Packets to and from the backend server.
     pub(crate) backend_socket: Arc<UdpSocket>,
     pub(crate) node: NodeId,
@@ -112,6 +115,15 @@
     /// Delivers queued packets that get a slot, and those of flows that have waited too long.
     pub(crate) fn release(&self) {
         let mut forwarder = self.forwarder();
+        let suspended = {
+            let watch = self.suspend_watch.lock();
+            watch
+                .unwrap_or_else(PoisonError::into_inner)
+                .check_suspension()
+        };
+        if let Some(span) = suspended {
+            forwarder.on_suspension(span);
+        }
         let releases = forwarder.release(usher_clock::now());
         if releases.is_empty() {
             return;
