--- a/crates/forwarding/src/agent/wait_queue.rs
+++ b/crates/forwarding/src/agent/wait_queue.rs
@@ -25,7 +25,7 @@
     pub(crate) work: Work,
     deadline: Time,
     /// When the caller gives the flow up; `None` for one that is open.
-    given_up_at: Option<Time>,
+    abandoned_at: Option<Time>,
 }
 
 /// What waits.
@@ -128,7 +128,7 @@
             header: *header,
             work: Work::Opening { sequence },
             deadline: now + max_wait,
-            given_up_at: Some(now + life),
+            abandoned_at: Some(now + life),
         };
         let rank = Rank::new(header.rank);
         self.next_deadline = Some(earliest(self.next_deadline, queued.deadline));
@@ -148,7 +148,7 @@
             header: *header,
             work: Work::Request(data),
             deadline: now + target.scale(MAX_HOLD_SHARE),
-            given_up_at: None,
+            abandoned_at: None,
         };
         self.next_deadline = Some(earliest(self.next_deadline, queued.deadline));
         if self.queue.push(now, flow, rank, caller, queued) {
@@ -257,7 +257,7 @@
         for flow in self.flows(true) {
             if let Some(queued) = self.queue.get_mut(&flow) {
                 queued.deadline = queued.deadline - span;
-                queued.given_up_at = queued.given_up_at.map(|end| end - span);
+                queued.abandoned_at = queued.abandoned_at.map(|end| end - span);
                 self.next_deadline = Some(earliest(self.next_deadline, queued.deadline));
             }
         }
@@ -269,7 +269,7 @@
             return Vec::new();
         }
         let waiting = self.queue.iter().map(|(_, waiting)| waiting);
-        let given_up = |queued: &Queued| queued.given_up_at.is_some_and(|end| end <= now);
+        let given_up = |queued: &Queued| queued.abandoned_at.is_some_and(|end| end <= now);
         waiting
             .filter(|waiting| given_up(&waiting.work))
             .map(|waiting| waiting.key)
--- a/crates/forwarding/src/watch_schedule.rs
+++ b/crates/forwarding/src/watch_schedule.rs
@@ -1,3 +1,5 @@
+use std::mem;
+
 use usher_types::Span;
 
 // Balancers that call again early. They are more than one, since one may be cut off from the store, and
@@ -43,8 +45,8 @@
     /// assert!(WatchSchedule::period(longest, 1) < longest);
     /// ```
     pub fn period(longest: Span, balancers: usize) -> Span {
-        let balancers = u64::try_from(balancers).unwrap_or(u64::MAX);
-        longest.min(FLEET_INTERVAL * balancers.clamp(1, longest.as_micros()))
+        let balancers = u64::try_from(balancers.max(1)).unwrap_or(u64::MAX);
+        longest.min(FLEET_INTERVAL * balancers)
     }
 
     /// Records that all balancers call again at about the same time: after a change, or a read.
@@ -54,7 +56,7 @@
 
     /// The wait of the next call, at most `period`; `rank` is the number of balancers before this one.
     pub fn next_wait(&mut self, period: Span, rank: usize) -> Span {
-        let first = !std::mem::replace(&mut self.spread, true);
+        let first = !mem::replace(&mut self.spread, true);
         let step = u64::try_from(rank).unwrap_or(u64::MAX).saturating_add(1);
         if first && rank < EARLY_BALANCERS {
             period.min(EARLY_STEP * step)
--- a/crates/node/src/agent/traffic.rs
+++ b/crates/node/src/agent/traffic.rs
@@ -53,8 +53,7 @@
             match decode_header(packet) {
                 Ok(packet_header) => {
                     self.metrics.packet(Direction::Inbound, packet.len());
-                    if is_given_up(&packet_header, backlog) {
-                        self.metrics.opening_given_up();
+                    if is_given_up(&packet_header, backlog, &self.metrics) {
                         return;
                     }
                     let (decision, due) = self.decide(packet, &packet_header, &forward_header);
@@ -100,9 +99,7 @@
                     send(&self.network_socket, packet, caller);
                 }
                 Outbound::Withheld => {}
-                Outbound::Returned(_) if is_given_up(&packet_header, backlog) => {
-                    self.metrics.opening_given_up();
-                }
+                Outbound::Returned(_) if is_given_up(&packet_header, backlog, &self.metrics) => {}
                 Outbound::Returned(decision) => {
                     clear_returned(packet);
                     self.execute(packet, &packet_header, 0, &decision);
--- a/crates/node/src/balancer/traffic.rs
+++ b/crates/node/src/balancer/traffic.rs
@@ -77,8 +77,7 @@
         match decode_header(bytes) {
             Ok(packet_header) => {
                 self.metrics.packet(Direction::Inbound, bytes.len());
-                if is_given_up(&packet_header, backlog) {
-                    self.metrics.opening_given_up();
+                if is_given_up(&packet_header, backlog, self.metrics) {
                     return;
                 }
                 let verdict = self.forwarder.on_packet(now, &packet_header, view);
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -9,6 +9,7 @@
 use usher_clock::{SocketBacklog, since_boot};
 use usher_forwarding::PacketHeader;
 
+use crate::metrics::Metrics;
 use crate::{NodeError, event};
 
 // Buffers about 600 long packets while the node is not scheduled.
@@ -70,13 +71,18 @@
 /// Whether a packet is an opening packet that its caller may have given up while it waited.
 ///
 /// Its flow may be open at another host, or the caller has gone on to a later attempt.
-pub(crate) fn is_given_up(packet_header: &PacketHeader, backlog: &SocketBacklog) -> bool {
+pub(crate) fn is_given_up(
+    packet_header: &PacketHeader,
+    backlog: &SocketBacklog,
+    metrics: &Metrics,
+) -> bool {
     if !packet_header.opens() {
         return false;
     }
     let waited = backlog.longest_wait(since_boot());
     let given_up = packet_header.is_given_up(waited);
     if given_up {
+        metrics.opening_given_up();
         event::OPENING_GIVEN_UP.log(&[
             ("flow", &packet_header.inbound()),
             ("copy", &packet_header.acknowledged),
