--- a/crates/node/src/balancer/evacuated.rs
+++ b/crates/node/src/balancer/evacuated.rs
@@ -44,6 +44,7 @@
 
     pub(super) fn apply_evacuations(&mut self, changed: bool) {
         if changed {
+            self.evacuated_at = Some(usher_clock::now());
             self.directory.set_evacuated(self.evacuations.centres());
             self.publish();
         }
--- a/crates/node/src/balancer/evacuation_feed.rs
+++ b/crates/node/src/balancer/evacuation_feed.rs
@@ -38,7 +38,6 @@
     stored: Option<Evacuations>,
     /// Number of the watch, by which its length differs.
     watches: u64,
-    schedule: WatchSchedule,
     /// The last watch ended without a change.
     idle: bool,
     invalid_entries: InvalidEntries,
@@ -59,7 +58,6 @@
             bound,
             stored: None,
             watches: 0,
-            schedule: WatchSchedule::default(),
             idle: false,
             invalid_entries: InvalidEntries::new(metrics),
         }
@@ -149,7 +147,6 @@
         if let Some(mut set) = set {
             self.keep_invalid(&mut set, &invalid);
             self.invalid_entries.replace(EVACUATIONS, &invalid);
-            self.schedule.restart();
             self.adopt(set);
         }
         Ok(())
@@ -189,9 +186,6 @@
         }
         let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
         self.idle = answer.changes.is_empty();
-        if !self.idle {
-            self.schedule.restart();
-        }
         let mut invalid = answer.invalid;
         for change in answer.changes {
             match change {
@@ -211,8 +205,12 @@
         let balancers = state.fleet.present(now).len() + 1;
         let seed = u64::from(u32::from(self.node.address())) + self.watches;
         let period = watch_wait(self.bound, balancers, seed);
-        self.schedule
-            .next_wait(period, state.fleet.rank(now, self.node))
+        let Some(changed_at) = state.evacuated_at else {
+            return period;
+        };
+        let (rank, balancers) = state.place(now);
+        let schedule = WatchSchedule::new(period, rank, balancers);
+        schedule.wait(now - changed_at).min(period)
     }
 
     fn adopt(&mut self, set: Evacuations) {
--- a/crates/node/src/balancer/feed.rs
+++ b/crates/node/src/balancer/feed.rs
@@ -33,7 +33,6 @@
     signals: Rc<StoreSignals>,
     reader: StoreReader,
     invalid_entries: InvalidEntries,
-    schedule: WatchSchedule,
     /// The last call failed, so the store may still be silent.
     failed: bool,
     /// The last watch ended without a change.
@@ -51,7 +50,6 @@
             signals,
             reader,
             invalid_entries: InvalidEntries::new(metrics),
-            schedule: WatchSchedule::default(),
             failed: false,
             idle: false,
         }
@@ -122,7 +120,6 @@
         self.invalid_entries
             .replace(CONFIGURATIONS, &listing.invalid);
         let mut state = self.state.borrow_mut();
-        self.schedule.restart();
         state.position.advance(listing.store_version);
         state.confirm();
         if let Some(object) = listing.configuration() {
@@ -164,9 +161,6 @@
         let answer = WatchAnswer::parse(&reply).map_err(|fault| fault.to_string())?;
         self.invalid_entries.add(CONFIGURATIONS, &answer.invalid);
         self.idle = answer.changes.is_empty();
-        if !self.idle {
-            self.schedule.restart();
-        }
         state.position.advance(answer.store_version);
         for object in answer.configurations() {
             state.adopt(object.version, object.spec, "store");
@@ -174,12 +168,12 @@
         Ok(())
     }
 
-    fn next_wait(&mut self) -> Span {
+    fn next_wait(&self) -> Span {
         let state = self.state.borrow();
-        let (now, node) = (usher_clock::now(), state.settings.node);
-        let balancers = state.fleet.present(now).len() + 1;
+        let now = usher_clock::now();
+        let (rank, balancers) = state.place(now);
         let period = WatchSchedule::period(WATCH_WAIT, balancers);
-        self.schedule.next_wait(period, state.fleet.rank(now, node))
+        WatchSchedule::new(period, rank, balancers).wait(now - state.configured_at)
     }
 }
 
--- a/crates/node/src/balancer/state.rs
+++ b/crates/node/src/balancer/state.rs
@@ -28,6 +28,8 @@
     (HELLO_BALANCERS + HELLO_AGENTS) * 4 + Evacuations::MAX * 64 + 256 <= MESSAGE_BYTES,
     "a hello message can exceed the buffer"
 );
+// Size of the fleet while no other balancer has been heard.
+const ASSUMED_BALANCERS: u32 = 4;
 // A balancer without a serving host is ready after this time, since it can refuse flows at once.
 const HOST_WAIT: Span = Span::from_secs(3);
 
@@ -44,11 +46,15 @@
     pub(super) directory: HostDirectory,
     pub(super) active_configuration: ActiveConfiguration,
     pub(super) document: Box<RawValue>,
+    /// When the configuration in force was adopted.
+    pub(super) configured_at: Time,
     pub(super) view: Arc<ArcSwap<RoutingView>>,
     pub(super) ready: bool,
     pub(super) start_up: StartUp,
     pub(super) suspend_watch: SuspendWatch,
     pub(super) evacuations: EvacuationRecord,
+    /// When the evacuations last changed.
+    pub(super) evacuated_at: Option<Time>,
     /// The evacuations have not been read from the store or taken from a balancer yet.
     pub(super) unread: bool,
     /// Services whose serving hosts are all evacuated.
@@ -88,6 +94,8 @@
             started,
             active_configuration: ActiveConfiguration::default(),
             document: RawValue::NULL.to_owned(),
+            configured_at: started,
+            evacuated_at: None,
             view,
             ready: false,
             start_up: StartUp::new(started),
@@ -121,6 +129,7 @@
         let ignored_services = parsed.ignored_services;
         if self.active_configuration.adopt(parsed) {
             self.document = spec;
+            self.configured_at = usher_clock::now();
             self.publish();
             event::CONFIGURED.log(&[
                 ("version", &version),
@@ -172,6 +181,22 @@
         }
     }
 
+    /// Number of balancers before this one, and of all.
+    ///
+    /// Until a balancer that has just started hears others, the place follows from the address alone.
+    pub(super) fn place(&self, now: Time) -> (usize, usize) {
+        let node = self.settings.node;
+        let heard = self.fleet.present(now).len();
+        if heard == 0 && self.is_starting(now) {
+            let part = u32::MAX / ASSUMED_BALANCERS + 1;
+            return (
+                (node.scattered() / part) as usize,
+                ASSUMED_BALANCERS as usize,
+            );
+        }
+        (self.fleet.rank(now, node), heard + 1)
+    }
+
     /// Whether the balancer has started and may lack hosts that others know.
     pub(crate) fn is_starting(&self, now: Time) -> bool {
         !self.start_up.is_complete(now)
--- a/crates/node/tests/silent_store.rs
+++ b/crates/node/tests/silent_store.rs
@@ -161,3 +161,29 @@
         balancers.await_in_force(&format!("{lost} lost watches"));
     }
 }
+
+/// Guards against a store that is silent at a change and does not tell the watches that wait: the change
+/// must not stay unknown until they end.
+#[test]
+fn a_change_that_waiting_watches_do_not_hear_is_in_force() {
+    let mut balancers = Balancers::start(80);
+    for offset in [500, 2_200, 4_300] {
+        balancers.change();
+        balancers.await_in_force("a change");
+        sleep(Duration::from_millis(offset));
+        let mute = |mute| {
+            balancers.deployment.store.set_faults(Faults {
+                mute,
+                ..Faults::default()
+            });
+        };
+        mute(true);
+        balancers.routes += 1;
+        let routes = &CHANGES[..balancers.routes];
+        balancers.deployment.store.configure_routes(routes);
+        sleep(Duration::from_millis(50));
+        mute(false);
+        sleep(CHANGE_DELAY);
+        balancers.await_in_force(&format!("muted after {offset} ms"));
+    }
+}
